--- /dev/null
+++ b/src/easylogging.cpp
@@ -0,0 +1,2 @@
+// Compiles easylogging++ once for all programs.
+#include <easylogging++.cc>
--- /dev/null
+++ b/src/libnet/libnet_test.cpp
@@ -0,0 +1,115 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <libnet/framedconnection.h>
+#include <libnet/httpclient.h>
+#include <libnet/httpserver.h>
+#include <libnet/udpsocket.h>
+
+using namespace pimentofold;
+
+namespace {
+
+/// Runs the loop until the condition holds; fails the test after a generous bound.
+template<typename Condition>
+void runUntil(Condition condition)
+{
+    constexpr Time bound = 30 * second;
+    const Time start = monotonicNow();
+    while (!condition()) {
+        REQUIRE(monotonicNow() - start < bound);
+        ev_run(EV_DEFAULT, EVRUN_ONCE);
+    }
+}
+
+const Address anyPort{0x7f000001, 0};
+
+} // namespace
+
+// Guards against datagrams lost between queueing and sending and against oversized ones being truncated.
+TEST_CASE("UDP sockets deliver batches and drop oversized datagrams")
+{
+    std::vector<std::string> received;
+    UdpSocket receiver(anyPort, [&](std::string_view bytes, const Address &) { received.emplace_back(bytes); });
+    UdpSocket sender(anyPort, [](std::string_view, const Address &) {});
+    const Address to = receiver.localAddress();
+    constexpr int n = 200;
+    for (int i = 0; i < n; ++i) {
+        sender.send(std::to_string(i), to);
+    }
+    sender.send(std::string(maxDatagramBytes + 1, 'x'), to);
+    Timer keepTurning([] {});
+    keepTurning.start(millisecond, millisecond);
+    runUntil([&] { return received.size() == n; });
+    CHECK(received.back() == std::to_string(n - 1));
+    CHECK(sender.sendDrops() == 1);
+}
+
+// Guards against lost or reordered frames and a missing close notice.
+TEST_CASE("framed connections deliver frames in order and report the end")
+{
+    const Address server{0x7f000001, 39841};
+    std::unique_ptr<FramedConnection> accepted;
+    std::vector<std::string> frames;
+    Listener listener(server, [&](int descriptor) {
+        accepted = std::make_unique<FramedConnection>(descriptor,
+                                                      FramedConnection::Callbacks{{},
+                                                                                  [&](std::string_view payload) {
+                                                                                      frames.emplace_back(payload);
+                                                                                      accepted->send(payload);
+                                                                                  },
+                                                                                  {}});
+    });
+    std::vector<std::string> echoes;
+    bool closed = false;
+    FramedConnection client(server, {{}, [&](std::string_view payload) { echoes.emplace_back(payload); }, [&](const std::string &) { closed = true; }});
+    const std::string large(300'000, 'y');
+    client.send("one");
+    client.send(large);
+    runUntil([&] { return echoes.size() == 2; });
+    CHECK(frames[0] == "one");
+    CHECK(echoes[1] == large);
+    accepted->close();
+    runUntil([&] { return closed; });
+    CHECK(client.isClosed());
+}
+
+// Guards against answers that come after the handler returned being lost, as a waiting watch needs them.
+TEST_CASE("HTTP client and server: now, later and too large")
+{
+    const Address at{0x7f000001, 39842};
+    std::vector<HttpResponder> waiting;
+    HttpServer server(
+        at,
+        [&](const HttpRequest &request, const HttpResponder &respond) {
+            if (request.path == "/later") {
+                waiting.push_back(respond);
+                return;
+            }
+            respond({200, "text/plain", {{"X-Seen", request.headers.at("x-given")}}, request.method + request.query.at("a") + request.body});
+        },
+        1000);
+    HttpClient client;
+    HttpResult now;
+    HttpResult later;
+    HttpResult large;
+    const std::string base = "http://" + toString(at);
+    client.start({"PUT", base + "/now?a=1", {{"X-Given", "g"}}, "body", 5 * second}, [&](const HttpResult &it) { now = it; });
+    client.start({"GET", base + "/later", {}, "", 20 * second}, [&](const HttpResult &it) { later = it; });
+    client.start({"PUT", base + "/now", {}, std::string(2000, 'z'), 5 * second}, [&](const HttpResult &it) { large = it; });
+    runUntil([&] { return now.status != 0 && large.status != 0 && !waiting.empty(); });
+    CHECK(now.body == "PUT1body");
+    CHECK(now.headers.at("x-seen") == "g");
+    CHECK(large.status == 413);
+    CHECK(later.status == 0);
+    waiting.front()({204, "text/plain", {}, ""});
+    runUntil([&] { return later.status != 0; });
+    CHECK(later.status == 204);
+    HttpResult refused;
+    client.start({"GET", "http://127.0.0.1:1/", {}, "", second}, [&](const HttpResult &it) { refused = it; });
+    runUntil([&] { return !refused.error.empty(); });
+    CHECK(refused.status == 0);
+}
--- /dev/null
+++ b/src/libnet/udpsocket.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include <libnet/address.h>
+#include <libnet/loop.h>
+
+#include <pimentofold/codec.h>
+
+/// A UDP socket that receives and sends in batches (recvmmsg, sendmmsg).
+namespace pimentofold {
+
+/// Most datagrams in one system call.
+constexpr std::size_t udpBatch = 64;
+
+class UdpSocket
+{
+public:
+    /// Called for each datagram; the bytes are valid during the call.
+    using Handler = std::function<void(std::string_view bytes, const Address &from)>;
+
+    /// Binds the socket and starts receiving.
+    /// @param local address to bind; port 0 lets the system choose
+    /// @param handler called for each datagram that fits in maxDatagramBytes; longer ones are counted as oversized
+    /// @throws std::system_error when the socket can't be bound
+    UdpSocket(const Address &local, Handler handler);
+    ~UdpSocket();
+    UdpSocket(const UdpSocket &) = delete;
+    UdpSocket &operator=(const UdpSocket &) = delete;
+
+    /// Queues a datagram; it leaves with the batch, at the latest when the loop is about to wait.
+    void send(std::string_view bytes, const Address &to);
+    /// Sends what is queued. Datagrams that the system refuses are dropped and counted.
+    void flush();
+
+    /// @return the bound address
+    Address localAddress() const;
+    std::uint64_t oversized() const;
+    std::uint64_t sendDrops() const;
+    std::uint64_t bytesSent() const;
+    std::uint64_t bytesReceived() const;
+
+private:
+    void receive();
+
+    int m_descriptor = -1;
+    Handler m_handler;
+    IoWatcher m_readable;
+    ev_prepare m_beforeWait{};
+    std::vector<std::array<char, maxDatagramBytes + 1>> m_in;
+    std::vector<std::array<char, maxDatagramBytes + 1>> m_out;
+    std::array<std::size_t, udpBatch> m_outSizes{};
+    std::array<Address, udpBatch> m_outTo{};
+    std::size_t m_queued = 0;
+    std::uint64_t m_oversized = 0;
+    std::uint64_t m_sendDrops = 0;
+    std::uint64_t m_bytesSent = 0;
+    std::uint64_t m_bytesReceived = 0;
+};
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/libpimentofold/metrics.cpp
@@ -0,0 +1,73 @@
+#include <pimentofold/metrics.h>
+
+#include <sstream>
+
+namespace pimentofold {
+
+namespace {
+
+constexpr const char *prefix = "pimentofold_";
+
+void renderDuration(std::ostream &out, const std::string &name, const DurationHistogram &histogram, double sum)
+{
+    // Prometheus wants cumulative counts; the first cell of the indexed range is the underflow.
+    std::uint64_t cumulative = 0;
+    for (auto &&cell : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
+        cumulative += static_cast<std::uint64_t>(*cell);
+        const bool overflow = cell.index() == histogram.axis().size();
+        out << prefix << name << "_bucket{le=\"";
+        if (overflow) {
+            out << "+Inf";
+        } else {
+            out << cell.bin().upper();
+        }
+        out << "\"} " << cumulative << '\n';
+    }
+    out << prefix << name << "_sum " << sum << '\n';
+    out << prefix << name << "_count " << cumulative << '\n';
+}
+
+} // namespace
+
+void count(Metrics &metrics, const std::string &name, std::int64_t n)
+{
+    metrics.counters[name] += n;
+}
+
+std::int64_t &counter(Metrics &metrics, const std::string &name)
+{
+    return metrics.counters[name];
+}
+
+void setGauge(Metrics &metrics, const std::string &name, double value)
+{
+    metrics.gauges[name] = value;
+}
+
+void recordDuration(Metrics &metrics, const std::string &name, double seconds)
+{
+    auto it = metrics.durations.find(name);
+    if (it == metrics.durations.end()) {
+        auto histogram = boost::histogram::make_histogram(boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(24, 0.00005, 60.0));
+        it = metrics.durations.emplace(name, std::make_pair(std::move(histogram), 0.0)).first;
+    }
+    it->second.first(seconds);
+    it->second.second += seconds;
+}
+
+std::string renderMetrics(const Metrics &metrics)
+{
+    std::ostringstream out;
+    for (const auto &[name, value] : metrics.counters) {
+        out << prefix << name << ' ' << value << '\n';
+    }
+    for (const auto &[name, value] : metrics.gauges) {
+        out << prefix << name << ' ' << value << '\n';
+    }
+    for (const auto &[name, value] : metrics.durations) {
+        renderDuration(out, name, value.first, value.second);
+    }
+    return out.str();
+}
+
+} // namespace pimentofold
