Format the measurement frame

Cause: two lines of the measurement frame were not in the formatter's shape. Change: clang-format only. Conclusion: no change in behaviour.

--- a/src/pimentofold-measure/main.cpp
+++ b/src/pimentofold-measure/main.cpp
@@ -35,7 +35,7 @@
         TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the random numbers", false, 1, "seed", command);
         TCLAP::ValueArg<std::int64_t> size("", "size", "main size; 0 for the default", false, 0, "size", command);
         command.parse(argc, argv);
-        const MeasureOptions options {seconds.getValue(), seed.getValue(), size.getValue()};
+        const MeasureOptions options{seconds.getValue(), seed.getValue(), size.getValue()};
         for (const Measurement &it : measurements()) {
             if (it.name == name.getValue()) {
                 return it.run(options);
--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -4,7 +4,7 @@
 
 const std::vector<Measurement> &measurements()
 {
-    static const std::vector<Measurement> table {};
+    static const std::vector<Measurement> table{};
     return table;
 }
 
