--- a/src/libstandin/workload.cpp
+++ b/src/libstandin/workload.cpp
@@ -107,10 +107,14 @@
     return part;
 }
 
+bool isStartOfAnswerTo(const WorkOrder &order, std::int64_t total, std::string_view bytes)
+{
+    return bytes.size() >= answerHeaderBytes && answerPart(order, serverOf(bytes), total, 0, static_cast<std::int64_t>(bytes.size())) == bytes;
+}
+
 bool isAnswerTo(const WorkOrder &order, std::string_view answer)
 {
-    const auto total = static_cast<std::int64_t>(answer.size());
-    return answer.size() >= answerHeaderBytes && answerPart(order, serverOf(answer), total, 0, total) == answer;
+    return isStartOfAnswerTo(order, static_cast<std::int64_t>(answer.size()), answer);
 }
 
 std::int64_t entityTagOf(const WorkOrder &order, std::int64_t total)
--- a/src/libstandin/workload.h
+++ b/src/libstandin/workload.h
@@ -51,6 +51,10 @@
 /// @return the part, shorter or empty at the end of the answer
 std::string answerPart(const WorkOrder &order, std::string_view server, std::int64_t total, std::int64_t offset, std::int64_t limit);
 
+/// @param total length of the whole answer in bytes
+/// @return whether @p bytes are the start of the answer to @p order, at least its header
+bool isStartOfAnswerTo(const WorkOrder &order, std::int64_t total, std::string_view bytes);
+
 /// @return whether @p answer is the whole answer to @p order, whichever server made it
 bool isAnswerTo(const WorkOrder &order, std::string_view answer);
 
