--- /dev/null
+++ b/src/include/pimentofold/relay.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <pimentofold/once.h>
+#include <pimentofold/types.h>
+
+/// Relays requests that must run at most once to their home, then to their witness (section 4, step 6).
+namespace pimentofold {
+
+/// Sendings to one peer before the next one is tried.
+constexpr int relayTries = 3;
+/// Time from one sending to the next.
+constexpr Time relayInterval = 50 * millisecond;
+
+/// A request that this balancer can't serve itself.
+struct RelayRequest {
+    OnceKey key;
+    OncePair pair;
+    OnceRoute route;
+    std::string packet;
+    /// The view shows another incarnation of the home or none: it is skipped. A wrong view costs a refusal, never a
+    /// second run, because the witness closes the record first.
+    bool homeGone = false;
+    bool witnessGone = false;
+};
+
+/// A relay without an acknowledgement.
+struct PendingRelay {
+    RelayRequest request;
+    OnceRole role = OnceRole::Home;
+    int tries = 0;
+    Time retryAt = 0;
+};
+
+/// Open relays of one balancer.
+struct RelayState {
+    InstanceKey self;
+    std::size_t limit = 8'192; ///< further requests are dropped; their callers retransmit
+    std::int64_t sequence = 0;
+    std::map<std::int64_t, PendingRelay> pending;
+    std::int64_t acknowledged = 0;
+    std::int64_t dropped = 0;
+    std::int64_t bothGone = 0;
+};
+
+/// What a command asks of the program around it. Commands append.
+struct RelayOutput {
+    std::vector<OnceMessage> messages;
+    std::vector<OnceRequest> asWitness; ///< the home is gone and this balancer is the witness: handleOnceRequest()
+    std::vector<OnceReply> replies; ///< MayHaveRun/PairLost: neither home nor witness acknowledged
+};
+
+/// Starts a relay. The witness itself relays to the home too, before it answers for it.
+void startRelay(RelayState &state, RelayRequest request, Time now, RelayOutput &out);
+
+/// Ends a relay that the recipient has taken charge of.
+/// @param message a RelayAck from an authenticated datagram
+void handleRelayAck(RelayState &state, const wire::PeerMessage &message);
+
+/// Repeats relays and moves on to the witness. To be called about every 10 ms.
+void tickRelay(RelayState &state, Time now, RelayOutput &out);
+
+/// @param relay a Relay message that this balancer serves in the role it asks for
+/// @return the acknowledgement, to be sent at once
+OnceMessage relayAck(const InstanceKey &self, const wire::PeerMessage &relay);
+
+} // namespace pimentofold
