Declare membership and ranks

Cause: the agent is written on the members' list and the ranks. Change: header membership.h with state, commands, queries and ranked(). Measured: the header compiles alone; no implementation yet. Conclusion: the agent can be written against it.

--- /dev/null
+++ b/src/include/pimentofold/membership.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <pimentofold/random.h>
+#include <pimentofold/types.h>
+
+#include "peer_types.h"
+
+/// Members of one data centre by SWIM: probes, indirect probes, suspicion, piggybacked updates (section 6 of the
+/// design), and digests that repair what the updates have missed.
+namespace pimentofold {
+
+/// What is known of a member. Of two entries for one instance the one with the higher incarnation counts, then the
+/// higher state version, then the later state in the order Alive, Suspect, Leaving, Dead.
+struct Member {
+    InstanceKey key;
+    wire::MemberState::type state = wire::MemberState::Alive;
+    std::string name;
+    std::string address; ///< agent's peer address, "ip:port"
+    std::string balancerAddress; ///< balancer's peer address, "ip:port"
+    std::string dataCentre;
+    std::int64_t stateVersion = 0; ///< raised by the member itself to refute a suspicion or a death
+    Time since = 0; ///< when this node learned the state
+};
+
+/// Parameters; the defaults are those of the design page.
+struct MembershipOptions {
+    Time probeInterval = second;
+    Time probeTimeout = 300 * millisecond; ///< then the indirect probes start
+    int indirectProbes = 3;
+    Time suspicion = 3 * second; ///< times log10 of the number of members; see suspicionTime()
+    std::size_t updatesPerMessage = 12;
+    int retransmitFactor = 3; ///< an update is sent this often, times log2 of the number of members
+    /// Bytes a second for piggybacked updates and digests. With probes and acknowledgements of at most 300 B/s it
+    /// keeps membership below half of the 2 KB/s of a node.
+    std::int64_t updateBytesPerSecond = 600;
+    std::int64_t updateBurstBytes = 6'000;
+    Time digestInterval = 5 * second; ///< a probe carries a digest this often
+    Time reconnectInterval = 5 * second; ///< a dead member or a seed is probed this often, so that partitions heal
+    Time deadRetention = 60 * minute; ///< dead members are forgotten after this time
+    Time leavingLimit = 30 * second; ///< a leaving member counts as dead after this time
+    /// A tick that comes later than this after the last one shows that this process was paused: the open probe is
+    /// given up and suspicions start anew, since refutations may wait unread in the socket.
+    Time pauseThreshold = 1500 * millisecond;
+};
+
+/// A datagram for another agent. Its size is at most maxDatagramBytes with the authenticator.
+struct MemberMessage {
+    std::string address;
+    wire::PeerMessage message;
+};
+
+/// A change of the state of a member.
+struct MemberChange {
+    Member member;
+    std::optional<wire::MemberState::type> before; ///< none for a member that was unknown
+};
+
+/// What a command asks of the program around it. Commands append.
+struct MembershipOutput {
+    std::vector<MemberMessage> messages;
+    std::vector<MemberChange> changes;
+};
+
+/// The probe of the current interval.
+struct Probe {
+    Id target = 0; ///< 0: none is open
+    std::int64_t sequence = 0;
+    Time sentAt = 0;
+    bool indirect = false; ///< the indirect probes are sent
+};
+
+/// A probe on behalf of another member.
+struct ForwardedProbe {
+    std::string requester; ///< address
+    std::int64_t requesterSequence = 0;
+    Id target = 0;
+    Time until = 0;
+};
+
+/// Counts for metrics and measurements.
+struct MembershipCounts {
+    std::int64_t probes = 0;
+    std::int64_t suspicions = 0; ///< suspicions raised by own probes
+    std::int64_t refuted = 0; ///< suspicions or deaths of this member that it refuted
+    std::int64_t deaths = 0; ///< members declared dead after a suspicion
+    std::int64_t pauses = 0;
+    std::int64_t digestsSent = 0;
+    std::int64_t digestsDiffering = 0;
+};
+
+/// State of one agent.
+struct MembershipState {
+    MembershipOptions options;
+    Member self;
+    Random random;
+    std::map<Id, Member> members; ///< all known, with this one and the dead ones
+    std::vector<std::string> seeds; ///< addresses
+    std::vector<Id> probeOrder; ///< members still to be probed in this round
+    Probe probe;
+    Time nextProbeAt = 0;
+    Time nextDigestAt = 0;
+    Time nextReconnectAt = 0;
+    Time lastTick = -1;
+    std::int64_t sequence = 0;
+    std::map<std::int64_t, ForwardedProbe> forwarded;
+    std::map<Id, int> updates; ///< members whose state is still to be disseminated, with the number of sendings
+    double updateBudget = 0; ///< bytes
+    Time budgetAt = 0;
+    bool leaving = false;
+    MembershipCounts counts;
+};
+
+/// Starts membership of this instance.
+/// @param self key, name, addresses and data centre of this member
+/// @param seeds agents' addresses in the same data centre; this member's own address is skipped
+/// @param randomSeed differs between members, so that their probes don't fall on the same target at once
+void startMembership(MembershipState &state, const Member &self, const std::vector<std::string> &seeds, std::uint64_t randomSeed, Time now);
+
+/// Adds an address to contact, for example of the platform's instance list. Known ones are ignored.
+void addSeed(MembershipState &state, const std::string &address);
+
+/// Takes over the incarnation of a restarted balancer of this instance; lower ones are ignored.
+void setIncarnation(MembershipState &state, std::int64_t incarnation, Time now);
+
+/// Takes Ping, PingRequest, Ack and Leave; ignores other kinds.
+/// @param message from an authenticated datagram
+/// @param from address that the datagram came from; the answer goes there
+void handleMembership(MembershipState &state, const wire::PeerMessage &message, const std::string &from, Time now, MembershipOutput &out);
+
+/// Probes, ends suspicions and forgets the dead. To be called about every 100 ms.
+void tickMembership(MembershipState &state, Time now, MembershipOutput &out);
+
+/// Announces the planned stop of this instance. The agent continues to tick and to answer until its process ends.
+void leaveMembership(MembershipState &state, Time now, MembershipOutput &out);
+
+/// @return members that may be given work: alive or suspect, with this one unless it is leaving, by instance
+std::vector<Member> liveMembers(const MembershipState &state);
+
+/// @return how long a suspicion lasts among this number of members
+Time suspicionTime(const MembershipOptions &options, std::size_t members);
+
+/// Orders instances by rendezvous hash. All nodes with the same members get the same order, and a member that joins
+/// or leaves doesn't change the order of the others.
+/// @param members in any order
+/// @param purpose for example "watcher", or the name of a service; keeps the orders for different uses independent
+/// @param count most results
+/// @return the instances, first-ranked first
+std::vector<InstanceKey> ranked(std::span<const InstanceKey> members, std::string_view purpose, std::size_t count);
+
+/// @overload
+/// Ranks the live members.
+std::vector<InstanceKey> ranked(const MembershipState &state, std::string_view purpose, std::size_t count);
+
+} // namespace pimentofold
