Implement at-most-once records and relays

Cause: the design fixes home, witness and relay rules; nothing implemented them. Change: home, witness, graceful stop, bounded tables, relay; answers above one datagram go to the witness in parts, with an optional offset in OnceRecordWire.

--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -43,6 +43,7 @@
   6: i64 entityTag
   7: InstanceKey home
   8: InstanceKey witness
+  9: optional i64 offset        // first byte of the answer that this record holds; long answers go in parts
 }
 
 struct MemberUpdate {
--- a/src/include/pimentofold/once.h
+++ b/src/include/pimentofold/once.h
@@ -108,7 +108,7 @@
 
 /// @param outcome of a frame from the target; a lost connection is Verdict::MayHaveRun with Reason::TargetLost
 /// @return the outcome without an answer body
-OnceOutcome onceOutcomeOf(wire::Outcome outcome);
+OnceOutcome onceOutcomeOf(wire::Outcome::type outcome);
 
 /// A message for another balancer; sender and recipient are filled in.
 struct OnceMessage {
@@ -156,6 +156,13 @@
     Final, ///< the outcome is known
 };
 
+/// An outcome whose answer arrives in parts.
+struct OnceParts {
+    OnceOutcome outcome; ///< the answer has its final size
+    std::set<std::int64_t> offsets; ///< parts received
+    std::size_t received = 0; ///< bytes
+};
+
 /// One record, at the home or at the witness.
 struct OnceRecord {
     OncePair pair;
@@ -167,6 +174,13 @@
     std::string packet;
     std::vector<OnceRoute> routes; ///< callers that wait for the outcome
     std::shared_ptr<const OnceOutcome> outcome;
+    std::shared_ptr<OnceParts> parts; ///< witness: an outcome of which parts are missing
+};
+
+/// A request that was answered NotRun before an intent existed.
+struct OnceRefusal {
+    Reason reason = Reason::None;
+    InstanceKey peer; ///< the other balancer of the pair
 };
 
 } // namespace pimentofold
@@ -186,8 +200,8 @@
 /// Records of one role with their bounds.
 struct OnceTable {
     std::unordered_map<OnceKey, OnceRecord> records;
-    std::unordered_map<OnceKey, Reason> refusals; ///< requests without an intent that were answered NotRun
-    std::map<WallTime, std::vector<OnceKey>> expiries; ///< keys by pairExpiry, in seconds
+    std::unordered_map<OnceKey, OnceRefusal> refusals;
+    std::map<WallTime, std::vector<OnceKey>> expiries; ///< keys by pairExpiry, rounded up to seconds
     std::deque<OnceKey> answers; ///< keys with an answer, oldest first
     std::size_t answerBytes = 0;
     /// By service: pairs that end at or before this wall time take no new request. It stands for refusals that
@@ -232,7 +246,7 @@
     OnceTable witness;
     WallTime wall = 0;
     std::unordered_set<OnceKey> intending;
-    std::size_t running = 0; ///< dispatched requests without an outcome
+    std::unordered_set<OnceKey> running; ///< dispatched requests without an outcome
     std::vector<OnceWait> waits;
     std::set<InstanceKey> retiredWitnesses; ///< witnesses that have announced their stop
     std::int64_t sequence = 0;
--- /dev/null
+++ b/src/libpimentofold/once.cpp
@@ -0,0 +1,170 @@
+#include <pimentofold/once.h>
+
+#include <algorithm>
+
+#include <libpimentofold/onceparts.h>
+
+namespace pimentofold {
+
+using namespace onceparts;
+
+OnceRole onceRole(const InstanceKey &self, const OncePair &pair)
+{
+    if (self == pair.home) {
+        return OnceRole::Home;
+    }
+    return self == pair.witness ? OnceRole::Witness : OnceRole::Relay;
+}
+
+bool holdsAnswer(const OnceOutcome &outcome)
+{
+    return outcome.total == static_cast<std::int64_t>(outcome.answer.size());
+}
+
+OnceOutcome onceOutcomeOf(wire::Outcome::type outcome)
+{
+    OnceOutcome result;
+    result.verdict = Verdict::NotRun;
+    switch (outcome) {
+    case wire::Outcome::Done:
+        result.verdict = Verdict::Ran;
+        return result;
+    case wire::Outcome::Shed:
+        result.reason = Reason::Shed;
+        return result;
+    case wire::Outcome::UnknownFlow:
+        result.reason = Reason::UnknownFlow;
+        return result;
+    case wire::Outcome::Draining:
+        result.reason = Reason::NoTarget;
+        return result;
+    case wire::Outcome::Expired:
+        result.reason = Reason::TimedOut;
+        return result;
+    case wire::Outcome::CancelledBeforeRun:
+        result.reason = Reason::Cancelled;
+        return result;
+    case wire::Outcome::CancelledWhileRunning:
+        break;
+    }
+    result.verdict = Verdict::MayHaveRun;
+    result.reason = Reason::Cancelled;
+    return result;
+}
+
+bool knowsOnce(const OnceState &state, const OnceKey &key)
+{
+    return state.home.records.contains(key) || state.home.refusals.contains(key);
+}
+
+void handleOnceRequest(OnceState &state, const OnceRequest &request, OnceRole role, const OnceNow &now, OnceOutput &out)
+{
+    advanceWall(state, now);
+    if (role == OnceRole::Relay || onceRole(state.self, request.pair) != role) {
+        ++state.counts.ignored;
+        return;
+    }
+    if (role == OnceRole::Home) {
+        requestAtHome(state, request, now, out);
+    } else {
+        requestAtWitness(state, request, now, out);
+    }
+}
+
+void handleOncePeer(OnceState &state, const wire::PeerMessage &message, const OnceNow &now, OnceOutput &out)
+{
+    advanceWall(state, now);
+    if (!message.__isset.recipient || fromWire(message.recipient) != state.self) {
+        ++state.counts.ignored;
+        return;
+    }
+    switch (message.kind) {
+    case wire::PeerKind::IntentStore:
+        return storeIntent(state, message, now, out);
+    case wire::PeerKind::IntentStored:
+    case wire::PeerKind::IntentRefused:
+        return intentAnswered(state, message, now, out);
+    case wire::PeerKind::Outcome:
+        for (const wire::OnceRecordWire &it : message.records) {
+            if (it.home == message.sender) {
+                takeOutcome(state, it, now, out);
+            }
+        }
+        return;
+    case wire::PeerKind::Handover:
+        return takeHandover(state, message, now, out);
+    case wire::PeerKind::HandoverAck:
+        return handoverAcknowledged(state, message, now);
+    default:
+        return;
+    }
+}
+
+void handleOnceOutcome(OnceState &state, const OnceKey &key, OnceOutcome outcome, const OnceNow &now, OnceOutput &out)
+{
+    advanceWall(state, now);
+    OnceRecord *record = findRecord(state.home, key);
+    const bool open = record != nullptr && record->stage == OnceStage::Dispatched;
+    const bool moreExact =
+        record != nullptr && record->stage == OnceStage::Final && record->outcome->verdict == Verdict::MayHaveRun && outcome.verdict != Verdict::MayHaveRun;
+    if (!open && !moreExact) {
+        ++state.counts.ignored;
+        return;
+    }
+    outcome.total = std::max(outcome.total, static_cast<std::int64_t>(outcome.answer.size()));
+    finish(state, key, *record, std::move(outcome), out);
+}
+
+void tickOnce(OnceState &state, const OnceNow &now, OnceOutput &out)
+{
+    advanceWall(state, now);
+    tickHome(state, now, out);
+    tickWitness(state, now, out);
+    if (state.stopping) {
+        tickStop(state, now, out);
+    }
+    dropExpired(state, state.home);
+    dropExpired(state, state.witness);
+}
+
+void beginOnceStop(OnceState &state, Time limit)
+{
+    state.stopping = true;
+    state.stopLimit = std::min(state.stopLimit, limit);
+}
+
+bool onceStopped(const OnceState &state)
+{
+    return state.handingOver && state.waits.empty()
+        && std::all_of(state.handovers.begin(), state.handovers.end(), [](const auto &it) { return it.second.done; });
+}
+
+wire::OnceKey toWire(const OnceKey &key)
+{
+    wire::OnceKey result;
+    result.serviceId = key.serviceId;
+    result.flow = key.flow;
+    result.request = key.request;
+    result.pairExpiry = key.pairExpiry;
+    return result;
+}
+
+wire::InstanceKey toWire(const InstanceKey &key)
+{
+    wire::InstanceKey result;
+    result.instance = key.instance;
+    result.incarnation = key.incarnation;
+    return result;
+}
+
+OnceKey fromWire(const wire::OnceKey &key)
+{
+    return {key.serviceId, key.flow, key.request, key.pairExpiry};
+}
+
+InstanceKey fromWire(const wire::InstanceKey &key)
+{
+    return {key.instance, key.incarnation};
+}
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/libpimentofold/onceparts.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <pimentofold/once.h>
+
+/// Parts of the at-most-once records that the files of that module share; not for users of the library.
+namespace pimentofold::onceparts {
+
+/// Bytes of a record in a message, without its answer.
+constexpr std::size_t recordBytes = 130;
+/// Bytes of records in one message, so that it fits in a datagram.
+constexpr std::size_t messageRecordBytes = 1'250;
+/// Bytes of an answer in one record.
+constexpr std::size_t partBytes = messageRecordBytes - recordBytes;
+
+/// Advances the highest wall time seen.
+void advanceWall(OnceState &state, const OnceNow &now);
+
+/// @return a message of this balancer to @p to
+OnceMessage messageTo(const OnceState &state, const InstanceKey &to, wire::PeerKind::type kind);
+
+/// @return the record, or null
+OnceRecord *findRecord(OnceTable &table, const OnceKey &key);
+
+/// @return true when requests with this pair expiry stand closed because their refusals didn't fit
+bool isClosed(const OnceTable &table, const OnceKey &key);
+
+/// Adds a record; the caller has checked that there is room.
+OnceRecord &addRecord(OnceTable &table, const OnceKey &key, const OncePair &pair, OnceStage stage, Time now);
+
+/// Remembers that a request without an intent was refused, or closes its pair when there is no room.
+void addRefusal(OnceState &state, OnceTable &table, const OnceKey &key, const OnceRefusal &refusal);
+
+/// Makes the outcome final, within the bounds on kept answers.
+void keepOutcome(OnceState &state, OnceTable &table, const OnceKey &key, OnceRecord &record, std::shared_ptr<const OnceOutcome> outcome);
+
+/// Drops the records and refusals whose time is over.
+void dropExpired(OnceState &state, OnceTable &table);
+
+/// @return an outcome without an answer
+std::shared_ptr<const OnceOutcome> verdictOnly(Verdict verdict, Reason reason);
+
+/// Appends a reply.
+void reply(OnceOutput &out, const OnceKey &key, const OnceRoute &route, const std::shared_ptr<const OnceOutcome> &outcome);
+
+/// Splits a record with its outcome into records of at most partBytes of answer each.
+std::vector<wire::OnceRecordWire> recordParts(const OnceKey &key, const OncePair &pair, const OnceOutcome &outcome);
+
+/// Home: ends a record, answers its callers and tells the witness.
+void finish(OnceState &state, const OnceKey &key, OnceRecord &record, OnceOutcome outcome, OnceOutput &out);
+
+/// Home: takes a request.
+void requestAtHome(OnceState &state, const OnceRequest &request, const OnceNow &now, OnceOutput &out);
+/// Home: takes IntentStored or IntentRefused.
+void intentAnswered(OnceState &state, const wire::PeerMessage &message, const OnceNow &now, OnceOutput &out);
+/// Home: repeats intents, gives up unanswered ones.
+void tickHome(OnceState &state, const OnceNow &now, OnceOutput &out);
+
+/// Witness: takes a request that couldn't be given to the home.
+void requestAtWitness(OnceState &state, const OnceRequest &request, const OnceNow &now, OnceOutput &out);
+/// Witness: takes IntentStore.
+void storeIntent(OnceState &state, const wire::PeerMessage &message, const OnceNow &now, OnceOutput &out);
+/// Witness: takes one record of an Outcome or a Handover.
+/// @return false when there was no room for it
+bool takeOutcome(OnceState &state, const wire::OnceRecordWire &record, const OnceNow &now, OnceOutput &out);
+/// Witness: ends the waits for outcomes.
+void tickWitness(OnceState &state, const OnceNow &now, OnceOutput &out);
+
+/// Takes a Handover of a stopping home or witness.
+void takeHandover(OnceState &state, const wire::PeerMessage &message, const OnceNow &now, OnceOutput &out);
+/// Takes the acknowledgement of an own Handover.
+void handoverAcknowledged(OnceState &state, const wire::PeerMessage &message, const OnceNow &now);
+/// Moves the graceful stop on.
+void tickStop(OnceState &state, const OnceNow &now, OnceOutput &out);
+
+} // namespace pimentofold::onceparts
