Add the data path: library modules and the balancer

Cause: callers' packets need a path to targets that keeps no state per flow and sends nothing to a target before its identity is checked. Change: library modules view, token, flowroute, targetlink, answer, retry, callerpacket (decode and check) and peerguard (replayed peer datagrams). The program pimentofold-balancer serves token and bare flows, relays, requests that may not be repeated through the module once, and the graceful stop. On the wire, BalancerReport gets the optional field instance, and Open frames get onlyIfHeld, by which a balancer asks whether a target holds a bare flow. Datagrams between balancers may have 60,000 bytes, since a relay wraps a caller's datagram and an outcome carries an answer.

--- a/src/idl/target.thrift
+++ b/src/idl/target.thrift
@@ -54,4 +54,5 @@
   16: optional TargetIdentity identity
   17: optional TargetStatus status
   18: bool session = true  // false: the service keeps no state per flow and Open is not sent
+  19: bool onlyIfHeld = false // on Open: answer UnknownFlow unless the target already holds the flow
 }
--- a/src/idl/view.thrift
+++ b/src/idl/view.thrift
@@ -74,6 +74,7 @@
   4: i64 requests
   5: i64 refused
   6: list<TargetObservation> targets
+  7: optional peer.InstanceKey instance   // of the balancer; its start time is the incarnation of the instance
 }
 
 struct LocalMessage {
--- a/src/include/pimentofold/codec.h
+++ b/src/include/pimentofold/codec.h
@@ -19,9 +19,12 @@
     using std::runtime_error::runtime_error;
 };
 
-/// Largest datagram payload of callers and peers, in bytes. It fits in an Ethernet frame together with
+/// Largest datagram payload of callers and agents, in bytes. It fits in an Ethernet frame together with
 /// the headers and a token.
 constexpr std::size_t maxDatagramBytes = 1452;
+/// Largest datagram payload between balancers, in bytes. A relay wraps a caller's datagram of any size, and an
+/// outcome carries the answer that the witness keeps.
+constexpr std::size_t maxPeerDatagramBytes = 60'000;
 /// Largest frame between balancers and targets and between agent and balancer, in bytes.
 constexpr std::size_t maxFrameBytes = 4 << 20;
 /// Size of the length that precedes each frame, in bytes.
--- /dev/null
+++ b/src/include/pimentofold/peerguard.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include <pimentofold/hlc.h>
+#include <pimentofold/types.h>
+
+/// Refuses repeated and stale datagrams of peers. The authenticator alone doesn't tell a message from a copy of it.
+namespace pimentofold {
+
+/// Messages older than this by the hybrid logical clock are refused, in ms.
+constexpr WallTime peerMessageLifeMs = 60'000;
+
+/// Recently seen messages; a direct-mapped table with one entry for each hash.
+struct PeerGuard {
+    static constexpr std::size_t entries = 65'536;
+
+    std::vector<std::uint64_t> seen;
+};
+
+enum class PeerFreshness { Fresh, Replayed, Stale };
+
+/// Checks a message and remembers it. Senders give each message its own reading of their clock.
+/// @param sender and @p clock as in the message
+/// @param now the own clock
+PeerFreshness checkFreshness(PeerGuard &guard, const InstanceKey &sender, HlcTime clock, HlcTime now);
+
+} // namespace pimentofold
--- a/src/libnet/udpsocket.cpp
+++ b/src/libnet/udpsocket.cpp
@@ -36,12 +36,13 @@
 
 } // namespace
 
-UdpSocket::UdpSocket(const Address &local, Handler handler)
+UdpSocket::UdpSocket(const Address &local, Handler handler, std::size_t maxBytes)
     : m_descriptor(openSocket(local))
     , m_handler(std::move(handler))
     , m_readable([this](int) { receive(); })
-    , m_in(udpBatch)
-    , m_out(udpBatch)
+    , m_maxBytes(maxBytes)
+    , m_in(udpBatch * slotBytes())
+    , m_out(udpBatch * slotBytes())
 {
     m_readable.watch(m_descriptor, EV_READ);
     ev_prepare_init(&m_beforeWait, [](struct ev_loop *, ev_prepare *watcher, int) { static_cast<UdpSocket *>(watcher->data)->flush(); });
@@ -59,16 +60,21 @@
     close(m_descriptor);
 }
 
+std::size_t UdpSocket::slotBytes() const
+{
+    return m_maxBytes + 1;
+}
+
 void UdpSocket::send(std::string_view bytes, const Address &to)
 {
-    if (bytes.size() > maxDatagramBytes) {
+    if (bytes.size() > m_maxBytes) {
         ++m_sendDrops;
         return;
     }
     if (m_queued == udpBatch) {
         flush();
     }
-    std::memcpy(m_out[m_queued].data(), bytes.data(), bytes.size());
+    std::memcpy(&m_out[m_queued * slotBytes()], bytes.data(), bytes.size());
     m_outSizes[m_queued] = bytes.size();
     m_outTo[m_queued] = to;
     ++m_queued;
@@ -83,7 +89,7 @@
     std::array<iovec, udpBatch> parts{};
     std::array<sockaddr_in, udpBatch> addresses{};
     for (std::size_t i = 0; i < m_queued; ++i) {
-        parts[i] = {m_out[i].data(), m_outSizes[i]};
+        parts[i] = {&m_out[i * slotBytes()], m_outSizes[i]};
         addresses[i] = toSockaddr(m_outTo[i]);
         headers[i].msg_hdr.msg_iov = &parts[i];
         headers[i].msg_hdr.msg_iovlen = 1;
@@ -117,7 +123,7 @@
     std::array<sockaddr_in, udpBatch> addresses{};
     for (int turn = 0; turn < batchesPerTurn; ++turn) {
         for (std::size_t i = 0; i < udpBatch; ++i) {
-            parts[i] = {m_in[i].data(), m_in[i].size()};
+            parts[i] = {&m_in[i * slotBytes()], slotBytes()};
             headers[i].msg_hdr = {};
             headers[i].msg_hdr.msg_iov = &parts[i];
             headers[i].msg_hdr.msg_iovlen = 1;
@@ -131,11 +137,11 @@
         for (int i = 0; i < n; ++i) {
             const auto slot = static_cast<std::size_t>(i);
             m_bytesReceived += headers[slot].msg_len;
-            if (headers[slot].msg_len > maxDatagramBytes) {
+            if (headers[slot].msg_len > m_maxBytes) {
                 ++m_oversized;
                 continue;
             }
-            m_handler({m_in[slot].data(), headers[slot].msg_len}, fromSockaddr(addresses[slot]));
+            m_handler({&m_in[slot * slotBytes()], headers[slot].msg_len}, fromSockaddr(addresses[slot]));
         }
         if (n < static_cast<int>(udpBatch)) {
             return;
--- a/src/libnet/udpsocket.h
+++ b/src/libnet/udpsocket.h
@@ -25,9 +25,10 @@
 
     /// Binds the socket and starts receiving.
     /// @param local address to bind; port 0 lets the system choose
-    /// @param handler called for each datagram that fits in maxDatagramBytes; longer ones are counted as oversized
+    /// @param handler called for each datagram that fits in @p maxBytes; longer ones are counted as oversized
+    /// @param maxBytes largest datagram in either direction
     /// @throws std::system_error when the socket can't be bound
-    UdpSocket(const Address &local, Handler handler);
+    UdpSocket(const Address &local, Handler handler, std::size_t maxBytes = maxDatagramBytes);
     ~UdpSocket();
     UdpSocket(const UdpSocket &) = delete;
     UdpSocket &operator=(const UdpSocket &) = delete;
@@ -46,13 +47,15 @@
 
 private:
     void receive();
+    std::size_t slotBytes() const;
 
     int m_descriptor = -1;
     Handler m_handler;
     IoWatcher m_readable;
     ev_prepare m_beforeWait{};
-    std::vector<std::array<char, maxDatagramBytes + 1>> m_in;
-    std::vector<std::array<char, maxDatagramBytes + 1>> m_out;
+    std::size_t m_maxBytes;
+    std::vector<char> m_in; ///< udpBatch slots of one byte more than the largest datagram, to notice longer ones
+    std::vector<char> m_out; ///< udpBatch slots of the same size
     std::array<std::size_t, udpBatch> m_outSizes{};
     std::array<Address, udpBatch> m_outTo{};
     std::size_t m_queued = 0;
--- /dev/null
+++ b/src/pimentofold-balancer/agentport.cpp
@@ -0,0 +1,55 @@
+#include <pimentofold-balancer/agentport.h>
+
+#include <utility>
+
+namespace pimentofold {
+
+namespace {
+
+// An agent that doesn't read gets no further reports beyond this, in bytes.
+constexpr std::size_t maxPending = 1 << 20;
+
+} // namespace
+
+AgentPort::AgentPort(const Address &local, Callbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+    , m_listener(local, [this](int descriptor) { accept(descriptor); })
+{
+}
+
+void AgentPort::accept(int descriptor)
+{
+    const std::uint64_t id = ++m_lastId;
+    FramedConnection::Callbacks callbacks;
+    callbacks.onFrame = [this, id](std::string_view payload) { onFrame(id, payload); };
+    callbacks.onClosed = [this, id](const std::string &) { m_connections.erase(id); };
+    const auto connection = m_connections.emplace(id, std::make_unique<FramedConnection>(descriptor, std::move(callbacks))).first;
+    connection->second->send(m_codec.encode(m_callbacks.makeReport()));
+}
+
+void AgentPort::onFrame(std::uint64_t id, std::string_view payload)
+{
+    wire::LocalMessage message;
+    try {
+        m_codec.decode(payload, message);
+    } catch (const DecodeError &error) {
+        m_callbacks.onMalformed(error.what());
+        m_connections.erase(id);
+        return;
+    }
+    if (message.__isset.view) {
+        m_callbacks.onView(message.view);
+    }
+}
+
+void AgentPort::report()
+{
+    const std::string bytes(m_codec.encode(m_callbacks.makeReport()));
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->pendingBytes() < maxPending) {
+            connection->send(bytes);
+        }
+    }
+}
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/pimentofold-balancer/balancer.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <libnet/httpserver.h>
+#include <libnet/loop.h>
+
+#include <pimentofold-balancer/agentport.h>
+#include <pimentofold-balancer/balancersettings.h>
+#include <pimentofold-balancer/callerports.h>
+#include <pimentofold-balancer/inflight.h>
+#include <pimentofold-balancer/peerport.h>
+#include <pimentofold-balancer/targetpool.h>
+
+#include <pimentofold/callerpacket.h>
+#include <pimentofold/eventlog.h>
+#include <pimentofold/flowroute.h>
+#include <pimentofold/metrics.h>
+#include <pimentofold/once.h>
+#include <pimentofold/random.h>
+#include <pimentofold/retry.h>
+#include <pimentofold/verdict.h>
+#include <pimentofold/view.h>
+
+/// The balancer: carries out the library's decisions with sockets and timers.
+namespace pimentofold {
+
+/// A caller's packet on its way through the balancer.
+struct Arrival {
+    const ViewService *service = nullptr;
+    wire::CallerPacket packet;
+    CheckedPacket checked;
+    Address caller;
+    std::string_view bytes; ///< the datagram as received
+    bool relayed = false; ///< it came from another balancer and must not be relayed again
+};
+
+/// A packet that was relayed and not yet acknowledged.
+struct PendingRelay {
+    wire::PeerMessage message;
+    Id serviceId = 0;
+    wire::CallerPacket packet;
+    Token token;
+    Address caller;
+    InstanceKey to;
+    int tries = 0;
+    Time nextAt = 0;
+};
+
+/// An answer to a caller apart from its content.
+struct ReplyTo {
+    Id serviceId = 0;
+    Address caller;
+    const wire::CallerPacket *packet = nullptr; ///< the packet that is answered
+};
+
+/// A refusal or failure as a caller sees it.
+struct Refusal {
+    Verdict verdict = Verdict::NotRun;
+    Reason reason = Reason::None;
+    int retryAfterMs = 0;
+    std::string token; ///< fresh token, or empty
+};
+
+/// Bytes of an answer that the home of a request fetches, so that it can answer further ranges from the record.
+constexpr std::size_t onceAnswerLimit = 1 << 20;
+
+class Balancer
+{
+public:
+    /// Opens all sockets but those of the services, which come with the first view.
+    /// @throws std::system_error or std::runtime_error when an address can't be bound
+    explicit Balancer(const BalancerSettings &settings);
+
+    /// Starts the graceful stop; the loop ends when it is complete, at the latest after the drain limit.
+    void stop();
+
+private:
+    // balancer.cpp: set-up, view, timers, reports
+    void applyView(const wire::NodeView &from);
+    void enterOwnState();
+    void onTargetChange(PooledTarget &target, const std::string &what);
+    wire::LocalMessage makeReport();
+    std::string renderAll();
+    void fastTick();
+    void slowTick();
+    void checkStopped();
+
+    // flows.cpp: packets of callers, opening and closing flows
+    void onDatagram(Id serviceId, std::string_view bytes, const Address &from);
+    void countFault(const CheckedPacket &checked);
+    void handle(Arrival &arrival);
+    void open(Arrival &arrival);
+    void openWithToken(InFlightId id);
+    void askCandidate(InFlightId id);
+    void candidatesExhausted(InFlightId id);
+    void opened(InFlightId id, PooledTarget &target);
+    void close(Arrival &arrival);
+    void cancel(Arrival &arrival);
+    std::optional<Id> chooseTarget(const ViewService &service, Id except);
+
+    // requests.cpp: requests and the answers of targets
+    void request(Arrival &arrival);
+    void sendToTokenTarget(InFlightId id);
+    void sendToCachedRoute(InFlightId id);
+    void place(InFlightId id, Id except);
+    InFlightId addInFlight(const Arrival &arrival, Purpose purpose);
+    bool sendToTarget(InFlightId id, PooledTarget &target);
+    void onAnswer(InFlightId id, const wire::TargetFrame &frame, PooledTarget &target);
+    void onNotRun(InFlightId id, const CallOutcome &outcome, PooledTarget &target);
+    void onRan(InFlightId id, const wire::TargetFrame &frame, PooledTarget &target);
+    void onLost(InFlightId id, PooledTarget &target);
+    void onOverdue(InFlightId id);
+    void finish(InFlightId id, Refusal refusal);
+    void forget(InFlightId id);
+    void sendParts(const InFlight &entry, const wire::TargetFrame &frame);
+    void refuse(const ReplyTo &to, const Refusal &refusal);
+    int retryHint();
+
+    // tokens
+    std::string mint(const ViewService &service, std::int64_t flow, Id target, std::int64_t targetIncarnation);
+    std::string refreshed(const Token &token, const ViewService &service, std::int64_t flow);
+
+    // relays.cpp: packets between balancers
+    void onPeerMessage(const wire::PeerMessage &message, const Address &from);
+    void onRelay(const wire::PeerMessage &message, const Address &from);
+    void relay(const Arrival &arrival, const InstanceKey &to, wire::RelayRole::type role);
+    void sendRelay(PendingRelay &relay);
+    void tickRelays();
+    void relayUnanswered(const PendingRelay &relay);
+
+    // oncepath.cpp: requests that may not be repeated
+    static OnceNow onceNow();
+    void requestOnce(Arrival &arrival);
+    void homeUnreachable(Arrival &arrival);
+    bool takesOnce(const Arrival &arrival, wire::RelayRole::type role);
+    void takeOnce(const Arrival &arrival, OnceRole role);
+    void onOncePeer(const wire::PeerMessage &message);
+    void finishOnce(InFlightId id, OnceOutcome outcome);
+    void carryOut(OnceOutput out);
+    void dispatchOnce(const OnceDispatch &dispatch);
+    void sendOnceReply(const OnceReply &reply);
+
+    BalancerSettings m_settings;
+    InstanceKey m_own;
+    EventLog m_log;
+    Metrics m_metrics;
+    Random m_random;
+    Codec m_codec;
+    View m_view;
+    FlowCache m_routes;
+    InFlightTable m_inFlight;
+    std::unordered_map<Id, RetryBudget> m_budgets;
+    std::unordered_map<std::int64_t, PendingRelay> m_relays; ///< by sequence
+    std::int64_t m_sequence = 0;
+    OnceState m_once;
+    std::unordered_map<OnceKey, Token> m_onceTokens; ///< of requests that haven't been answered yet
+    bool m_stopping = false;
+    Time m_stopAt = never; ///< latest end of a graceful stop
+    Time m_lastDatagram = 0;
+    std::int64_t &m_packets;
+    std::int64_t &m_requests;
+    std::int64_t &m_refused;
+    TargetPool m_pool;
+    CallerPorts m_ports;
+    PeerPort m_peers;
+    AgentPort m_agent;
+    std::unique_ptr<HttpServer> m_metricsServer;
+    Timer m_fastTimer;
+    Timer m_slowTimer;
+    Timer m_reportTimer;
+};
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/pimentofold-balancer/targetpool.cpp
@@ -0,0 +1,196 @@
+#include <pimentofold-balancer/targetpool.h>
+
+#include <utility>
+
+#include <pimentofold/retry.h>
+
+namespace pimentofold {
+
+namespace {
+
+// Waits between connection attempts, so that a dead target costs little and a restarted one is found soon.
+constexpr Time reconnectBase = 100 * millisecond;
+constexpr Time reconnectMost = 2 * second;
+
+} // namespace
+
+TargetPool::TargetPool(Callbacks callbacks, Metrics &metrics, Random &random)
+    : m_callbacks(std::move(callbacks))
+    , m_metrics(metrics)
+    , m_random(random)
+{
+}
+
+void TargetPool::apply(const View &view)
+{
+    std::vector<Id> gone;
+    for (const auto &[id, target] : m_targets) {
+        const ViewTarget *listed = findTarget(view, id);
+        // A reused address belongs to another connection; the identity check would refuse it anyway.
+        if (listed == nullptr || parseAddress(listed->address) != target->address) {
+            gone.push_back(id);
+        }
+    }
+    for (const Id it : gone) {
+        drop(*m_targets[it], "no longer in the view");
+        m_targets.erase(it);
+    }
+    for (const ViewTarget &it : view.targets) {
+        const ViewService *service = findService(view, it.serviceId);
+        std::unique_ptr<PooledTarget> &target = m_targets[it.id];
+        if (!target) {
+            target = std::make_unique<PooledTarget>();
+            target->address = parseAddress(it.address);
+            target->link.targetId = it.id;
+            target->link.serviceId = it.serviceId;
+            target->link.teamName = service->teamName;
+            target->link.serviceName = service->serviceName;
+            target->link.instance = it.instance;
+        }
+        target->state = it.state;
+        target->slots = it.slots;
+        if (!target->connection && target->retryAt == 0) {
+            connect(*target);
+        }
+    }
+}
+
+PooledTarget *TargetPool::find(Id target)
+{
+    const auto it = m_targets.find(target);
+    return it == m_targets.end() ? nullptr : it->second.get();
+}
+
+const std::unordered_map<Id, std::unique_ptr<PooledTarget>> &TargetPool::targets() const
+{
+    return m_targets;
+}
+
+void TargetPool::connect(PooledTarget &target)
+{
+    FramedConnection::Callbacks callbacks;
+    callbacks.onConnected = [this, &target] { send(target, connectLink(target.link, monotonicNow())); };
+    callbacks.onFrame = [this, &target](std::string_view payload) { onFrame(target, payload); };
+    callbacks.onClosed = [this, &target](const std::string &reason) { onClosed(target, reason); };
+    target.connection = std::make_unique<FramedConnection>(target.address, std::move(callbacks));
+}
+
+void TargetPool::send(PooledTarget &target, const wire::TargetFrame &frame)
+{
+    target.connection->send(m_codec.encode(frame));
+}
+
+std::int64_t TargetPool::call(PooledTarget &target, wire::TargetFrame &frame, std::uint64_t context)
+{
+    if (target.link.state != LinkState::Ready) {
+        return 0;
+    }
+    frame.call = startCall(target.link, context);
+    frame.serviceId = target.link.serviceId;
+    send(target, frame);
+    return frame.call;
+}
+
+void TargetPool::notify(PooledTarget &target, const wire::TargetFrame &frame)
+{
+    if (target.link.state == LinkState::Ready) {
+        send(target, frame);
+    }
+}
+
+void TargetPool::onFrame(PooledTarget &target, std::string_view payload)
+{
+    m_frame = wire::TargetFrame();
+    try {
+        m_codec.decode(payload, m_frame);
+    } catch (const DecodeError &error) {
+        count(m_metrics, "target_frames_malformed_total");
+        drop(target, error.what());
+        return;
+    }
+    const bool wasDraining = target.link.draining;
+    const bool wasHealthy = target.link.status.healthy;
+    const FrameOutcome outcome = onTargetFrame(target.link, m_frame, monotonicNow());
+    if (wasDraining != target.link.draining || wasHealthy != target.link.status.healthy) {
+        m_callbacks.onChange(target, target.link.draining ? "draining" : "status");
+    }
+    handle(target, outcome);
+}
+
+void TargetPool::handle(PooledTarget &target, const FrameOutcome &outcome)
+{
+    switch (outcome.result) {
+    case FrameResult::Ignored:
+    case FrameResult::StatusChanged:
+        return;
+    case FrameResult::Identified:
+        target.failures = 0;
+        m_callbacks.onChange(target, "connected");
+        return;
+    case FrameResult::Answered:
+        ++target.answered;
+        if (m_frame.__isset.outcome && m_frame.outcome == wire::Outcome::Shed) {
+            ++target.shed;
+        }
+        m_callbacks.onAnswer(outcome.context, m_frame, target);
+        return;
+    case FrameResult::Unmatched:
+        count(m_metrics, "target_answers_unmatched_total");
+        return;
+    case FrameResult::WrongIdentity:
+        count(m_metrics, "target_identities_wrong_total");
+        drop(target, "another target answers on this address");
+        return;
+    case FrameResult::Malformed:
+        count(m_metrics, "target_frames_malformed_total");
+        drop(target, "unexpected frame");
+        return;
+    }
+}
+
+void TargetPool::drop(PooledTarget &target, const std::string &reason)
+{
+    if (target.connection) {
+        target.connection->close();
+        onClosed(target, reason);
+    }
+}
+
+void TargetPool::onClosed(PooledTarget &target, const std::string &reason)
+{
+    const bool wasReady = target.link.state == LinkState::Ready;
+    const std::vector<std::uint64_t> lost = loseLink(target.link);
+    target.connection.reset();
+    ++target.failures;
+    target.retryAt = monotonicNow() + reconnectBase / 2 + backOff(m_random, target.failures, reconnectBase, reconnectMost);
+    for (const std::uint64_t it : lost) {
+        m_callbacks.onLost(it, target);
+    }
+    if (wasReady) {
+        m_callbacks.onChange(target, reason);
+    }
+}
+
+void TargetPool::tick()
+{
+    const Time now = monotonicNow();
+    for (const auto &[id, target] : m_targets) {
+        if (!target->connection) {
+            if (now >= target->retryAt) {
+                connect(*target);
+            }
+            continue;
+        }
+        if (isIdentifyOverdue(target->link, now)) {
+            drop(*target, "no answer to Identify");
+            continue;
+        }
+        if (takeSubscribe(target->link, now)) {
+            wire::TargetFrame frame;
+            frame.kind = wire::FrameKind::Subscribe;
+            send(*target, frame);
+        }
+    }
+}
+
+} // namespace pimentofold
