Extend the wire format for configuration

Cause: objects of up to 1 MB don't fit in a datagram, the status object needs what each instance has in force, and a restarted agent knows no versions that its balancer already has in force. Change: ranges on Pull and Objects, the message InForce, and the versions of a view in NodeView and in the first BalancerReport of a connection.

--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -15,7 +15,8 @@
   HandoverAck = 8,
   // Between agents.
   Ping = 20, PingRequest = 21, Ack = 22, Leave = 23,
-  Digest = 30, Pull = 31, Objects = 32
+  Digest = 30, Pull = 31, Objects = 32,
+  InForce = 33          // to the writer of the status object: what the sender's balancer has in force
 }
 
 enum MemberState { Alive = 1, Suspect = 2, Leaving = 3, Dead = 4 }
@@ -59,6 +60,7 @@
   1: string kind
   2: string name
   3: i64 version
+  4: optional i64 offset        // Pull: first byte wanted of an object that is larger than a datagram
 }
 
 struct ObjectWire {
@@ -66,6 +68,15 @@
   2: bool deleted
   3: string value
   4: string changeId
+  5: optional i64 offset        // first byte that value holds of an object that is larger than a datagram
+  6: optional i64 total         // length of the whole value of such an object
+}
+
+// What the balancer of one instance has in force.
+struct InForceReport {
+  1: i64 generation             // of the view; 0 when there is no balancer
+  2: i64 rootDigest             // of the objects that the view was made from
+  3: i64 refused
 }
 
 struct PeerMessage {
@@ -87,5 +98,8 @@
   16: optional list<ObjectWire> objects
   17: optional InstanceKey home
   18: i64 serviceId = 0
-  19: bool last = false                // Handover: the sender has no further records
+  19: bool last = false                // Handover: the sender has no further records; Digest: no answer is wanted
+  20: optional i64 revision            // Digest: platform revision up to which the sender has all objects
+  21: optional InForceReport report
+  22: optional string dataCentre       // Digest between data centres: that of the sender
 }
--- a/src/idl/view.thrift
+++ b/src/idl/view.thrift
@@ -55,6 +55,7 @@
   4: list<ServiceView> services
   5: list<KeyView> keys          // newest epoch of each team first
   6: string dataCentre
+  7: optional list<peer.ObjectHead> objects  // versions that the view was made from
 }
 
 // From the balancer to its agent, once a second and when something changes.
@@ -74,6 +75,9 @@
   4: i64 requests
   5: i64 refused
   6: list<TargetObservation> targets
+  // 7 is the instance's key.
+  // Versions of the view in force, in the first report on each connection: a restarted agent must not go behind them.
+  8: optional list<peer.ObjectHead> objects
 }
 
 struct LocalMessage {
