Add the configuration store and its dissemination

Change: configstore holds objects whose versions only grow, with floors and digests; configspread polls the platform, pushes new objects to three random peers, exchanges digests and pulls; delegates do the same between data centres; configrange transfers objects larger than a datagram; platformwatch has the back-off. Conclusion: the modules are pure and take time and messages as parameters.

--- /dev/null
+++ b/src/include/pimentofold/configspread.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <pimentofold/configrange.h>
+#include <pimentofold/configstore.h>
+#include <pimentofold/membership.h>
+#include <pimentofold/platformwatch.h>
+#include <pimentofold/random.h>
+#include <pimentofold/types.h>
+
+#include "peer_types.h"
+
+/// Spreads configuration objects among agents (section 7 of the design): watchers poll the platform, new objects are
+/// pushed to random peers, and digests that are exchanged every 2 s find what the pushes have missed. Delegates
+/// connect the data centres in the same way.
+namespace pimentofold {
+
+/// Watchers and delegates of each data centre.
+constexpr std::size_t watchersPerDataCentre = 2;
+constexpr std::size_t delegatesPerDataCentre = 2;
+
+/// Parameters; the defaults are those of the design page.
+struct SpreadOptions {
+    std::size_t pushFanout = 3;
+    Time digestInterval = 2 * second;
+    /// After a digest that differed the next one comes sooner, a few times in a row, so that a new agent fills fast.
+    Time repairInterval = 200 * millisecond;
+    int mostRepairs = 20; ///< digests in a row at the repair interval
+    std::size_t bucketsPerDigest = 8; ///< buckets that one exchange repairs, at most
+    /// A new agent that has reached no peer for this long starts with the platform.
+    Time fillLimit = 2 * second;
+    double pushBytesPerSecond = 16'000; ///< pushes beyond this rate are left to the digests
+    double pushBurstBytes = 64'000;
+    double rangeBytesPerSecond = 2'000'000; ///< large objects are served at most at this rate
+    double rangeBurstBytes = 256'000;
+    Time remoteRetention = 60 * second; ///< delegates of other data centres are forgotten when unheard of for this long
+};
+
+/// Bytes that may be sent.
+struct ByteBudget {
+    double bytes = 0;
+    Time at = 0;
+};
+
+/// An agent of the same data centre.
+struct SpreadPeer {
+    InstanceKey key;
+    std::string address; ///< "ip:port"
+};
+
+/// The role of this agent and its peers, from membership.
+struct SpreadPeers {
+    bool watcher = false;
+    bool delegate = false;
+    /// Live members with this one; shared between agents in large simulations.
+    std::shared_ptr<const std::vector<SpreadPeer>> local;
+    std::vector<wire::MemberUpdate> delegates; ///< of this data centre, told to other data centres
+};
+
+/// A delegate of another data centre.
+struct RemoteDelegate {
+    std::string dataCentre;
+    Time heardAt = 0; ///< when it or one of its peers was last heard of
+};
+
+/// A large object that a peer has announced and that was asked for.
+struct Announcement {
+    std::int64_t version = 0;
+    Time at = 0;
+};
+
+/// Counts for metrics and measurements.
+struct SpreadCounts {
+    std::int64_t pushes = 0;
+    std::int64_t pushesSkipped = 0; ///< beyond the rate
+    std::int64_t digests = 0;
+    std::int64_t digestsDiffering = 0;
+    std::int64_t pulls = 0;
+    std::int64_t applied = 0;
+    std::int64_t older = 0; ///< objects that were refused because a newer version is known
+    std::int64_t refused = 0; ///< objects outside the limits
+    std::int64_t rangesServed = 0;
+};
+
+/// State of one agent.
+struct ConfigSpread {
+    SpreadOptions options;
+    InstanceKey self;
+    std::string team;
+    std::string dataCentre;
+    std::string address; ///< of this agent
+    std::vector<std::string> seeds; ///< agents of this data centre, asked until there are members
+    std::vector<std::string> remoteSeeds; ///< agents of other data centres
+    Random random;
+    ConfigStore store;
+    PlatformWatch watch;
+    SpreadPeers peers;
+    std::map<std::string, RemoteDelegate> remotes; ///< by address
+    RangeTransfers transfers;
+    std::map<ObjectKey, Announcement> announced;
+    Time startedAt = 0;
+    bool filled = false; ///< holds what a peer or the platform holds
+    Time nextDigestAt = 0;
+    Time nextRemoteDigestAt = 0;
+    int repairs = 0;
+    ByteBudget pushBudget;
+    ByteBudget rangeBudget;
+    SpreadCounts counts;
+};
+
+/// What a command asks of the program around it. Commands append.
+struct SpreadOutput {
+    std::vector<MemberMessage> messages;
+    std::optional<WatchRequest> watch; ///< long poll to be started
+    std::vector<ConfigObjectPointer> applied; ///< objects that were taken over
+};
+
+/// Starts with an empty store.
+/// @param randomSeed differs between agents
+void startSpread(ConfigSpread &spread, std::uint64_t randomSeed, Time now);
+
+/// Sets role and peers after a change of membership.
+void setSpreadPeers(ConfigSpread &spread, SpreadPeers peers);
+
+/// Sends digests, repeats pulls and starts polls. To be called about every 100 ms.
+void tickSpread(ConfigSpread &spread, Time now, SpreadOutput &out);
+
+/// Takes Digest, Pull and Objects; ignores other kinds.
+/// @param message from an authenticated datagram
+/// @param from address that the datagram came from; the answer goes there
+void handleSpread(ConfigSpread &spread, const wire::PeerMessage &message, const std::string &from, Time now, SpreadOutput &out);
+
+/// Takes the platform's answer to a long poll, or its failure.
+void handleWatchAnswer(ConfigSpread &spread, const WatchAnswer &answer, Time now, SpreadOutput &out);
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/libpimentofold/configmessages.cpp
@@ -0,0 +1,154 @@
+#include <libpimentofold/configmessages.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace pimentofold {
+
+namespace {
+
+std::size_t headBytes(const wire::ObjectHead &head)
+{
+    // Field headers, lengths, version and offset in the compact protocol.
+    constexpr std::size_t overhead = 24;
+    return head.kind.size() + head.name.size() + overhead;
+}
+
+/// Appends distinct random elements until @p chosen has @p count of them or all candidates are used.
+void chooseFrom(std::vector<std::string> candidates, std::size_t count, Random &random, std::vector<std::string> &chosen)
+{
+    while (chosen.size() < count && !candidates.empty()) {
+        const auto i = static_cast<std::ptrdiff_t>(below(random, candidates.size()));
+        chosen.push_back(std::move(candidates[static_cast<std::size_t>(i)]));
+        candidates.erase(candidates.begin() + i);
+    }
+}
+
+std::vector<std::string> without(const std::vector<std::string> &addresses, const std::string &self, const std::string &except)
+{
+    std::vector<std::string> result;
+    std::ranges::copy_if(addresses, std::back_inserter(result), [&](const std::string &it) { return it != self && it != except; });
+    return result;
+}
+
+} // namespace
+
+wire::PeerMessage spreadMessage(const ConfigSpread &spread, wire::PeerKind::type kind)
+{
+    wire::PeerMessage message;
+    message.kind = kind;
+    message.sender.instance = spread.self.instance;
+    message.sender.incarnation = spread.self.incarnation;
+    return message;
+}
+
+std::vector<wire::PeerMessage> packObjects(const ConfigSpread &spread, const std::vector<ConfigObjectPointer> &objects, Freshness freshness)
+{
+    std::vector<wire::PeerMessage> messages;
+    std::size_t used = maxContentBytes;
+    for (const ConfigObjectPointer &it : objects) {
+        const bool whole = !needsRanges(*it);
+        const std::size_t size = whole ? wireBytes(*it) : headBytes(headOf(*it));
+        if (used + size > maxContentBytes) {
+            messages.push_back(spreadMessage(spread, wire::PeerKind::Objects));
+            messages.back().hops = static_cast<std::int32_t>(freshness);
+            used = 0;
+        }
+        used += size;
+        wire::PeerMessage &message = messages.back();
+        if (whole) {
+            message.__isset.objects = true;
+            message.objects.push_back(toWire(*it));
+        } else {
+            message.__isset.heads = true;
+            message.heads.push_back(headOf(*it));
+        }
+    }
+    return messages;
+}
+
+std::vector<std::vector<wire::ObjectHead>> splitHeads(const std::vector<wire::ObjectHead> &heads, bool overlap)
+{
+    std::vector<std::vector<wire::ObjectHead>> groups(1);
+    std::size_t used = 0;
+    for (const wire::ObjectHead &it : heads) {
+        if (used + headBytes(it) > maxContentBytes) {
+            const wire::ObjectHead previous = groups.back().back();
+            groups.emplace_back();
+            used = 0;
+            if (overlap) {
+                groups.back().push_back(previous);
+                used = headBytes(previous);
+            }
+        }
+        groups.back().push_back(it);
+        used += headBytes(it);
+    }
+    return groups;
+}
+
+std::size_t contentBytes(const wire::PeerMessage &message)
+{
+    std::size_t size = 0;
+    for (const wire::ObjectWire &it : message.objects) {
+        size += headBytes(it.head) + it.value.size() + it.changeId.size();
+    }
+    for (const wire::ObjectHead &it : message.heads) {
+        size += headBytes(it);
+    }
+    return size;
+}
+
+bool takeBytes(ByteBudget &budget, double bytes, double rate, double burst, Time now)
+{
+    budget.bytes = std::min(burst, budget.bytes + rate * static_cast<double>(now - budget.at) / second);
+    budget.at = now;
+    if (budget.bytes < bytes) {
+        return false;
+    }
+    budget.bytes -= bytes;
+    return true;
+}
+
+std::vector<std::string> randomLocalPeers(ConfigSpread &spread, std::size_t count, const std::string &except)
+{
+    std::vector<std::string> chosen;
+    const auto &local = spread.peers.local;
+    if (!local || local->size() <= 1) {
+        chooseFrom(without(spread.seeds, spread.address, except), count, spread.random, chosen);
+        return chosen;
+    }
+    // A few random draws instead of a copy of all members; a repeated draw only shortens the result.
+    std::set<std::size_t> drawn;
+    for (std::size_t tries = 0; tries < count * 4 && chosen.size() < count; ++tries) {
+        const auto i = static_cast<std::size_t>(below(spread.random, local->size()));
+        const SpreadPeer &peer = (*local)[i];
+        if (peer.key.instance != spread.self.instance && peer.address != except && drawn.insert(i).second) {
+            chosen.push_back(peer.address);
+        }
+    }
+    return chosen;
+}
+
+std::vector<std::string> randomRemotePeers(ConfigSpread &spread, std::size_t count, const std::string &except)
+{
+    std::map<std::string, std::vector<std::string>> byDataCentre;
+    for (const auto &[address, remote] : spread.remotes) {
+        if (address != except) {
+            byDataCentre[remote.dataCentre].push_back(address);
+        }
+    }
+    std::vector<std::string> candidates;
+    for (const auto &[name, addresses] : byDataCentre) {
+        candidates.push_back(addresses[below(spread.random, addresses.size())]);
+    }
+    std::vector<std::string> chosen;
+    chooseFrom(std::move(candidates), count, spread.random, chosen);
+    std::vector<std::string> seeds = without(spread.remoteSeeds, spread.address, except);
+    std::erase_if(seeds, [&](const std::string &it) { return std::ranges::find(chosen, it) != chosen.end(); });
+    chooseFrom(std::move(seeds), count, spread.random, chosen);
+    return chosen;
+}
+
+} // namespace pimentofold
