--- a/src/include/pimentofold/configstore.h
+++ b/src/include/pimentofold/configstore.h
@@ -80,6 +80,9 @@
 /// @return whether no object is held below its floor, so that a view made from the store doesn't revert anything
 bool reachesFloors(const ConfigStore &store);
 
+/// @return digest of one head; ConfigStore::root is the exclusive or of those of all objects
+std::uint64_t digestOfHead(const wire::ObjectHead &head);
+
 /// @return the bucket of an object, below digestBuckets
 std::size_t bucketOf(const ObjectKey &key);
 
--- a/src/libpimentofold/configstore.cpp
+++ b/src/libpimentofold/configstore.cpp
@@ -14,9 +14,8 @@
 
 void toggleDigest(ConfigStore &store, const ConfigObject &object)
 {
-    const std::uint64_t key = hashOf(object.key);
-    const std::uint64_t digest = mix(key, static_cast<std::uint64_t>(object.version));
-    store.buckets[key % digestBuckets] ^= digest;
+    const std::uint64_t digest = digestOfHead(headOf(object));
+    store.buckets[bucketOf(object.key)] ^= digest;
     store.root ^= digest;
 }
 
@@ -80,6 +79,11 @@
     return std::ranges::all_of(store.floors, [&](const auto &floor) { return versionOf(store, floor.first) >= floor.second; });
 }
 
+std::uint64_t digestOfHead(const wire::ObjectHead &head)
+{
+    return mix(hashOf(keyOf(head)), static_cast<std::uint64_t>(head.version));
+}
+
 std::size_t bucketOf(const ObjectKey &key)
 {
     return hashOf(key) % digestBuckets;
--- /dev/null
+++ b/src/libpimentofold/nodeview.cpp
@@ -0,0 +1,191 @@
+#include <pimentofold/nodeview.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace pimentofold {
+
+namespace {
+
+nlohmann::json parseValue(const ConfigObject &object)
+{
+    return parseSettings(object.value, object.key.kind + "/" + object.key.name).value;
+}
+
+bool isDrained(const ConfigStore &store, const std::string &team, const std::string &service, const std::string &instance)
+{
+    const ConfigObjectPointer drain = findObject(store, {"drain", toString(DrainName{team, service, instance})});
+    return drain && !drain->deleted;
+}
+
+wire::ServiceView serviceView(const std::string &team, const ServiceSpec &service)
+{
+    wire::ServiceView view;
+    view.id = idOf(team, service.name);
+    view.teamName = team;
+    view.serviceName = service.name;
+    view.port = service.port;
+    view.session = service.session;
+    view.urgency = service.urgency;
+    view.floorShare = service.floorShare;
+    view.ceilingShare = service.ceilingShare;
+    view.defaultDeadlineMs = service.defaultDeadlineMs;
+    view.teamId = idOf(team);
+    for (const WorkKindSpec &it : service.workKinds) {
+        wire::WorkKindView kind;
+        kind.name = it.name;
+        kind.urgency = it.urgency;
+        kind.floorShare = it.floorShare;
+        kind.ceilingShare = it.ceilingShare;
+        view.workKinds.push_back(std::move(kind));
+    }
+    return view;
+}
+
+wire::TargetView targetView(const NodeViewInput &input, const ServiceSpec &service, const TargetSpec &target, bool leaving)
+{
+    wire::TargetView view;
+    view.id = idOf(input.team, service.name, target.instance);
+    view.serviceId = idOf(input.team, service.name);
+    view.instance = target.instance;
+    view.address = target.address;
+    view.slots = target.slots > 0 ? target.slots : service.slots;
+    const bool drained = leaving || isDrained(*input.store, input.team, service.name, target.instance);
+    view.state = drained ? wire::TargetState::Leaving : wire::TargetState::Serving;
+    return view;
+}
+
+bool isTargetOf(const PlatformInstance &instance, const std::string &team, const ServiceSpec &service)
+{
+    return !instance.entry && instance.team == team && instance.service == service.name
+        && std::ranges::find(service.dataCentres, instance.dataCentre) != service.dataCentres.end();
+}
+
+void addTargets(const NodeViewInput &input, const ServiceSpec &service, std::map<Id, wire::TargetView> &targets)
+{
+    for (const TargetSpec &it : service.targets) {
+        const wire::TargetView view = targetView(input, service, it, false);
+        targets[view.id] = view;
+    }
+    for (const PlatformInstance &it : input.instances) {
+        if (isTargetOf(it, input.team, service)) {
+            const TargetSpec target{it.name, it.dataCentre, it.address, it.slots};
+            const wire::TargetView view = targetView(input, service, target, it.leaving);
+            targets[view.id] = view;
+        }
+    }
+}
+
+void keepReachable(const NodeViewInput &input, const wire::NodeView &previous, wire::NodeView &view, std::map<Id, wire::TargetView> &targets)
+{
+    for (const wire::TargetView &it : previous.targets) {
+        const bool served = std::ranges::any_of(view.services, [&](const wire::ServiceView &service) { return service.id == it.serviceId; });
+        const auto observation = input.observations.find(it.id);
+        const bool reached = observation != input.observations.end() && observation->second.reachable;
+        if (served && reached && targets.try_emplace(it.id, it).second) {
+            targets[it.id].state = wire::TargetState::Leaving;
+        }
+    }
+}
+
+void addMembers(const NodeViewInput &input, wire::NodeView &view)
+{
+    for (const Member &it : input.members) {
+        // Without a balancer's address the agent runs alone.
+        if (it.state == wire::MemberState::Dead || it.balancerAddress.empty()) {
+            continue;
+        }
+        wire::MemberView member;
+        member.key.instance = it.key.instance;
+        member.key.incarnation = it.key.incarnation;
+        member.state = it.state;
+        member.address = it.balancerAddress;
+        member.dataCentre = it.dataCentre;
+        view.members.push_back(std::move(member));
+    }
+    std::ranges::sort(view.members, {}, [](const wire::MemberView &it) { return std::pair(it.key.instance, it.key.incarnation); });
+}
+
+void addKeys(const NodeViewInput &input, wire::NodeView &view)
+{
+    const ConfigObjectPointer object = findObject(*input.store, {"keys", input.team});
+    if (!object || object->deleted) {
+        return;
+    }
+    const TeamKeys keys = parseKeys(input.team, parseValue(*object));
+    for (const KeyEpoch &it : keysInUse(keys, input.wall)) {
+        wire::KeyView key;
+        key.teamId = idOf(input.team);
+        key.epoch = it.epoch;
+        key.secret.assign(it.secret.begin(), it.secret.end());
+        key.validUntil = it.validUntil;
+        view.keys.push_back(std::move(key));
+    }
+}
+
+/// @return heads of the objects held; for team and template those that the services were really made from
+std::vector<wire::ObjectHead> headsOfView(const NodeViewInput &input)
+{
+    std::vector<wire::ObjectHead> heads = allHeads(*input.store);
+    for (wire::ObjectHead &it : heads) {
+        for (const wire::ObjectHead &used : input.services->heads) {
+            if (keyOf(it) == keyOf(used)) {
+                it.version = used.version;
+            }
+        }
+    }
+    return heads;
+}
+
+} // namespace
+
+std::optional<TeamServices> expandFromStore(const ConfigStore &store, const std::string &team)
+{
+    const ConfigObjectPointer teamObject = findObject(store, {"team", team});
+    if (!teamObject) {
+        return std::nullopt;
+    }
+    if (teamObject->deleted) {
+        return TeamServices{{team, {}}, {headOf(*teamObject)}};
+    }
+    const Team parsed = parseTeam(team, parseValue(*teamObject));
+    const ConfigObjectPointer templateObject = findObject(store, {"template", parsed.templateName});
+    if (!templateObject || templateObject->deleted) {
+        return std::nullopt;
+    }
+    const Template from = parseTemplate(parsed.templateName, parseValue(*templateObject));
+    return TeamServices{expandTeam(from, parsed), {headOf(*teamObject), headOf(*templateObject)}};
+}
+
+wire::NodeView buildNodeView(const NodeViewInput &input, const wire::NodeView &previous)
+{
+    wire::NodeView view;
+    view.generation = previous.generation;
+    view.dataCentre = input.dataCentre;
+    std::map<Id, wire::TargetView> targets;
+    for (const ServiceSpec &it : input.services->spec.services) {
+        view.services.push_back(serviceView(input.team, it));
+        addTargets(input, it, targets);
+    }
+    keepReachable(input, previous, view, targets);
+    for (auto &[id, target] : targets) {
+        view.targets.push_back(std::move(target));
+    }
+    addMembers(input, view);
+    addKeys(input, view);
+    view.__set_objects(headsOfView(input));
+    return view;
+}
+
+std::uint64_t digestOfHeads(const std::vector<wire::ObjectHead> &heads)
+{
+    std::uint64_t digest = 0;
+    for (const wire::ObjectHead &it : heads) {
+        digest ^= digestOfHead(it);
+    }
+    return digest;
+}
+
+} // namespace pimentofold
