--- a/src/target-standin/backend_test.cpp
+++ b/src/target-standin/backend_test.cpp
@@ -87,7 +87,11 @@
 {
     Backend backend = makeBackend();
     CHECK(outcomeOf(send(backend, frameOf(FrameKind::Request, 1, 1))) == Outcome::UnknownFlow);
+    wire::TargetFrame probe = frameOf(FrameKind::Open, 1);
+    probe.onlyIfHeld = true;
+    CHECK(outcomeOf(send(backend, probe)) == Outcome::UnknownFlow);
     CHECK(outcomeOf(send(backend, frameOf(FrameKind::Open, 1))) == Outcome::Done);
+    CHECK(outcomeOf(send(backend, probe)) == Outcome::Done);
     CHECK(send(backend, frameOf(FrameKind::Request, 1, 1)).empty());
     wire::TargetFrame waiting = frameOf(FrameKind::Request, 1, 2, false);
     waiting.deadlineMs = 1;
--- a/src/target-standin/targetadmin.cpp
+++ b/src/target-standin/targetadmin.cpp
@@ -49,6 +49,8 @@
     return {{"team", backend.settings.team},
             {"service", backend.settings.service},
             {"instance", backend.settings.instance},
+            {"serviceId", idOf(backend.settings.team, backend.settings.service)},
+            {"id", idOf(backend.settings.team, backend.settings.service, backend.settings.instance)},
             {"slots", backend.settings.slots},
             {"flows", backend.flows.size()},
             {"opened", backend.counts.opened},
