--- /dev/null
+++ b/src/libpimentofold/mutation_test.cpp
@@ -0,0 +1,188 @@
+#include <map>
+
+#include <pimentofold/answer.h>
+#include <pimentofold/callerpacket.h>
+#include <pimentofold/flowroute.h>
+#include <pimentofold/peerguard.h>
+#include <pimentofold/random.h>
+#include <pimentofold/targetlink.h>
+
+#include <doctest/doctest.h>
+
+#include <libpimentofold/testviews.h>
+
+#include "peer_types.h"
+
+using namespace pimentofold;
+using namespace pimentofold::testviews;
+
+namespace {
+
+constexpr std::uint64_t seed = 20'260'101;
+constexpr int callerPackets = 1'000'000;
+constexpr int otherMessages = 200'000;
+constexpr WallTime now = 500'000;
+
+/// Changes, removes, inserts or repeats some bytes.
+std::string mutate(Random &random, std::string bytes)
+{
+    for (std::uint64_t changes = below(random, 4); changes > 0 && !bytes.empty(); --changes) {
+        const std::size_t at = below(random, bytes.size());
+        switch (below(random, 6)) {
+        case 0:
+            bytes[at] = static_cast<char>(next(random));
+            break;
+        case 1:
+            bytes[at] = static_cast<char>(bytes[at] ^ (1 << below(random, 8)));
+            break;
+        case 2:
+            bytes.resize(at);
+            break;
+        case 3:
+            bytes.insert(at, 1 + below(random, 8), static_cast<char>(next(random)));
+            break;
+        case 4:
+            bytes.erase(at, 1 + below(random, 8));
+            break;
+        default:
+            bytes += bytes.substr(at);
+            break;
+        }
+    }
+    return bytes;
+}
+
+wire::CallerPacket validPacket(Random &random, const View &view, std::size_t service, std::int64_t flow)
+{
+    const ViewService &of = view.services[service];
+    wire::CallerPacket packet;
+    packet.kind = static_cast<wire::PacketKind::type>(1 + below(random, 7));
+    packet.flow = flow;
+    packet.request = static_cast<std::int64_t>(1 + below(random, 5));
+    packet.repeatable = chance(random, 0.5);
+    packet.deadlineMs = static_cast<std::int32_t>(below(random, 100'000));
+    packet.offset = static_cast<std::int64_t>(below(random, 1 << 20));
+    packet.limit = static_cast<std::int32_t>(below(random, maxRangeBytes));
+    packet.__set_body(std::string(below(random, 40), 'b'));
+    if (chance(random, 0.7)) {
+        const Token token = mintToken(of.id, view.targets[of.targets[0]].id, 5, {1, 10}, {2, 20}, 1, now);
+        const TokenKey &key = view.keys[service == 0 ? 1 : 2];
+        const SealedToken sealed = sealToken(token, flow, key.key);
+        packet.__set_token(std::string(sealed.begin(), sealed.end()));
+    }
+    return packet;
+}
+
+/// Counts what an accepted packet breaks. The original is the only source of authentic tokens.
+int brokenPromises(
+    const View &view, const ViewService &service, const CheckedPacket &checked, const wire::CallerPacket &packet, const wire::CallerPacket &original)
+{
+    int broken = 0;
+    const bool sameToken = original.__isset.token && packet.token == original.token && packet.flow == original.flow;
+    broken += checked.hasToken && !sameToken ? 1 : 0;
+    broken += checked.hasToken && checked.token.serviceId != service.id ? 1 : 0;
+    broken += packet.__isset.token && !checked.hasToken ? 1 : 0;
+    const Time deadline = deadlineOf(packet, service);
+    broken += deadline <= 0 || deadline > maxDeadline ? 1 : 0;
+    broken += clampedLimit(packet.limit) > maxRangeBytes ? 1 : 0;
+    const auto candidate = nextCandidate(view, service, packet.flow, 0);
+    broken += !candidate || view.targets[*candidate].serviceId != service.id ? 1 : 0;
+    return broken;
+}
+
+} // namespace
+
+// Guards against crashes on hostile datagrams, and against a mutated packet that passes with a token that no balancer
+// sealed for its flow and service.
+TEST_CASE("a million mutated packets crash nothing and forge nothing")
+{
+    Random random{seed};
+    const View view = parseView(smallView());
+    Codec codec;
+    std::map<PacketFault, int> faults;
+    int broken = 0;
+    for (int i = 0; i < callerPackets; ++i) {
+        const std::size_t sealedFor = below(random, 2);
+        const ViewService &service = view.services[chance(random, 0.9) ? sealedFor : 1 - sealedFor];
+        const wire::CallerPacket original = validPacket(random, view, sealedFor, static_cast<std::int64_t>(next(random)));
+        const std::string bytes = mutate(random, std::string(codec.encode(original)));
+        wire::CallerPacket packet;
+        const CheckedPacket checked = checkPacket(codec, bytes, service, view.keys, now, packet);
+        ++faults[checked.fault];
+        if (checked.fault == PacketFault::None) {
+            broken += brokenPromises(view, service, checked, packet, original);
+        }
+    }
+    INFO("seed " << seed);
+    CHECK(broken == 0);
+    // Each check has been reached, so that the run doesn't pass for lack of cases.
+    for (const PacketFault it : {PacketFault::None, PacketFault::Malformed, PacketFault::NotForBalancer, PacketFault::BadField, PacketFault::Token}) {
+        CAPTURE(name(it));
+        CHECK(faults[it] > 1000);
+    }
+    CHECK(faults[PacketFault::Oversized] == 0);
+    wire::CallerPacket packet;
+    CHECK(checkPacket(codec, std::string(maxDatagramBytes + 1, 'x'), view.services[0], view.keys, now, packet).fault == PacketFault::Oversized);
+}
+
+// Guards against crashes on hostile frames, and against calls that a mutated frame ends twice.
+TEST_CASE("mutated frames of targets and messages of peers crash nothing")
+{
+    Random random{seed};
+    Codec codec;
+    TargetLink link;
+    connectLink(link, 0);
+    wire::TargetFrame identity;
+    identity.kind = wire::FrameKind::Identity;
+    identity.__set_identity({});
+    REQUIRE(onTargetFrame(link, identity, 0).result == FrameResult::Identified);
+    std::size_t ended = 0;
+    for (int i = 0; i < otherMessages; ++i) {
+        wire::TargetFrame frame;
+        frame.kind = static_cast<wire::FrameKind::type>(1 + below(random, 11));
+        frame.call = startCall(link, static_cast<std::uint64_t>(i));
+        frame.flow = static_cast<std::int64_t>(next(random));
+        frame.__set_outcome(static_cast<wire::Outcome::type>(1 + below(random, 7)));
+        try {
+            wire::TargetFrame back;
+            codec.decode(mutate(random, std::string(codec.encode(frame))), back);
+            ended += onTargetFrame(link, back, 0).result == FrameResult::Answered ? 1 : 0;
+        } catch (const DecodeError &) {
+            continue;
+        }
+    }
+    CHECK(ended > 1000);
+    CHECK(link.inFlight + ended == otherMessages);
+
+    const std::vector<SealKey> keys{deriveKey("a secret of the fleet", "peer")};
+    wire::PeerMessage message;
+    message.kind = wire::PeerKind::Relay;
+    message.__set_packet("packet");
+    const std::string sealed = sealDatagram(codec.encode(message), keys);
+    int altered = 0;
+    for (int i = 0; i < otherMessages; ++i) {
+        const std::string bytes = mutate(random, sealed);
+        std::string_view payload;
+        altered += bytes != sealed && openDatagram(bytes, keys, payload) ? 1 : 0;
+        try {
+            wire::PeerMessage back;
+            codec.decode(mutate(random, sealed.substr(sealBytes)), back);
+        } catch (const DecodeError &) {
+            continue;
+        }
+    }
+    CHECK(altered == 0);
+}
+
+// Guards against a captured datagram that is sent again.
+TEST_CASE("replayed and stale messages of peers are refused")
+{
+    PeerGuard guard;
+    const HlcTime at = static_cast<HlcTime>(now) << 16;
+    CHECK(checkFreshness(guard, {1, 10}, at, at) == PeerFreshness::Fresh);
+    CHECK(checkFreshness(guard, {1, 10}, at, at + 5) == PeerFreshness::Replayed);
+    CHECK(checkFreshness(guard, {1, 11}, at, at) == PeerFreshness::Fresh);
+    CHECK(checkFreshness(guard, {1, 10}, at + 1, at) == PeerFreshness::Fresh);
+    const HlcTime later = static_cast<HlcTime>(now + peerMessageLifeMs + 1) << 16;
+    CHECK(checkFreshness(guard, {1, 10}, at + 2, later) == PeerFreshness::Stale);
+}
