Add the objects that agents make themselves

Cause: one agent of a data centre should read the instance list for all others, and the views of a team need the entry instances of other data centres, whose membership doesn't reach here. Change: instances/TEAM.DATACENTRE and entries/TEAM.DATACENTRE spread like objects of the platform; the watch asks for the kinds that agents need, so that status writes wake no watcher; load alone is written to the status object every 30 s only. Conclusion: the calls to the platform don't grow with the members of a data centre.

--- a/src/idl/view.thrift
+++ b/src/idl/view.thrift
@@ -75,7 +75,7 @@
   4: i64 requests
   5: i64 refused
   6: list<TargetObservation> targets
-  // 7 is the instance's key.
+  7: optional peer.InstanceKey instance   // of the balancer; its start time is the incarnation of the instance
   // Versions of the view in force, in the first report on each connection: a restarted agent must not go behind them.
   8: optional list<peer.ObjectHead> objects
 }
--- a/src/include/pimentofold/configspread.h
+++ b/src/include/pimentofold/configspread.h
@@ -136,6 +136,9 @@
 /// @param from address that the datagram came from; the answer goes there
 void handleSpread(ConfigSpread &spread, const wire::PeerMessage &message, const std::string &from, Time now, SpreadOutput &out);
 
+/// Takes over and pushes an object that this agent made itself.
+void publishObject(ConfigSpread &spread, const ConfigObjectPointer &object, Time now, SpreadOutput &out);
+
 /// Takes the platform's answer to a long poll, or its failure.
 void handleWatchAnswer(ConfigSpread &spread, const WatchAnswer &answer, Time now, SpreadOutput &out);
 
--- a/src/include/pimentofold/configstore.h
+++ b/src/include/pimentofold/configstore.h
@@ -92,7 +92,11 @@
 /// @return heads of all objects, by key
 std::vector<wire::ObjectHead> allHeads(const ConfigStore &store);
 
-/// @return whether an agent of @p team needs the object: its own team, keys and drains, and all templates
+/// @return whether objects of this kind come from the platform: template, team, keys or drain. Agents make the others
+///     themselves, see agentobjects.h.
+bool isPlatformKind(std::string_view kind);
+
+/// @return whether an agent of @p team needs the object: its own team's objects and all templates
 bool isWantedBy(std::string_view team, const ObjectKey &key);
 
 /// @return the key in a head
--- a/src/include/pimentofold/statusboard.h
+++ b/src/include/pimentofold/statusboard.h
@@ -26,6 +26,9 @@
 constexpr Time reportRefresh = 30 * second;
 /// The status object is written at most this often.
 constexpr Time statusInterval = 2 * second;
+/// Changes of load alone (inUse and refused) are written only this often, so that the writes of a large fleet stay
+/// within what the platform accepts.
+constexpr Time loadStatusInterval = 30 * second;
 /// Heads in one report, at most: those of the objects that changed last.
 constexpr std::size_t headsPerReport = 16;
 
@@ -52,13 +55,12 @@
 struct StatusInput {
     const ConfigStore *store = nullptr;
     std::vector<Member> members; ///< all but the dead ones
-    std::int64_t revision = 0;
     bool platformReachable = false;
     const wire::NodeView *view = nullptr; ///< names the targets; null without one
     std::map<Id, wire::TargetObservation> observations;
 };
 
-/// @return the value of the status object without the time of writing
+/// @return the value of the status object without "writtenAt" and "revision", which change without need for a write
 nlohmann::json statusValue(const StatusBoard &board, const StatusInput &input);
 
 /// When this member reports to the writer.
@@ -77,12 +79,13 @@
 
 /// The conditional writes of one writer.
 struct StatusWriter {
-    nlohmann::json written; ///< value without the time of writing
+    nlohmann::json written; ///< as made by statusValue()
     nlohmann::json writing; ///< as long as a write is under way
     bool busy = false;
     std::int64_t version = 0; ///< of the object, as far as known
     std::string changeId; ///< of the last write
     Time nextAt = 0;
+    Time nextLoadAt = 0;
     int failures = 0;
 };
 
--- /dev/null
+++ b/src/libpimentofold/agentobjects.cpp
@@ -0,0 +1,149 @@
+#include <pimentofold/agentobjects.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include <pimentofold/settings.h>
+
+namespace pimentofold {
+
+using nlohmann::json;
+
+namespace {
+
+// The low bits of a version tell the makers of objects apart.
+constexpr std::int64_t versionMakers = 1024;
+
+PlatformInstance instanceFromJson(const json &value)
+{
+    PlatformInstance instance;
+    instance.name = value.at("name").get<std::string>();
+    instance.entry = value.value("role", "target") == "entry";
+    instance.team = value.value("team", "");
+    instance.service = value.value("service", "");
+    instance.dataCentre = value.value("dataCentre", "");
+    instance.address = value.value("address", "");
+    instance.leaving = value.value("state", "live") == "leaving";
+    instance.slots = value.value("slots", 0);
+    return instance;
+}
+
+json toJson(const PlatformInstance &instance)
+{
+    return {{"name", instance.name},
+            {"team", instance.team},
+            {"service", instance.service},
+            {"dataCentre", instance.dataCentre},
+            {"address", instance.address},
+            {"state", instance.leaving ? "leaving" : "live"},
+            {"slots", instance.slots}};
+}
+
+Member memberFromJson(const json &value, const std::string &dataCentre)
+{
+    Member member;
+    member.name = value.at("name").get<std::string>();
+    member.key = {idOf(member.name), value.at("incarnation").get<std::int64_t>()};
+    member.balancerAddress = value.at("balancerAddress").get<std::string>();
+    member.dataCentre = dataCentre;
+    return member;
+}
+
+/// Calls @p use with each element of the objects of a kind and the data centre in the object's name.
+template<typename Use>
+void forEachElement(const ConfigStore &store, const std::string &kind, const std::string &team, Use use)
+{
+    const std::string prefix = team + ".";
+    for (auto it = store.objects.lower_bound({kind, prefix}); it != store.objects.end() && it->first.kind == kind && it->first.name.starts_with(prefix); ++it) {
+        for (const json &element : json::parse(it->second->value)) {
+            use(element, it->first.name.substr(prefix.size()));
+        }
+    }
+}
+
+} // namespace
+
+ObjectKey instancesKey(const std::string &team, const std::string &dataCentre)
+{
+    return {"instances", team + "." + dataCentre};
+}
+
+ObjectKey entriesKey(const std::string &team, const std::string &dataCentre)
+{
+    return {"entries", team + "." + dataCentre};
+}
+
+std::string instancesValue(const std::string &team, std::vector<PlatformInstance> instances)
+{
+    std::ranges::sort(instances, {}, &PlatformInstance::name);
+    json list = json::array();
+    for (const PlatformInstance &it : instances) {
+        if (!it.entry && it.team == team) {
+            list.push_back(toJson(it));
+        }
+    }
+    return list.dump();
+}
+
+std::string entriesValue(std::span<const Member> members)
+{
+    json list = json::array();
+    for (const Member &it : members) {
+        const bool mayWork = it.state == wire::MemberState::Alive || it.state == wire::MemberState::Suspect;
+        if (mayWork && !it.balancerAddress.empty()) {
+            list.push_back({{"name", it.name}, {"incarnation", it.key.incarnation}, {"balancerAddress", it.balancerAddress}});
+        }
+    }
+    return list.dump();
+}
+
+ConfigObjectPointer nextVersion(const ConfigStore &store, const ObjectKey &key, const std::string &value, Id self, WallTime wall)
+{
+    const ConfigObjectPointer held = findObject(store, key);
+    if (held && held->value == value) {
+        return nullptr;
+    }
+    const auto floor = store.floors.find(key);
+    const std::int64_t last = std::max(versionOf(store, key), floor == store.floors.end() ? 0 : floor->second);
+    const std::int64_t base = std::max(wall, last / versionMakers + 1);
+    ConfigObject object;
+    object.key = key;
+    object.version = base * versionMakers + static_cast<std::int64_t>(static_cast<std::uint64_t>(self) % versionMakers);
+    object.value = value;
+    return std::make_shared<const ConfigObject>(std::move(object));
+}
+
+std::vector<PlatformInstance> heldInstances(const ConfigStore &store, const std::string &team)
+{
+    std::vector<PlatformInstance> instances;
+    forEachElement(store, "instances", team, [&](const json &value, const std::string &) { instances.push_back(instanceFromJson(value)); });
+    return instances;
+}
+
+std::vector<Member> remoteEntries(const ConfigStore &store, const std::string &team, const std::string &dataCentre)
+{
+    std::vector<Member> members;
+    forEachElement(store, "entries", team, [&](const json &value, const std::string &ofDataCentre) {
+        if (ofDataCentre != dataCentre) {
+            members.push_back(memberFromJson(value, ofDataCentre));
+        }
+    });
+    return members;
+}
+
+std::vector<PlatformInstance> parseInstanceList(const std::string &text)
+{
+    std::vector<PlatformInstance> instances;
+    const json list = json::parse(text);
+    for (const json &it : list.at("instances")) {
+        PlatformInstance instance = instanceFromJson(it);
+        if (isAddress(instance.address)) {
+            instances.push_back(std::move(instance));
+        }
+    }
+    return instances;
+}
+
+} // namespace pimentofold
--- a/src/libpimentofold/configspread.cpp
+++ b/src/libpimentofold/configspread.cpp
@@ -216,6 +216,13 @@
     }
 }
 
+void publishObject(ConfigSpread &spread, const ConfigObjectPointer &object, Time now, SpreadOutput &out)
+{
+    if (take(spread, object, out)) {
+        push(spread, {object}, "", now, out);
+    }
+}
+
 void handleWatchAnswer(ConfigSpread &spread, const WatchAnswer &answer, Time now, SpreadOutput &out)
 {
     if (!finishPoll(spread.watch, answer, now, spread.random)) {
@@ -224,7 +231,7 @@
     spread.filled = true;
     std::vector<ConfigObjectPointer> fresh;
     for (const ConfigObjectPointer &it : answer.objects) {
-        if (isWantedBy(spread.team, it->key) && take(spread, it, out)) {
+        if (isPlatformKind(it->key.kind) && isWantedBy(spread.team, it->key) && take(spread, it, out)) {
             fresh.push_back(it);
         }
     }
--- a/src/libpimentofold/configstore.cpp
+++ b/src/libpimentofold/configstore.cpp
@@ -110,6 +110,11 @@
     return heads;
 }
 
+bool isPlatformKind(std::string_view kind)
+{
+    return kind == "template" || kind == "team" || kind == "keys" || kind == "drain";
+}
+
 bool isWantedBy(std::string_view team, const ObjectKey &key)
 {
     if (key.kind == "template") {
@@ -118,7 +123,8 @@
     if (key.kind == "team" || key.kind == "keys") {
         return key.name == team;
     }
-    return key.kind == "drain" && key.name.size() > team.size() && key.name.starts_with(team) && key.name[team.size()] == '.';
+    const bool ofTeam = key.name.size() > team.size() && key.name.starts_with(team) && key.name[team.size()] == '.';
+    return ofTeam && (key.kind == "drain" || key.kind == "instances" || key.kind == "entries");
 }
 
 ObjectKey keyOf(const wire::ObjectHead &head)
--- a/src/libpimentofold/statusboard.cpp
+++ b/src/libpimentofold/statusboard.cpp
@@ -88,6 +88,17 @@
     return list;
 }
 
+json withoutLoad(json value)
+{
+    value.erase("refused");
+    if (value.contains("targets")) {
+        for (json &it : value["targets"]) {
+            it.erase("inUse");
+        }
+    }
+    return value;
+}
+
 } // namespace
 
 void handleInForce(StatusBoard &board, const wire::PeerMessage &message)
@@ -116,6 +127,9 @@
     json inForce = json::array();
     json lagging = json::array();
     for (const auto &[key, object] : input.store->objects) {
+        if (!isPlatformKind(key.kind)) {
+            continue;
+        }
         json nodes = json::array();
         for (const Member &it : input.members) {
             if (mustHaveInForce(it) && !hasInForce(board, it, *input.store, *object)) {
@@ -132,8 +146,7 @@
     for (const auto &[id, instance] : board.instances) {
         refused += instance.refused;
     }
-    return {{"revision", input.revision},
-            {"platformReachable", input.platformReachable},
+    return {{"platformReachable", input.platformReachable},
             {"instances", instancesValue(board, input.members)},
             {"inForce", std::move(inForce)},
             {"lagging", std::move(lagging)},
@@ -143,7 +156,7 @@
 
 bool isReportDue(const InForceReporter &reporter, const wire::InForceReport &report, Id writer, Time now)
 {
-    const bool changed = !(report == reporter.last) || writer != reporter.writer;
+    const bool changed = report.generation != reporter.last.generation || report.rootDigest != reporter.last.rootDigest || writer != reporter.writer;
     return now >= reporter.refreshAt || (changed && now >= reporter.nextAt);
 }
 
@@ -154,7 +167,10 @@
 
 bool isStatusWriteDue(const StatusWriter &writer, const json &value, Time now)
 {
-    return !writer.busy && now >= writer.nextAt && value != writer.written;
+    if (writer.busy || now < writer.nextAt || value == writer.written) {
+        return false;
+    }
+    return now >= writer.nextLoadAt || withoutLoad(value) != withoutLoad(writer.written);
 }
 
 void startStatusWrite(StatusWriter &writer, const json &value, const std::string &changeId, Time now)
@@ -163,6 +179,7 @@
     writer.writing = value;
     writer.changeId = changeId;
     writer.nextAt = now + statusInterval;
+    writer.nextLoadAt = now + loadStatusInterval;
 }
 
 void finishStatusWrite(StatusWriter &writer, const StatusWriteResult &result, Time now, Random &random)
--- a/src/libstandin/platformstore.cpp
+++ b/src/libstandin/platformstore.cpp
@@ -26,6 +26,7 @@
     }
     change.version = current.version + 1;
     change.revision = ++store.revision;
+    store.kindRevisions[change.kind] = change.revision;
     auto &versions = store.objects[name];
     versions.push_front(change);
     if (versions.size() > historyLength) {
@@ -59,11 +60,11 @@
     return none;
 }
 
-std::vector<StoredObject> objectsSince(const PlatformStore &store, std::int64_t since, std::int64_t revision)
+std::vector<StoredObject> objectsSince(const PlatformStore &store, std::int64_t since, std::int64_t revision, const KindFilter &kinds)
 {
     std::vector<StoredObject> result;
     for (const auto &[name, versions] : store.objects) {
-        if (versions.front().revision <= since) {
+        if (versions.front().revision <= since || (!kinds.empty() && !kinds.contains(name.first))) {
             continue;
         }
         StoredObject it = readObject(store, name, revision);
@@ -75,6 +76,17 @@
     return result;
 }
 
+bool hasChanged(const PlatformStore &store, std::int64_t since, const KindFilter &kinds)
+{
+    if (kinds.empty()) {
+        return store.revision > since;
+    }
+    return std::ranges::any_of(kinds, [&](const std::string &kind) {
+        const auto it = store.kindRevisions.find(kind);
+        return it != store.kindRevisions.end() && it->second > since;
+    });
+}
+
 void changeInstance(PlatformStore &store, const std::string &name, InstanceChange change)
 {
     auto &changes = store.instances[name];
--- a/src/libstandin/platformstore.h
+++ b/src/libstandin/platformstore.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +53,7 @@
 struct PlatformStore {
     std::int64_t revision = 0;
     std::map<ObjectName, std::deque<StoredObject>> objects; ///< newest version first
+    std::map<std::string, std::int64_t> kindRevisions; ///< revision of the last write of each kind
     std::map<std::string, std::deque<InstanceChange>> instances; ///< newest change first
     Faults faults;
     std::map<std::string, std::int64_t> counts; ///< calls by kind: read, write, watch, instances, refused
@@ -76,8 +78,14 @@
 /// @return the object as of @p revision; version 0 when there was none
 StoredObject readObject(const PlatformStore &store, const ObjectName &name, std::int64_t revision);
 
+/// Kinds that a watch asks for; all when empty.
+using KindFilter = std::set<std::string>;
+
 /// @return objects whose newest version as of @p revision was written after @p since, in order of revision
-std::vector<StoredObject> objectsSince(const PlatformStore &store, std::int64_t since, std::int64_t revision);
+std::vector<StoredObject> objectsSince(const PlatformStore &store, std::int64_t since, std::int64_t revision, const KindFilter &kinds = {});
+
+/// @return whether an object of these kinds was written after @p since
+bool hasChanged(const PlatformStore &store, std::int64_t since, const KindFilter &kinds);
 
 /// Sets or removes an entry of the instance list.
 void changeInstance(PlatformStore &store, const std::string &name, InstanceChange change);
--- a/src/platform-standin/service.cpp
+++ b/src/platform-standin/service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <sstream>
 
 #include <nlohmann/json.hpp>
 
@@ -68,6 +69,16 @@
         && std::all_of(text.begin(), text.end(), [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.'; });
 }
 
+KindFilter parseKinds(const std::string &text)
+{
+    KindFilter kinds;
+    std::istringstream in(text);
+    for (std::string kind; std::getline(in, kind, ',');) {
+        kinds.insert(kind);
+    }
+    return kinds;
+}
+
 /// Splits "PREFIX/KIND/NAME"; empty strings when the path has another form.
 ObjectName splitObjectPath(const std::string &path, std::size_t prefix)
 {
@@ -150,7 +161,7 @@
         return;
     }
     ++m_store.counts[*wait > 0 ? "watch" : "read"];
-    m_watches.push_back({*since, monotonicNow() + *wait * second, respond});
+    m_watches.push_back({*since, monotonicNow() + *wait * second, parseKinds(valueOr(request.query, "kinds", "")), respond});
     serveWatches();
 }
 
@@ -158,13 +169,13 @@
 {
     const Time now = monotonicNow();
     for (auto it = m_watches.begin(); it != m_watches.end();) {
-        if (m_store.revision <= it->since && now < it->until) {
+        if (!hasChanged(m_store, it->since, it->kinds) && now < it->until) {
             ++it;
             continue;
         }
         const std::int64_t revision = readRevision(m_store, m_random);
         json objects = json::array();
-        for (const StoredObject &object : objectsSince(m_store, it->since, revision)) {
+        for (const StoredObject &object : objectsSince(m_store, it->since, revision, it->kinds)) {
             objects.push_back(toJson(object));
         }
         answer(it->respond, jsonResponse(200, {{"revision", revision}, {"objects", std::move(objects)}}));
--- a/src/platform-standin/service.h
+++ b/src/platform-standin/service.h
@@ -37,6 +37,7 @@
     struct Watch {
         std::int64_t since = 0;
         Time until = 0;
+        KindFilter kinds;
         HttpResponder respond;
     };
     struct DelayedAnswer {
