Decode any number of messages with one codec

Change: the codec's input buffer starts the count anew for each message. Conclusion: long-lived processes keep decoding.

--- a/src/libpimentofold/basics_test.cpp
+++ b/src/libpimentofold/basics_test.cpp
@@ -59,6 +59,31 @@
     CHECK_THROWS_AS(codec.decode(bytes + "x", longer), DecodeError);
 }
 
+// Guards against a codec that refuses everything once it has read as many bytes as the largest message has.
+TEST_CASE("a codec decodes any number of messages")
+{
+    Codec codec;
+    wire::CallerPacket packet;
+    packet.kind = wire::PacketKind::Request;
+    packet.flow = INT64_MAX;
+    packet.request = INT64_MAX;
+    packet.offset = INT64_MAX;
+    packet.total = INT64_MAX;
+    packet.entityTag = INT64_MAX;
+    packet.__set_body("body");
+    const std::string bytes(codec.encode(packet));
+    std::size_t failed = 0;
+    for (std::size_t total = 0; total < 3 * maxFrameBytes; total += bytes.size()) {
+        wire::CallerPacket back;
+        try {
+            codec.decode(bytes, back);
+        } catch (const DecodeError &) {
+            ++failed;
+        }
+    }
+    CHECK(failed == 0);
+}
+
 TEST_CASE("frames are taken only when complete")
 {
     std::string out;
--- a/src/libpimentofold/codec.cpp
+++ b/src/libpimentofold/codec.cpp
@@ -16,11 +16,24 @@
     return std::make_shared<TConfiguration>(static_cast<int>(maxFrameBytes), static_cast<int>(maxFrameBytes), maxRecursion);
 }
 
+/// Thrift counts bytes that are read over the life of a buffer against the largest message. A buffer that is kept
+/// between messages has to start the count anew, or it refuses everything after that many bytes.
+class InputBuffer : public TMemoryBuffer
+{
+public:
+    using TMemoryBuffer::TMemoryBuffer;
+
+    void startMessage()
+    {
+        resetConsumedMessageSize();
+    }
+};
+
 } // namespace
 
 Codec::Codec()
     : m_out(std::make_shared<TMemoryBuffer>(configuration()))
-    , m_in(std::make_shared<TMemoryBuffer>(configuration()))
+    , m_in(std::make_shared<InputBuffer>(configuration()))
     , m_writer(std::make_unique<TCompactProtocolT<TMemoryBuffer>>(m_out))
     , m_reader(std::make_unique<TCompactProtocolT<TMemoryBuffer>>(m_in))
 {
@@ -31,6 +44,7 @@
     // Thrift's buffer takes a pointer to mutable bytes but only reads from it under OBSERVE.
     auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
     m_in->resetBuffer(data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+    static_cast<InputBuffer &>(*m_in).startMessage();
     // A struct that failed halfway leaves its nesting in the protocol; a new one starts clean.
     m_reader = std::make_unique<TCompactProtocolT<TMemoryBuffer>>(m_in, static_cast<std::int32_t>(bytes.size()), static_cast<std::int32_t>(bytes.size()));
 }
