Add pimentofoldctl and the timeline of event lines

Cause: operators need to change and watch teams without ever being told something wrong about a change, and to see what many processes did in which order.

Change: the program pimentofoldctl with the commands validate, diff, apply, get, list, history, status, drain, undrain, delete, keys rotate and timeline; the library module `timeline`. A write is a state machine without sockets. Each change id carries the ids of the changes before it, since the platform keeps only the newest version: this is how a write whose answer was lost finds itself under later versions, and what `history` shows.

Conclusion: outcomes are reported as written, conflict or not written only with proof, otherwise as unknown.

--- a/src/include/pimentofold/eventlog.h
+++ b/src/include/pimentofold/eventlog.h
@@ -69,6 +69,9 @@
 /// @return the line that logEvent() writes, without a line end
 std::string eventLine(std::string_view node, WallTime wall, HlcTime hlc, std::string_view event, std::initializer_list<EventField> fields);
 
+/// Appends " key=value" to a line, without the blank at the start of the line; quotes the value where needed.
+void appendPair(std::string &line, std::string_view key, std::string_view value);
+
 /// @return wall time in milliseconds from the system clock
 WallTime wallNow();
 
--- a/src/libpimentofold/eventlog.cpp
+++ b/src/libpimentofold/eventlog.cpp
@@ -35,6 +35,8 @@
     line += '"';
 }
 
+} // namespace
+
 void appendPair(std::string &line, std::string_view key, std::string_view value)
 {
     if (!line.empty()) {
@@ -45,8 +47,6 @@
     appendValue(line, value);
 }
 
-} // namespace
-
 void setUpLogging()
 {
     el::Configurations configuration;
--- /dev/null
+++ b/src/libpimentofold/timeline.cpp
@@ -0,0 +1,138 @@
+#include <pimentofold/timeline.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <tuple>
+
+namespace pimentofold {
+
+namespace {
+
+using Pair = std::pair<std::string, std::string>;
+
+char unescaped(char c)
+{
+    if (c == 'n') {
+        return '\n';
+    }
+    return c == 'r' ? '\r' : c;
+}
+
+/// Takes a quoted value from the front of @p rest.
+/// @return false when the closing quote is missing
+bool takeQuoted(std::string_view &rest, std::string &value)
+{
+    rest.remove_prefix(1);
+    while (!rest.empty()) {
+        char c = rest.front();
+        rest.remove_prefix(1);
+        if (c == '"') {
+            return rest.empty() || rest.front() == ' ';
+        }
+        if (c == '\\') {
+            if (rest.empty()) {
+                return false;
+            }
+            c = unescaped(rest.front());
+            rest.remove_prefix(1);
+        }
+        value += c;
+    }
+    return false;
+}
+
+/// Takes one pair from the front of @p rest.
+/// @return false when there is no complete pair
+bool takePair(std::string_view &rest, Pair &pair)
+{
+    const auto equals = rest.find('=');
+    if (equals == std::string_view::npos || equals == 0 || rest.substr(0, equals).find_first_of(" \"") != std::string_view::npos) {
+        return false;
+    }
+    pair = {std::string(rest.substr(0, equals)), ""};
+    rest.remove_prefix(equals + 1);
+    if (!rest.empty() && rest.front() == '"') {
+        return takeQuoted(rest, pair.second);
+    }
+    const auto end = std::min(rest.find(' '), rest.size());
+    pair.second = rest.substr(0, end);
+    rest.remove_prefix(end);
+    // Values that aren't quoted have no quotes and are never empty, so such a line was cut off or mixed up.
+    return !pair.second.empty() && pair.second.find('"') == std::string::npos;
+}
+
+bool parseNumber(const std::string &text, std::int64_t &value)
+{
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    return result.ec == std::errc() && result.ptr == text.data() + text.size() && value >= 0;
+}
+
+bool takePairs(std::string_view rest, std::vector<Pair> &pairs)
+{
+    while (!rest.empty()) {
+        Pair pair;
+        if (!takePair(rest, pair)) {
+            return false;
+        }
+        pairs.push_back(std::move(pair));
+        if (!rest.empty()) {
+            rest.remove_prefix(1);
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<TimelineEvent> parseEventLine(std::string_view line)
+{
+    if (!line.empty() && line.back() == '\r') {
+        line.remove_suffix(1);
+    }
+    std::vector<Pair> pairs;
+    constexpr std::size_t headPairs = 4;
+    if (!takePairs(line, pairs) || pairs.size() < headPairs) {
+        return {};
+    }
+    TimelineEvent event;
+    const bool named = pairs[0].first == "time" && pairs[1].first == "hlc" && pairs[2].first == "node" && pairs[3].first == "event";
+    if (!named || !parseNumber(pairs[0].second, event.time) || !parseNumber(pairs[1].second, event.hlc)) {
+        return {};
+    }
+    event.node = pairs[2].second;
+    event.event = pairs[3].second;
+    event.fields.assign(std::make_move_iterator(pairs.begin() + headPairs), std::make_move_iterator(pairs.end()));
+    return event;
+}
+
+void addLine(Timeline &timeline, std::string_view line)
+{
+    if (line.find_first_not_of(" \t\r") == std::string_view::npos) {
+        return;
+    }
+    auto event = parseEventLine(line);
+    if (event) {
+        timeline.events.push_back(std::move(*event));
+    } else {
+        ++timeline.brokenLines;
+    }
+}
+
+void sortEvents(Timeline &timeline)
+{
+    std::stable_sort(timeline.events.begin(), timeline.events.end(), [](const TimelineEvent &a, const TimelineEvent &b) {
+        return std::tie(a.hlc, a.node) < std::tie(b.hlc, b.node);
+    });
+}
+
+std::vector<std::string> processesOf(const Timeline &timeline)
+{
+    std::set<std::string> names;
+    for (const TimelineEvent &it : timeline.events) {
+        names.insert(it.node);
+    }
+    return {names.begin(), names.end()};
+}
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/pimentofoldctl/objectwrite_test.cpp
@@ -0,0 +1,175 @@
+#include <pimentofoldctl/objectwrite.h>
+
+#include <doctest/doctest.h>
+
+#include <pimentofoldctl/changeid.h>
+
+using namespace pimentofold;
+using namespace pimentofold::ctl;
+using nlohmann::json;
+
+namespace {
+
+const ObjectKey key{"team", "shop"};
+constexpr Time deadline = 100;
+
+ApiAnswer object(AnswerKind kind, std::int64_t version, const char *changeId, bool deleted = false)
+{
+    return {kind, {{"version", version}, {"deleted", deleted}, {"changeId", changeId}, {"value", {{"a", version}}}}, ""};
+}
+
+ApiAnswer seen(std::int64_t version, const char *changeId)
+{
+    return object(AnswerKind::Ok, version, changeId);
+}
+
+ApiAnswer conflict(std::int64_t version, const char *changeId)
+{
+    return object(AnswerKind::Conflict, version, changeId);
+}
+
+ApiAnswer written(std::int64_t version)
+{
+    return {AnswerKind::Ok, {{"version", version}, {"revision", 70}}, ""};
+}
+
+const ApiAnswer lost{AnswerKind::Lost, {}, "timeout"};
+const ApiAnswer refused{AnswerKind::Refused, {}, "status 413"};
+const ApiAnswer absent{AnswerKind::NotFound, {}, ""};
+
+struct Step {
+    const char *method;
+    ApiAnswer answer;
+    Time now = 0;
+};
+
+struct Row {
+    const char *what;
+    std::vector<Step> steps;
+    WriteOutcome outcome;
+    std::int64_t version = 0;
+    std::optional<std::int64_t> ifVersion = std::nullopt;
+    const char *ifMatch = "3"; ///< of each PUT
+};
+
+const std::vector<Row> rows = {
+    {"plain write", {{"GET", seen(3, "1.b.1")}, {"PUT", written(4)}}, WriteOutcome::Written, 4},
+    {"creation", {{"GET", absent}, {"PUT", written(1)}}, WriteOutcome::Written, 1, {}, "0"},
+    {"creation over a deletion", {{"GET", object(AnswerKind::NotFound, 7, "1.b.1", true)}, {"PUT", written(8)}}, WriteOutcome::Written, 8, {}, "7"},
+    {"lost after it took effect", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(4, "me,1.b.1")}}, WriteOutcome::Written, 4},
+    {"lost before it took effect", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(3, "1.b.1")}, {"PUT", written(4)}}, WriteOutcome::Written, 4},
+    {"took effect late", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(3, "1.b.1")}, {"PUT", conflict(4, "me,1.b.1")}}, WriteOutcome::Written, 4},
+    {"lost, other change instead", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(4, "x,1.b.1")}}, WriteOutcome::Conflict},
+    {"lost, two other changes instead", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(5, "y,x,1.b.1")}}, WriteOutcome::Conflict},
+    {"lost, replaced by a later change", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(5, "x,me,1.b.1")}}, WriteOutcome::Written, 0},
+    {"lost, hidden by other ids", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(5, "foreign")}}, WriteOutcome::Unknown},
+    {"lost, base without id", {{"GET", seen(3, "")}, {"PUT", lost}, {"GET", seen(5, "y,x")}}, WriteOutcome::Unknown},
+    {"lost creation, other creation instead", {{"GET", absent}, {"PUT", lost}, {"GET", seen(1, "x")}}, WriteOutcome::Unknown, 0, {}, "0"},
+    {"stale read-back", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(2, "a")}, {"GET", seen(4, "me,1.b.1")}}, WriteOutcome::Written, 4},
+    {"conflict", {{"GET", seen(3, "1.b.1")}, {"PUT", conflict(4, "x,1.b.1")}}, WriteOutcome::Conflict},
+    {"conflict far ahead", {{"GET", seen(3, "1.b.1")}, {"PUT", conflict(9, "foreign")}}, WriteOutcome::Conflict},
+    {"refused", {{"GET", seen(3, "1.b.1")}, {"PUT", refused}}, WriteOutcome::Refused},
+    {"refused after a lost answer", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", seen(3, "1.b.1")}, {"PUT", refused}}, WriteOutcome::Unknown},
+    {"outage before the write", {{"GET", lost}, {"GET", lost, deadline}}, WriteOutcome::NotWritten},
+    {"outage after the write", {{"GET", seen(3, "1.b.1")}, {"PUT", lost}, {"GET", lost, deadline}}, WriteOutcome::Unknown},
+    {"outage that ends", {{"GET", lost}, {"GET", seen(3, "1.b.1")}, {"PUT", written(4)}}, WriteOutcome::Written, 4},
+    {"same value", {{"GET", seen(99, "1.b.1")}}, WriteOutcome::Unchanged, 99},
+    {"newer than expected", {{"GET", seen(3, "1.b.1")}}, WriteOutcome::Conflict, 0, 2},
+    {"as expected after a stale read", {{"GET", seen(2, "a")}, {"GET", seen(3, "1.b.1")}, {"PUT", written(4)}}, WriteOutcome::Written, 4, 3},
+    {"expected version never shows", {{"GET", seen(2, "a")}, {"GET", seen(2, "a"), deadline}}, WriteOutcome::NotWritten, 0, 3},
+    {"must not exist, but does", {{"GET", seen(3, "1.b.1")}}, WriteOutcome::Conflict, 0, 0},
+    {"must not exist, is deleted", {{"GET", object(AnswerKind::NotFound, 7, "1.b.1", true)}, {"PUT", written(8)}}, WriteOutcome::Written, 8, 0, "7"},
+};
+
+WriteRequest requestFor(const Row &row)
+{
+    return {key, [](const PlatformObject &) { return json{{"a", 99}}; }, "me", row.ifVersion, deadline};
+}
+
+} // namespace
+
+// Guards against a lost answer that is reported as a failure or a success without proof, and against a write that
+// replaces another version than the one that the operator saw.
+TEST_CASE("outcome of a write for each sequence of answers")
+{
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        ObjectWrite write;
+        write.request = requestFor(row);
+        for (const Step &step : row.steps) {
+            REQUIRE_FALSE(isFinished(write));
+            const ApiCall call = nextCall(write);
+            CHECK(call.method == step.method);
+            if (call.method == "PUT") {
+                CHECK(call.headers.at("If-Match") == row.ifMatch);
+                CHECK(chainStartsWith(call.headers.at("X-Change-Id"), "me"));
+            }
+            acceptAnswer(write, step.answer, step.now);
+        }
+        CHECK(name(write.outcome) == name(row.outcome));
+        CHECK(write.version == row.version);
+    }
+}
+
+// Guards against a deletion that is sent with a value, or sent for an object that doesn't exist.
+TEST_CASE("deletions")
+{
+    ObjectWrite write;
+    write.request = {key, [](const PlatformObject &) { return json(); }, "me", {}, deadline};
+    ObjectWrite other = write;
+    acceptAnswer(write, seen(3, "1.b.1"), 0);
+    CHECK(nextCall(write).method == "DELETE");
+    CHECK(nextCall(write).body.empty());
+    acceptAnswer(other, object(AnswerKind::NotFound, 4, "1.b.1", true), 0);
+    CHECK(other.outcome == WriteOutcome::Unchanged);
+}
+
+// Guards against change ids that grow without bound, lose the newest change, or contain text of other programs that
+// isn't allowed in a header.
+TEST_CASE("change ids carry the latest changes")
+{
+    std::string chain;
+    for (int i = 0; i < 20; ++i) {
+        chain = extendChain(makeChangeEntry(1000 + i, "alice", 7), chain);
+    }
+    const auto entries = parseChain(chain);
+    REQUIRE(entries.size() == changeChainLength);
+    CHECK(entries.front().id == "1019.alice.00000007");
+    CHECK(entries.front().time == 1019);
+    CHECK(entries.front().author == "alice");
+    CHECK(chainContains(chain, "1012.alice.00000007"));
+    CHECK_FALSE(chainContains(chain, "1011.alice.00000007"));
+    CHECK_FALSE(chainContains(chain, "1019.alice.0000000"));
+    CHECK(extendChain("me", "a b\r\nX: y,c") == "me");
+    CHECK(parseChain("").empty());
+    CHECK(parseChain("agent-7").front().author.empty());
+}
+
+// Guards against server errors that count as a definite refusal, although the write may have taken effect.
+TEST_CASE("classes of HTTP answers")
+{
+    struct Class {
+        int status;
+        const char *body;
+        AnswerKind kind;
+    };
+    const Class classes[] = {
+        {200, "{}", AnswerKind::Ok},
+        {200, "<html>", AnswerKind::Lost},
+        {0, "", AnswerKind::Lost},
+        {503, "{}", AnswerKind::Lost},
+        {504, "", AnswerKind::Lost},
+        {429, "", AnswerKind::Lost},
+        {409, "{}", AnswerKind::Conflict},
+        {404, "{}", AnswerKind::NotFound},
+        {400, R"({"error": "no"})", AnswerKind::Refused},
+        {413, "", AnswerKind::Refused},
+    };
+    for (const Class &it : classes) {
+        CAPTURE(it.status);
+        HttpResult result;
+        result.status = it.status;
+        result.body = it.body;
+        CHECK(toAnswer(result).kind == it.kind);
+    }
+}
--- /dev/null
+++ b/src/pimentofoldctl/options.cpp
@@ -0,0 +1,213 @@
+#include <pimentofoldctl/options.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include <tclap/CmdLine.h>
+
+#include <pimentofoldctl/changeid.h>
+
+namespace pimentofold::ctl {
+
+namespace {
+
+constexpr std::int64_t maxTimeMs = 600'000;
+
+std::string overview(const std::vector<CommandSyntax> &commands)
+{
+    std::string text = "usage: pimentofoldctl COMMAND [options] [operands]\n\ncommands:\n";
+    for (const CommandSyntax &it : commands) {
+        std::string line = "  " + it.name + " " + it.operands;
+        line.resize(std::max<std::size_t>(line.size() + 1, 38), ' ');
+        text += line + it.summary + "\n";
+    }
+    text += "\npimentofoldctl COMMAND --help shows the options of a command.\n"
+            "exit codes: 0 ok, 1 error, 2 usage or settings, 3 conflict, 4 platform unreachable or outcome unknown,\n"
+            "5 not in force everywhere in time\n";
+    return text;
+}
+
+/// Writes help and version into a text in place of standard output.
+class TextOutput : public TCLAP::StdOutput
+{
+public:
+    explicit TextOutput(std::ostringstream &out)
+        : m_out(out)
+    {
+    }
+    void usage(TCLAP::CmdLineInterface &command) override
+    {
+        m_out << "usage: " << command.getProgramName() << " [options] operands\n\n" << command.getMessage() << "\n\n";
+        for (TCLAP::Arg *it : command.getArgList()) {
+            m_out << "  " << it->longID() << "\n      " << it->getDescription() << "\n";
+        }
+    }
+    void version(TCLAP::CmdLineInterface &command) override
+    {
+        m_out << "pimentofoldctl " << command.getVersion() << "\n";
+    }
+
+private:
+    std::ostringstream &m_out;
+};
+
+Time takeMs(SettingsObject &top, const std::string &field, Time fallback)
+{
+    return takeInteger(top, field, 1, maxTimeMs, fallback / millisecond) * millisecond;
+}
+
+/// The options of every command.
+struct Arguments {
+    TCLAP::CmdLine &command;
+    TCLAP::ValueArg<std::string> settings{"", "settings", "settings file in JSON", false, "", "FILE", command};
+    TCLAP::SwitchArg check{"", "check", "check the settings and end", command};
+    TCLAP::ValueArg<std::string> platform{"", "platform", "address of the platform", false, "", "IP:PORT", command};
+    TCLAP::ValueArg<std::string> author{"", "operator", "name in the change ids", false, "", "NAME", command};
+    TCLAP::SwitchArg json{"", "json", "print JSON", command};
+    TCLAP::SwitchArg dryRun{"", "dry-run", "show the difference and write nothing", command};
+    TCLAP::SwitchArg wait{"", "wait", "wait until the change is in force everywhere", command};
+    TCLAP::ValueArg<std::int64_t> callTimeout{"", "call-timeout-ms", "time after which an answer counts as lost", false, 0, "MS", command};
+    TCLAP::ValueArg<std::int64_t> deadline{"", "deadline-ms", "time for settling one read or write", false, 0, "MS", command};
+    TCLAP::ValueArg<std::int64_t> waitLimit{"", "wait-limit-ms", "time limit of --wait", false, 0, "MS", command};
+    TCLAP::ValueArg<std::int64_t> ifVersion{"", "if-version", "write only over this version; 0: the object must not exist", false, -1, "N", command};
+    TCLAP::ValueArg<std::string> reason{"", "reason", "reason of a drain", false, "", "TEXT", command};
+    TCLAP::ValueArg<std::string> html{"", "html", "file for the timeline's page", false, "", "FILE", command};
+    TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "operands of the command", false, "operand", command};
+};
+
+void overrideTime(const TCLAP::ValueArg<std::int64_t> &argument, Time &time)
+{
+    if (!argument.isSet()) {
+        return;
+    }
+    if (argument.getValue() < 1 || argument.getValue() > maxTimeMs) {
+        throw UsageError("--" + argument.getName() + ": expected a number from 1 to " + std::to_string(maxTimeMs));
+    }
+    time = argument.getValue() * millisecond;
+}
+
+Options merge(const Arguments &arguments)
+{
+    Options options = arguments.settings.isSet() ? parseCtlSettings(readSettings(arguments.settings.getValue())) : Options();
+    options.operands = arguments.operands.getValue();
+    options.json = arguments.json.getValue();
+    options.dryRun = arguments.dryRun.getValue();
+    options.wait = arguments.wait.getValue();
+    options.checkOnly = arguments.check.getValue();
+    options.reason = arguments.reason.getValue();
+    options.html = arguments.html.getValue();
+    if (arguments.platform.isSet()) {
+        options.platform = arguments.platform.getValue();
+    }
+    if (arguments.author.isSet()) {
+        options.author = arguments.author.getValue();
+    }
+    if (arguments.ifVersion.isSet()) {
+        options.ifVersion = arguments.ifVersion.getValue();
+    }
+    overrideTime(arguments.callTimeout, options.callTimeout);
+    overrideTime(arguments.deadline, options.deadline);
+    overrideTime(arguments.waitLimit, options.waitLimit);
+    return options;
+}
+
+void refuseOption(bool given, const std::string &option, const CommandSyntax &syntax)
+{
+    if (given) {
+        throw UsageError(option + ": not an option of '" + syntax.name + "'");
+    }
+}
+
+/// Refuses options that would have no effect, so that nobody believes that they have one.
+void checkApplicable(const Options &options, const CommandSyntax &syntax)
+{
+    refuseOption(options.dryRun && !syntax.changesObjects, "--dry-run", syntax);
+    refuseOption(options.wait && !syntax.changesObjects, "--wait", syntax);
+    refuseOption(options.ifVersion && !syntax.changesObjects, "--if-version", syntax);
+    refuseOption(!options.reason.empty() && syntax.name != "drain", "--reason", syntax);
+    refuseOption(!options.html.empty() && syntax.name != "timeline", "--html", syntax);
+    for (const std::string &it : options.operands) {
+        // TCLAP takes unknown options as operands.
+        refuseOption(it.starts_with("-"), it, syntax);
+    }
+}
+
+void check(const Options &options, const CommandSyntax &syntax)
+{
+    checkApplicable(options, syntax);
+    const std::size_t n = options.operands.size();
+    if (n < syntax.leastOperands || n > syntax.mostOperands) {
+        throw UsageError("expected: pimentofoldctl " + syntax.name + " " + syntax.operands);
+    }
+    if (options.platform.empty() && syntax.needsPlatform) {
+        throw UsageError("--platform: expected the platform's address, here or in the settings file");
+    }
+    if (!options.platform.empty() && !isAddress(options.platform)) {
+        throw UsageError("--platform: expected an IPv4 number and a port as \"127.0.0.1:8080\"");
+    }
+    if (options.ifVersion && *options.ifVersion < 0) {
+        throw UsageError("--if-version: expected a number that is at least 0");
+    }
+    if (options.author.find('.') != std::string::npos || !isChangeEntry(options.author) || options.author.size() > 64) {
+        throw UsageError("--operator: expected 1 to 64 letters, digits, '-' and '_'");
+    }
+}
+
+ParsedCommandLine parseCommand(const std::vector<std::string> &arguments, const CommandSyntax &syntax, const std::string &version)
+{
+    TCLAP::CmdLine command(syntax.summary, ' ', version);
+    command.setExceptionHandling(false);
+    std::ostringstream text;
+    TextOutput output(text);
+    command.setOutput(&output);
+    Arguments all{command};
+    std::vector<std::string> words = arguments;
+    words.front() = "pimentofoldctl " + syntax.name;
+    try {
+        command.parse(words);
+    } catch (const TCLAP::ExitException &) {
+        return {{}, text.str()};
+    } catch (const TCLAP::ArgException &error) {
+        throw UsageError(error.argId() + ": " + error.error());
+    }
+    ParsedCommandLine result{merge(all), std::nullopt};
+    result.options.command = syntax.name;
+    if (!result.options.checkOnly) {
+        check(result.options, syntax);
+    }
+    return result;
+}
+
+} // namespace
+
+Options parseCtlSettings(SettingsObject top)
+{
+    Options options;
+    options.platform = hasField(top, "platform") ? takeAddress(top, "platform") : "";
+    options.author = takeString(top, "operator", options.author);
+    options.callTimeout = takeMs(top, "callTimeoutMs", options.callTimeout);
+    options.deadline = takeMs(top, "deadlineMs", options.deadline);
+    options.waitLimit = takeMs(top, "waitLimitMs", options.waitLimit);
+    finishSettings(top);
+    return options;
+}
+
+ParsedCommandLine parseCommandLine(const std::vector<std::string> &arguments, const std::vector<CommandSyntax> &commands, const std::string &version)
+{
+    if (arguments.empty()) {
+        throw UsageError("expected a command\n" + overview(commands));
+    }
+    if (arguments.front() == "--help" || arguments.front() == "-h" || arguments.front() == "help") {
+        return {{}, overview(commands)};
+    }
+    if (arguments.front() == "--version") {
+        return {{}, "pimentofoldctl " + version + "\n"};
+    }
+    const auto syntax = std::find_if(commands.begin(), commands.end(), [&](const CommandSyntax &it) { return it.name == arguments.front(); });
+    if (syntax == commands.end()) {
+        throw UsageError("no command named '" + arguments.front() + "'\n" + overview(commands));
+    }
+    return parseCommand(arguments, *syntax, version);
+}
+
+} // namespace pimentofold::ctl
--- /dev/null
+++ b/src/pimentofoldctl/waiting.cpp
@@ -0,0 +1,173 @@
+#include <pimentofoldctl/waiting.h>
+
+#include <algorithm>
+
+namespace pimentofold::ctl {
+
+using nlohmann::json;
+
+namespace {
+
+/// Bounds the calls while others write many objects, since each of their writes ends the platform's wait.
+constexpr Time pollPause = 100 * millisecond;
+constexpr int pollSeconds = 1;
+
+void observeChanges(Connection &connection, Convergence &convergence, std::int64_t &since, int waitSeconds)
+{
+    const ObjectList list = readObjects(connection, since, waitSeconds);
+    for (const PlatformObject &it : list.objects) {
+        observeStatus(convergence, it);
+    }
+    // A stale answer has an older revision; going back to it would only repeat what is known.
+    since = std::max(since, list.revision);
+}
+
+std::size_t countWanted(const Convergence &convergence)
+{
+    std::size_t n = 0;
+    for (const Expectation &it : convergence.expectations) {
+        n += it.statusNames.size();
+    }
+    return n;
+}
+
+std::string progressLine(const std::vector<Laggard> &lagging, std::size_t wanted)
+{
+    std::string line = "in force: " + std::to_string(wanted - lagging.size()) + " of " + std::to_string(wanted);
+    std::set<std::string> names;
+    for (const Laggard &it : lagging) {
+        names.insert(it.statusName);
+    }
+    std::string separator = "; waiting for ";
+    for (const std::string &it : names) {
+        line += separator + it;
+        separator = ", ";
+    }
+    return line;
+}
+
+/// @return why the platform couldn't be asked at the end, or an empty text
+std::string followStatuses(Context &context, Convergence &convergence, std::int64_t since)
+{
+    Connection &connection = context.connection;
+    const Time end = connection.now() + context.options.waitLimit;
+    connection.deadline = 0;
+    const std::size_t wanted = countWanted(convergence);
+    std::string trouble;
+    std::string shown;
+    for (;;) {
+        try {
+            observeChanges(connection, convergence, since, end - connection.now() < pollSeconds * second ? 0 : pollSeconds);
+            trouble.clear();
+        } catch (const PlatformUnreachable &error) {
+            trouble = error.what();
+        }
+        const std::vector<Laggard> lagging = laggards(convergence, context.wallNow());
+        const std::string line = progressLine(lagging, wanted);
+        if (line != shown) {
+            context.progress << line << std::endl;
+            shown = line;
+        }
+        if (lagging.empty() || connection.now() >= end) {
+            return trouble;
+        }
+        connection.pause(pollPause);
+    }
+}
+
+/// Reads all status objects, so that the list of laggards can say what is known of each.
+void readAllStatuses(Connection &connection, Convergence &convergence)
+{
+    std::int64_t since = 0;
+    try {
+        observeChanges(connection, convergence, since, 0);
+    } catch (const PlatformUnreachable &) {
+        return; // The list then shows what was seen before.
+    }
+}
+
+void readPresent(Connection &connection, const ObjectKey &key, ObjectValues &values)
+{
+    const PlatformObject object = readObject(connection, key);
+    if (isPresent(object)) {
+        values[key] = object.value;
+    }
+}
+
+} // namespace
+
+ObjectValues readTeam(Connection &connection, const std::string &team)
+{
+    ObjectValues values;
+    const ObjectKey key{"team", team};
+    readPresent(connection, key, values);
+    if (values.contains(key)) {
+        readPresent(connection, {"template", parseTeam(team, values[key]).templateName}, values);
+    }
+    return values;
+}
+
+ObjectValues readTemplatesAndTeams(Connection &connection)
+{
+    ObjectValues values;
+    for (const PlatformObject &it : readObjects(connection).objects) {
+        if (isPresent(it) && (it.key.kind == "template" || it.key.kind == "team")) {
+            values[it.key] = it.value;
+        }
+    }
+    return values;
+}
+
+Expectation expectationFor(const ObjectKey &key, std::int64_t version, const ObjectValues &values)
+{
+    Expectation expectation{key, version, {}};
+    for (const std::string &team : teamsOf(key, values)) {
+        expectation.statusNames.merge(statusNames(expandFrom(team, values)));
+    }
+    return expectation;
+}
+
+void waitUntilInForce(Context &context, std::vector<Expectation> expectations, std::int64_t since, Report &report)
+{
+    Convergence convergence{std::move(expectations), {}};
+    if (countWanted(convergence) == 0) {
+        report.text += "no team is concerned, so there is nothing to wait for\n";
+        report.data["inForce"] = true;
+        return;
+    }
+    const std::string trouble = followStatuses(context, convergence, since);
+    std::vector<Laggard> lagging = laggards(convergence, context.wallNow());
+    if (!lagging.empty()) {
+        readAllStatuses(context.connection, convergence);
+        lagging = laggards(convergence, context.wallNow());
+    }
+    report.data["inForce"] = lagging.empty();
+    report.data["lagging"] = toJson(lagging);
+    if (lagging.empty()) {
+        report.text += "in force everywhere\n";
+        return;
+    }
+    report.exit = ExitCode::NotConverged;
+    report.text += "not in force everywhere after " + std::to_string(context.options.waitLimit / millisecond) + " ms:\n";
+    for (const Laggard &it : lagging) {
+        report.text += "  " + toString(it) + "\n";
+    }
+    report.text += trouble.empty() ? "" : "  " + trouble + "\n";
+}
+
+json toJson(const std::vector<Laggard> &lagging)
+{
+    json list = json::array();
+    for (const Laggard &it : lagging) {
+        list.push_back({{"status", it.statusName},
+                        {"kind", it.key.kind},
+                        {"name", it.key.name},
+                        {"version", it.wanted},
+                        {"inForce", it.inForce},
+                        {"nodes", it.nodes},
+                        {"reason", it.reason}});
+    }
+    return list;
+}
+
+} // namespace pimentofold::ctl
