--- /dev/null
+++ b/src/include/pimentofold/ingress.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include <pimentofold/types.h>
+
+/// Shares of an entry instance's own time, applied to datagrams before they are decoded.
+///
+/// The balancer knows a datagram's service from the port it came in on and asks the gate first. A dropped datagram
+/// costs only its receipt:
+///
+///     if (!passDatagram(gate, service, now)) {
+///         return;                              // counted in gate.services[...].dropped
+///     }
+///     ... decode, decide, send ...
+///     chargeDatagram(gate, service, spent);    // measured on the clock
+///     chargeTime(gate, service, spent);        // elsewhere: answers of targets, timers
+///
+/// Datagrams of peers aren't gated. What a dispatcher gets from other balancers is limited at its origin by
+/// RelayLimit: the dispatcher tells a relaying balancer how many requests a second it takes from it.
+namespace pimentofold {
+
+/// Constants of the gate.
+struct IngressSettings {
+    double utilisation = 0.8; ///< share of the process' time that datagrams may use; the rest is for receipt and timers
+    Time depth = 20 * millisecond; ///< time that can be saved up for a burst
+    Time firstCost = 50 * microsecond; ///< assumed cost of a datagram before the first measurement
+};
+
+/// Share of one service in the instance's time.
+struct IngressPolicy {
+    Id service = 0;
+    Id team = 0;
+    int urgency = 0; ///< 0 is the most urgent
+    double floorShare = 0;
+    double ceilingShare = 1;
+};
+
+/// State of one service at the gate. Times are in microseconds.
+struct IngressService {
+    IngressPolicy policy;
+    double floor = 0; ///< time saved up under the floor
+    double ceiling = 0; ///< time left under the ceiling
+    double meanCost = 0; ///< smoothed cost of a datagram
+    double reserve = 0; ///< level below which this service may not draw from its team's pool
+    std::int64_t passed = 0;
+    std::int64_t dropped = 0;
+};
+
+/// Time that the services of a team share beyond their floors. Teams share no time: each has an equal part.
+struct IngressTeam {
+    Id team = 0;
+    double pool = 0;
+    double part = 1; ///< of the instance's time
+};
+
+/// The gate of one process.
+struct Ingress {
+    IngressSettings settings;
+    std::vector<IngressService> services;
+    std::vector<IngressTeam> teams;
+    Time refilledAt = 0;
+};
+
+/// Sets the services. Counters and measured costs of services that stay are kept. Floors above 1 in total are
+/// scaled down within each team.
+void setIngressPolicies(Ingress &gate, std::span<const IngressPolicy> policies, Time now);
+
+/// Decides on one datagram and charges its expected cost. A service first uses its floor, then the pool of its
+/// team. A service that is idle saves up `depth` of its floor, and the rest flows into the pool. The pool keeps a reserve for each more urgent service, so the
+/// least urgent services are dropped first.
+/// @return false: drop it; datagrams of unknown services pass
+bool passDatagram(Ingress &gate, Id service, Time now);
+
+/// Corrects the charge of a passed datagram by the time it took.
+/// @param spent measured time of the last passed datagram of this service
+void chargeDatagram(Ingress &gate, Id service, Time spent);
+
+/// Charges further time to a service: answers of targets, timers, relayed requests.
+void chargeTime(Ingress &gate, Id service, Time spent);
+
+/// What one dispatcher takes from one relaying balancer for one service.
+struct RelayLimit {
+    double perSecond = 0; ///< 0: no limit
+    double tokens = 0;
+    Time refilledAt = 0;
+    Time validUntil = 0;
+};
+
+/// A limit is valid this long after the dispatcher sent it; the dispatcher repeats it while it refuses work.
+constexpr Time relayLimitLifetime = 1 * second;
+
+/// Takes over a limit that a dispatcher sent in a RelayAck (`relayPerSecond`).
+void setRelayLimit(RelayLimit &limit, double perSecond, Time now);
+
+/// Decides on one request that would be relayed, and counts it.
+/// @return false: refuse it here as NotRun/Overload, with the hint of retryHintMs()
+bool passRelay(RelayLimit &limit, Time now);
+
+} // namespace pimentofold
