Add admission, target choice, dispatchers and ingress shares

Cause: a flood of one kind of work must not take the service of another, and partial views must not overfill slots. Change: queues by kind with floors, ceilings, deadlines and an adaptive limit; target choice on own requests with faded and distrusted reports; rendezvous dispatchers; time shares of an instance for datagrams before decoding and limits on relayed requests. PeerMessage gets workKind, so that a relay limit applies to one kind of work.

--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -88,5 +88,6 @@
   17: optional InstanceKey home
   18: i64 serviceId = 0
   19: bool last = false                // Handover: the sender has no further records
-  20: double relayPerSecond = 0        // RelayAck of a dispatcher: requests of serviceId a second that it takes; 0: no limit
+  20: double relayPerSecond = 0        // RelayAck of a dispatcher: requests a second that it takes; 0: no limit
+  21: i32 workKind = 0                 // RelayAck: kind of work of serviceId that relayPerSecond is about
 }
--- a/src/include/pimentofold/admission.h
+++ b/src/include/pimentofold/admission.h
@@ -33,6 +33,9 @@
 /// Each offered request gets Start or Refuse exactly once, possibly after Queue. A refused request never starts.
 /// After Start the balancer calls finish() exactly once; until then the request holds its slot.
 ///
+/// Order: a kind below its floor comes first; then the more urgent kind below its ceiling; within a kind the
+/// first that came. Floors hold for slot time over a backlog, so also where a floor is less than one slot.
+///
 /// Bounds: a target never has more requests of this process in flight than its slots. Memory: at most `queueMost`
 /// queued requests over all kinds and limitMost running ones, about 100 bytes each.
 namespace pimentofold {
@@ -110,13 +113,22 @@
     Time since = 0;
 };
 
-/// State of one kind of work.
+/// State of one kind of work. Times are in microseconds, rates in requests a second smoothed over about 1 s.
 struct WorkKindState {
     WorkKindPolicy policy;
     std::deque<QueuedRequest> queue; ///< in order of arrival
     int inFlight = 0;
-    double credit = 0; ///< slot time owed under the floor, in microseconds; negative when the kind had more
-    double meanRun = 0; ///< smoothed time from start to answer, in microseconds; 0 before the first answer
+    double busy = 0; ///< smoothed inFlight
+    double credit = 0; ///< slot time owed under the floor; negative when the kind had more
+    double meanRun = 0; ///< smoothed time from start to answer; 0 before the first answer
+    double leastRun = 0; ///< about the fastest answers
+    double batchSum = 0; ///< runs of the batch that is being averaged
+    int batchEnded = 0;
+    double baseline = 0; ///< mean run without waits at the targets; 0 before the first batch
+    double wait = 0; ///< mean run of the last batch above the baseline
+    double offeredRate = 0;
+    double endedRate = 0;
+    double refusedRate = 0;
     std::int64_t offered = 0;
     std::int64_t started = 0;
     std::int64_t refused = 0;
@@ -126,10 +138,8 @@
 struct LimitState {
     double limit = 0; ///< requests in flight; 0 until the targets are known
     Time adaptedAt = 0;
-    double meanRun = 0; ///< mean of the current interval, in microseconds
     int ended = 0; ///< answers in the current interval
     int shed = 0; ///< sheds in the current interval
-    double baseline = 0; ///< undisturbed mean run, in microseconds
     bool wasFull = false; ///< the limit held work back in the current interval
 };
 
@@ -141,9 +151,6 @@
     LimitState limit;
     std::size_t queued = 0; ///< over all kinds
     Time accountedAt = 0;
-    double offeredRate = 0; ///< requests a second, smoothed over about 1 s
-    double endedRate = 0;
-    Time ratesAt = 0;
 };
 
 /// Sets the kinds of work. Queued and running requests stay.
@@ -173,4 +180,11 @@
 ///         don't come back together
 int retryHintMs(const Admission &admission, Random &random);
 
+/// What this dispatcher takes from each relaying balancer, sent as `relayPerSecond`. It is twice the kind's share of what
+/// the targets finish, so that the queue never runs empty, and work beyond it is refused where it came in.
+/// @param workKind index of the kind
+/// @param members number of balancers that relay
+/// @return requests a second; 0 when the kind isn't overloaded
+double relayAllowance(const Admission &admission, const TargetSet &targets, int workKind, int members, Time now);
+
 } // namespace pimentofold
--- a/src/include/pimentofold/ingress.h
+++ b/src/include/pimentofold/ingress.h
@@ -43,8 +43,9 @@
     IngressPolicy policy;
     double floor = 0; ///< time saved up under the floor
     double ceiling = 0; ///< time left under the ceiling
-    double meanCost = 0; ///< smoothed cost of a datagram
-    double reserve = 0; ///< level below which this service may not draw from its team's pool
+    double meanCost = 0; ///< smoothed time of a datagram with all that follows from it
+    double extra = 0; ///< time charged since the last datagram
+    double reserve = 0; ///< part of the pool's depth that this service leaves to more urgent ones
     std::int64_t passed = 0;
     std::int64_t dropped = 0;
 };
@@ -54,6 +55,7 @@
     Id team = 0;
     double pool = 0;
     double part = 1; ///< of the instance's time
+    double poolShare = 1; ///< what the floors leave of the part
 };
 
 /// The gate of one process.
@@ -78,10 +80,11 @@
 /// @param spent measured time of the last passed datagram of this service
 void chargeDatagram(Ingress &gate, Id service, Time spent);
 
-/// Charges further time to a service: answers of targets, timers, relayed requests.
+/// Charges further time to a service: answers of targets, timers, relayed requests. It raises the expected cost of the
+/// service's datagrams.
 void chargeTime(Ingress &gate, Id service, Time spent);
 
-/// What one dispatcher takes from one relaying balancer for one service.
+/// What one dispatcher takes from one relaying balancer for one kind of work of a service.
 struct RelayLimit {
     double perSecond = 0; ///< 0: no limit
     double tokens = 0;
@@ -92,7 +95,7 @@
 /// A limit is valid this long after the dispatcher sent it; the dispatcher repeats it while it refuses work.
 constexpr Time relayLimitLifetime = 1 * second;
 
-/// Takes over a limit that a dispatcher sent in a RelayAck (`relayPerSecond`).
+/// Takes over a limit that a dispatcher sent in a RelayAck (`relayPerSecond`); see relayAllowance() in admission.h.
 void setRelayLimit(RelayLimit &limit, double perSecond, Time now);
 
 /// Decides on one request that would be relayed, and counts it.
--- a/src/include/pimentofold/targetchoice.h
+++ b/src/include/pimentofold/targetchoice.h
@@ -50,7 +50,6 @@
 struct TargetReport {
     bool healthy = true;
     bool draining = false;
-    int slots = 0; ///< 0: not reported
     int inUse = 0;
     int queued = 0;
     Time warmup = 0; ///< time left of a cold start
@@ -69,12 +68,14 @@
 struct TargetLoad {
     Id id = 0;
     int slots = 1;
+    bool listed = true; ///< part of the present view
     bool serving = true;
     bool reachable = false;
     bool healthy = true;
     bool draining = false;
     int inFlight = 0; ///< requests of this process on the target
     int leastInFlight = 0; ///< least value of inFlight since the last report
+    int doneSinceReport = 0; ///< requests that ran since the last report
     double openFlows = 0; ///< flows opened less flows closed through this process, fading
     Time flowsAt = 0;
     double othersInUse = 0; ///< reported load that isn't from this process, at reportedAt
@@ -92,13 +93,15 @@
 struct TargetSet {
     TargetChoiceSettings settings;
     std::vector<TargetLoad> targets;
+    bool healthIgnored = false; ///< more than half of the serving targets look unhealthy
 };
 
 /// Takes over the targets of a new view. Targets that stay keep their state. A target that is no longer listed is
 /// forgotten once it has no request in flight.
 void setTargets(TargetSet &set, std::span<const TargetEntry> entries, Time now);
 
-/// Tells whether the connection to a target can be used for new work. Targets start as not reachable.
+/// Tells whether the connection to a target can be used for new work. Targets start as not reachable. Losing the
+/// connection cuts the target's share.
 void setReachable(TargetSet &set, Id target, bool reachable, Time now);
 
 /// Takes over a target's report. A report that contradicts what this process sees lowers the trust in the
@@ -138,9 +141,13 @@
 /// @return slots that the target offers to this process now: its slots, less during a ramp and after sheds
 int usableSlots(const TargetSet &set, const TargetLoad &target, Time now);
 
-/// @return sum of usableSlots() over the targets that accept new work
+/// @return slots that requests may use now: usableSlots() of the reachable targets, and all slots of reachable leaving
+///         targets, whose flows go on
 int totalSlots(const TargetSet &set, Time now);
 
+/// @return all slots of the reachable targets
+int reachableSlots(const TargetSet &set);
+
 /// @return estimate of a target's load in requests: own ones plus the reported ones of others, halved each
 ///         reportHalfLife and weighted by trust; at most its slots unless own requests alone are more
 double estimatedLoad(const TargetSet &set, const TargetLoad &target, Time now);
@@ -168,20 +175,31 @@
 /// @param targets number of targets of the service; there are never more dispatchers than targets
 int dispatcherCount(double rate, int current, int members, int targets);
 
-/// The dispatcher that owns a target: the first by rendezvous hash of the target among the first @p count ranked
-/// members. Each target has one owner. During a change of members or count a target can have an old and a new owner,
+/// The dispatchers of one service and the slots that each one owns. Made anew when the members, the targets or the
+/// number of dispatchers change.
+struct DispatcherTable {
+    std::vector<InstanceKey> dispatchers; ///< first-ranked first
+    std::vector<std::int64_t> slotsUpTo; ///< slots of this dispatcher and those before it
+};
+
+/// The dispatcher that owns a target: the first by rendezvous hash of the target among the dispatchers. Each target
+/// has one owner. During a change of members or of the number of dispatchers a target can have an old and a new owner,
 /// and so up to twice its slots in flight until the old owner's requests end.
-/// @param ranked result of rankForService()
+/// @param dispatchers the first of rankForService()
+/// @return nothing when there are none
+std::optional<InstanceKey> ownerOfTarget(Id target, std::span<const InstanceKey> dispatchers);
+
+/// @param members live members
 /// @param count number of dispatchers, from 1
-/// @return nothing when there are no members
-std::optional<InstanceKey> ownerOfTarget(Id target, std::span<const InstanceKey> ranked, int count);
+DispatcherTable makeDispatchers(Id service, std::span<const TargetEntry> targets, std::span<const InstanceKey> members, int count);
+
+/// @return the entries that @p self owns; it passes them to setTargets()
+std::vector<TargetEntry> ownedTargets(const DispatcherTable &table, std::span<const TargetEntry> targets, const InstanceKey &self);
 
 /// The dispatcher for one request, drawn by hash in proportion to the slots that each one owns. Retransmissions of the
 /// same request go to the same dispatcher.
 /// @param requestHash for example mix(flow, request)
-/// @param targets targets of the service
 /// @return nothing when there are no members
-std::optional<InstanceKey>
-dispatcherForRequest(std::uint64_t requestHash, std::span<const TargetEntry> targets, std::span<const InstanceKey> ranked, int count);
+std::optional<InstanceKey> dispatcherFor(const DispatcherTable &table, std::uint64_t requestHash);
 
 } // namespace pimentofold
--- /dev/null
+++ b/src/libpimentofold/targetchoice.cpp
@@ -0,0 +1,324 @@
+#include <pimentofold/targetchoice.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentofold {
+
+namespace {
+
+constexpr double shedCut = 0.5; // half, since a shed mostly means that others use a part of the slots
+constexpr double lossCut = 0.25;
+constexpr double leastShare = 0.05; // a target at share 0 would never show that it has recovered
+constexpr double contradictionCut = 0.5;
+constexpr double trustGain = 0.1;
+// Loads per slot that differ by less count as equal, so that faded reports don't order idle targets.
+constexpr double equalLoad = 0.05;
+
+double halved(double value, Time age, Time halfLife)
+{
+    return age <= 0 ? value : value * std::exp2(-static_cast<double>(age) / static_cast<double>(halfLife));
+}
+
+/// @param set a TargetSet, const or not
+template<typename Set>
+auto find(Set &set, Id target) -> decltype(set.targets.data())
+{
+    const auto it = std::lower_bound(set.targets.begin(), set.targets.end(), target, [](const TargetLoad &load, Id id) { return load.id < id; });
+    return it != set.targets.end() && it->id == target ? &*it : nullptr;
+}
+
+void updateHealthIgnored(TargetSet &set)
+{
+    const auto serving = std::count_if(set.targets.begin(), set.targets.end(), [](const TargetLoad &it) { return it.serving; });
+    const auto unhealthy = std::count_if(set.targets.begin(), set.targets.end(), [](const TargetLoad &it) { return it.serving && !it.healthy; });
+    set.healthIgnored = unhealthy * 2 > serving;
+}
+
+double shareNow(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    const double grown = static_cast<double>(now - target.shareAt) / static_cast<double>(set.settings.shareRecovery);
+    return std::min(1.0, target.share + grown);
+}
+
+double rampNow(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    if (now >= target.rampUntil) {
+        return 1;
+    }
+    const double done = static_cast<double>(now - target.rampFrom) / static_cast<double>(target.rampUntil - target.rampFrom);
+    return std::max(set.settings.leastRamp, done);
+}
+
+double weightNow(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    return target.slots * shareNow(set, target, now) * rampNow(set, target, now);
+}
+
+void cutShare(const TargetSet &set, TargetLoad &target, double factor, Time now)
+{
+    target.share = std::max(leastShare, shareNow(set, target, now) * factor);
+    target.shareAt = now;
+}
+
+void fadeFlows(const TargetSet &set, TargetLoad &target, Time now)
+{
+    target.openFlows = halved(target.openFlows, now - target.flowsAt, set.settings.flowHalfLife);
+    target.flowsAt = now;
+}
+
+TargetLoad joining(const TargetSet &set, const TargetEntry &entry, bool firstView, Time now)
+{
+    TargetLoad target;
+    target.id = entry.id;
+    target.flowsAt = now;
+    target.shareAt = now;
+    target.reportedAt = now;
+    target.rampFrom = now;
+    target.rampUntil = firstView ? now : now + set.settings.joinRamp;
+    return target;
+}
+
+/// Two reports contradict what this process sees: less load than it has had on the target all the time
+/// since the last report, and a target full of others' requests that nevertheless runs this process' requests.
+bool contradicts(const TargetLoad &target, const TargetReport &report)
+{
+    const int reported = report.inUse + report.queued;
+    const bool tooLow = reported < target.leastInFlight;
+    const bool tooHigh = report.inUse - target.inFlight >= target.slots && target.doneSinceReport > 0;
+    return tooLow || tooHigh;
+}
+
+void takeWarmup(TargetLoad &target, Time warmup, Time now)
+{
+    if (warmup <= 0) {
+        return;
+    }
+    if (target.rampUntil <= now) {
+        target.rampFrom = now;
+    }
+    target.rampUntil = now + warmup;
+}
+
+double openScore(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    const double flows = halved(target.openFlows, now - target.flowsAt, set.settings.flowHalfLife);
+    return (flows + estimatedLoad(set, target, now)) / weightNow(set, target, now);
+}
+
+/// Draws a target with a probability in proportion to its weight.
+/// @param except is left out
+const TargetLoad *drawForOpen(const TargetSet &set, const TargetLoad *except, Time now, Random &random)
+{
+    const TargetLoad *drawn = nullptr;
+    double total = 0;
+    for (const TargetLoad &it : set.targets) {
+        if (&it == except || !acceptsNewWork(set, it, now)) {
+            continue;
+        }
+        const double weight = weightNow(set, it, now);
+        total += weight;
+        if (unit(random) * total < weight) {
+            drawn = &it;
+        }
+    }
+    return drawn;
+}
+
+} // namespace
+
+void setTargets(TargetSet &set, std::span<const TargetEntry> entries, Time now)
+{
+    const bool firstView = set.targets.empty();
+    for (TargetLoad &it : set.targets) {
+        it.listed = false;
+    }
+    std::vector<TargetLoad> joined;
+    for (const TargetEntry &it : entries) {
+        TargetLoad *target = find(set, it.id);
+        if (target == nullptr) {
+            target = &joined.emplace_back(joining(set, it, firstView, now));
+        }
+        target->listed = true;
+        target->serving = it.serving;
+        target->slots = std::max(1, it.slots);
+    }
+    set.targets.insert(set.targets.end(), joined.begin(), joined.end());
+    std::erase_if(set.targets, [](const TargetLoad &it) { return !it.listed && it.inFlight == 0; });
+    for (TargetLoad &it : set.targets) {
+        it.serving = it.serving && it.listed;
+    }
+    std::sort(set.targets.begin(), set.targets.end(), [](const TargetLoad &a, const TargetLoad &b) { return a.id < b.id; });
+    updateHealthIgnored(set);
+}
+
+void setReachable(TargetSet &set, Id target, bool reachable, Time now)
+{
+    TargetLoad *it = find(set, target);
+    if (it == nullptr) {
+        return;
+    }
+    if (it->reachable && !reachable) {
+        cutShare(set, *it, lossCut, now);
+    }
+    it->reachable = reachable;
+}
+
+void reportStatus(TargetSet &set, Id target, const TargetReport &report, Time now)
+{
+    TargetLoad *it = find(set, target);
+    if (it == nullptr) {
+        return;
+    }
+    it->trust = contradicts(*it, report) ? it->trust * contradictionCut : std::min(1.0, it->trust + trustGain);
+    it->healthy = report.healthy;
+    it->draining = report.draining;
+    it->othersInUse = std::clamp(report.inUse + report.queued - it->inFlight, 0, it->slots);
+    it->reportedAt = now;
+    it->leastInFlight = it->inFlight;
+    it->doneSinceReport = 0;
+    takeWarmup(*it, report.warmup, now);
+    updateHealthIgnored(set);
+}
+
+void flowOpened(TargetSet &set, Id target, Time now)
+{
+    if (TargetLoad *it = find(set, target)) {
+        fadeFlows(set, *it, now);
+        it->openFlows += 1;
+    }
+}
+
+void flowClosed(TargetSet &set, Id target, Time now)
+{
+    if (TargetLoad *it = find(set, target)) {
+        fadeFlows(set, *it, now);
+        it->openFlows = std::max(0.0, it->openFlows - 1);
+    }
+}
+
+void requestStarted(TargetSet &set, Id target)
+{
+    if (TargetLoad *it = find(set, target)) {
+        it->inFlight += 1;
+        it->started += 1;
+    }
+}
+
+void requestEnded(TargetSet &set, Id target, TargetOutcome outcome, Time now)
+{
+    TargetLoad *it = find(set, target);
+    if (it == nullptr || it->inFlight == 0) {
+        return;
+    }
+    it->inFlight -= 1;
+    it->leastInFlight = std::min(it->leastInFlight, it->inFlight);
+    switch (outcome) {
+    case TargetOutcome::Done:
+        it->doneSinceReport += 1;
+        it->pausedUntil = 0;
+        break;
+    case TargetOutcome::Shed:
+        cutShare(set, *it, shedCut, now);
+        it->pausedUntil = now + set.settings.shedPause;
+        break;
+    case TargetOutcome::Draining:
+        it->draining = true;
+        break;
+    case TargetOutcome::Lost:
+        cutShare(set, *it, lossCut, now);
+        break;
+    case TargetOutcome::Cancelled:
+        break;
+    }
+    if (!it->listed && it->inFlight == 0) {
+        set.targets.erase(set.targets.begin() + (it - set.targets.data()));
+    }
+}
+
+std::optional<Id> chooseForOpen(const TargetSet &set, Time now, Random &random)
+{
+    const TargetLoad *one = drawForOpen(set, nullptr, now, random);
+    if (one == nullptr) {
+        return std::nullopt;
+    }
+    const TargetLoad *other = drawForOpen(set, one, now, random);
+    const bool keep = other == nullptr || openScore(set, *one, now) <= openScore(set, *other, now);
+    return keep ? one->id : other->id;
+}
+
+std::optional<Id> chooseForRequest(const TargetSet &set, Time now, Random &random)
+{
+    const TargetLoad *best = nullptr;
+    double bestLoad = 0;
+    double total = 0;
+    for (const TargetLoad &it : set.targets) {
+        if (!acceptsNewWork(set, it, now) || it.inFlight >= usableSlots(set, it, now)) {
+            continue;
+        }
+        const double weight = weightNow(set, it, now);
+        const double load = estimatedLoad(set, it, now) / weight;
+        if (best == nullptr || load < bestLoad - equalLoad) {
+            best = &it;
+            bestLoad = load;
+            total = weight;
+        } else if (load <= bestLoad + equalLoad) {
+            total += weight;
+            best = unit(random) * total < weight ? &it : best;
+            bestLoad = std::min(bestLoad, load);
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->id);
+}
+
+bool mayStartOn(const TargetSet &set, Id target)
+{
+    const TargetLoad *it = findTarget(set, target);
+    return it != nullptr && it->reachable && it->inFlight < it->slots;
+}
+
+bool acceptsNewWork(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    const bool healthy = target.healthy || set.healthIgnored;
+    return target.serving && target.reachable && healthy && !target.draining && now >= target.pausedUntil;
+}
+
+int usableSlots(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    const auto slots = static_cast<int>(std::lround(weightNow(set, target, now)));
+    return std::clamp(slots, 1, target.slots);
+}
+
+int totalSlots(const TargetSet &set, Time now)
+{
+    int total = 0;
+    for (const TargetLoad &it : set.targets) {
+        const bool newWork = it.serving && !it.draining;
+        const int slots = newWork ? usableSlots(set, it, now) : it.slots;
+        total += it.reachable ? slots : 0;
+    }
+    return total;
+}
+
+int reachableSlots(const TargetSet &set)
+{
+    int total = 0;
+    for (const TargetLoad &it : set.targets) {
+        total += it.reachable ? it.slots : 0;
+    }
+    return total;
+}
+
+double estimatedLoad(const TargetSet &set, const TargetLoad &target, Time now)
+{
+    const double others = halved(target.othersInUse, now - target.reportedAt, set.settings.reportHalfLife) * target.trust;
+    const auto own = static_cast<double>(target.inFlight);
+    return std::max(own, std::min(own + others, static_cast<double>(target.slots)));
+}
+
+const TargetLoad *findTarget(const TargetSet &set, Id target)
+{
+    return find(set, target);
+}
+
+} // namespace pimentofold
