--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -9,6 +9,7 @@
     static const std::vector<Measurement> table{
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
+        {"balance", "use of slots and waits of a lookup-like service beside other placements", measureBalance},
     };
     return table;
 }
