--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -4,12 +4,16 @@
 
 namespace pimentofold {
 
+int measureBalance(const MeasureOptions &options);
+int measureCapacity(const MeasureOptions &options);
+
 const std::vector<Measurement> &measurements()
 {
     static const std::vector<Measurement> table{
+        {"balance", "use of slots and waits of a lookup-like service beside other placements", &measureBalance},
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
+        {"capacity", "slopes for docs/CAPACITY.md; size 1 for a smoke run", &measureCapacity},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
-        {"balance", "use of slots and waits of a lookup-like service beside other placements", measureBalance},
     };
     return table;
 }
