Implement membership and measure its cost

Cause: agents need the members of their data centre within half of the 2 KB/s of control traffic. Change: SWIM probes, suspicion and refutation; urgent news to three members at once; digests of 8 bytes, with a filter while members differ; a budget for all bytes besides probes. The measurement counts bytes, detection and false suspicions on virtual time.

--- a/src/include/pimentofold/membership.h
+++ b/src/include/pimentofold/membership.h
@@ -38,11 +38,17 @@
     int indirectProbes = 3;
     Time suspicion = 3 * second; ///< times log10 of the number of members; see suspicionTime()
     std::size_t updatesPerMessage = 12;
-    int retransmitFactor = 3; ///< an update is sent this often, times log2 of the number of members
-    /// Bytes a second for piggybacked updates and digests. With probes and acknowledgements of at most 300 B/s it
-    /// keeps membership below half of the 2 KB/s of a node.
-    std::int64_t updateBytesPerSecond = 600;
-    std::int64_t updateBurstBytes = 6'000;
+    /// News of a suspicion, a refutation, a leave or a death go to this many random members at once. By probes alone,
+    /// a refutation needs several seconds to reach all members, which is as long as the suspicion lasts.
+    std::size_t urgentFanout = 3;
+    /// An update is sent this often, times the natural logarithm of the number of members. With log10, a few members
+    /// in 30 missed a refutation under 10% loss.
+    int retransmitFactor = 3;
+    /// Bytes a second for updates, digests and messages besides the probes and their acknowledgements, which take
+    /// about 220 B/s. Together with a burst the average over any minute stays below half of the 2 KB/s of a node; the
+    /// burst holds the entries of 400 members, so that a data centre that starts at once agrees in seconds.
+    std::int64_t updateBytesPerSecond = 400;
+    std::int64_t updateBurstBytes = 24'000;
     Time digestInterval = 5 * second; ///< a probe carries a digest this often
     Time reconnectInterval = 5 * second; ///< a dead member or a seed is probed this often, so that partitions heal
     Time deadRetention = 60 * minute; ///< dead members are forgotten after this time
@@ -50,6 +56,10 @@
     /// A tick that comes later than this after the last one shows that this process was paused: the open probe is
     /// given up and suspicions start anew, since refutations may wait unread in the socket.
     Time pauseThreshold = 1500 * millisecond;
+    /// A member that has heard from nobody for this time takes itself for the faulty one and suspects nobody, but
+    /// only until isolationLimit, so that the failure of all others is noticed too.
+    Time isolationThreshold = 2500 * millisecond;
+    Time isolationLimit = 15 * second;
 };
 
 /// A datagram for another agent. Its size is at most maxDatagramBytes with the authenticator.
@@ -109,7 +119,12 @@
     Time nextProbeAt = 0;
     Time nextDigestAt = 0;
     Time nextReconnectAt = 0;
+    Time nextScanAt = 0; ///< when the next suspicion, leave or death may be over
     Time lastTick = -1;
+    Time lastHeard = 0;
+    bool urgent = false; ///< news are to be sent at the next tick
+    std::int64_t digestSequence = 0; ///< of the last probe with a digest
+    bool catchingUp = true; ///< no digest has agreed since the last one that differed; digests are sent sooner
     std::int64_t sequence = 0;
     std::map<std::int64_t, ForwardedProbe> forwarded;
     std::map<Id, int> updates; ///< members whose state is still to be disseminated, with the number of sendings
@@ -145,6 +160,9 @@
 /// @return members that may be given work: alive or suspect, with this one unless it is leaving, by instance
 std::vector<Member> liveMembers(const MembershipState &state);
 
+/// @return the number of live members
+std::size_t liveCount(const MembershipState &state);
+
 /// @return how long a suspicion lasts among this number of members
 Time suspicionTime(const MembershipOptions &options, std::size_t members);
 
--- /dev/null
+++ b/src/libpimentofold/membership_test.cpp
@@ -0,0 +1,179 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <pimentofold/peerseal.h>
+
+#include <testsupport/membersim.h>
+
+using namespace pimentofold;
+using namespace pimentofold::testsupport;
+
+namespace {
+
+/// Starts a group whose members know the first two, and waits until all know all.
+void startGroup(MemberSim &sim, std::uint64_t seed, int size)
+{
+    setUp(sim, seed);
+    for (int n = 0; n < size; ++n) {
+        addAgent(sim, {0, 1});
+    }
+    REQUIRE(runUntilAgreed(sim, 300 * second) != never);
+}
+
+} // namespace
+
+// Guards against groups that don't come to one view after the faults that the design names.
+TEST_CASE("members agree again after each fault")
+{
+    struct Row {
+        std::string name;
+        int size;
+        double loss;
+        void (*fault)(MemberSim &);
+        Time limit; ///< virtual time until all agree
+    };
+    const Row rows[] = {
+        {"crash of one", 15, 0, [](MemberSim &sim) { crashAgent(sim, 7); }, 15 * second},
+        {"crash of one with loss", 15, 0.1, [](MemberSim &sim) { crashAgent(sim, 7); }, 40 * second},
+        {"planned stop", 15, 0, [](MemberSim &sim) { leaveAgent(sim, 7); }, 4 * second},
+        {"crash of a seed", 15, 0, [](MemberSim &sim) { crashAgent(sim, 0); }, 15 * second},
+        {"crash of a rack of 16",
+         60,
+         0,
+         [](MemberSim &sim) {
+             for (int n = 20; n < 36; ++n) {
+                 crashAgent(sim, n);
+             }
+         },
+         30 * second},
+        {"crash of all but one",
+         6,
+         0,
+         [](MemberSim &sim) {
+             for (int n = 1; n < 6; ++n) {
+                 crashAgent(sim, n);
+             }
+         },
+         60 * second},
+        {"restart before detection",
+         15,
+         0,
+         [](MemberSim &sim) {
+             crashAgent(sim, 7);
+             schedule(sim.queue, sim.queue.now + second, [&sim] { startAgent(sim, 7, {0, 1}); });
+         },
+         30 * second},
+        {"replacement of half at once",
+         40,
+         0,
+         [](MemberSim &sim) {
+             for (int n = 20; n < 40; ++n) {
+                 leaveAgent(sim, n);
+                 addAgent(sim, {0, 1, 2, 3});
+             }
+         },
+         60 * second},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        MemberSim sim;
+        startGroup(sim, 11, row.size);
+        sim.net.loss = row.loss;
+        row.fault(sim);
+        runUntil(sim.queue, sim.queue.now + 1500 * millisecond);
+        CHECK(runUntilAgreed(sim, sim.queue.now + row.limit) != never);
+        CHECK(sim.falseDeaths == 0);
+        CHECK(sim.largestMessage <= static_cast<std::int64_t>(maxDatagramBytes));
+    }
+}
+
+// Guards against a paused member that stays dead for the others, or that declares the others dead.
+TEST_CASE("a paused member rejoins with a higher state version")
+{
+    MemberSim sim;
+    startGroup(sim, 3, 15);
+    pauseAgent(sim, 5, 20 * second);
+    runUntil(sim.queue, sim.queue.now + 15 * second);
+    CHECK(unawareOf(sim, 5) == 1);
+    runUntil(sim.queue, sim.queue.now + 6 * second);
+    sim.falseDeaths = 0;
+    CHECK(runUntilAgreed(sim, sim.queue.now + 30 * second) != never);
+    CHECK(sim.falseDeaths == 0);
+    CHECK(sim.agents[5].membership.self.stateVersion > 0);
+}
+
+// Guards against sides of a partition that don't find each other again, or that kill each other while healing.
+TEST_CASE("a partition heals without further deaths")
+{
+    for (const int size : {4, 30}) {
+        MemberSim sim;
+        startGroup(sim, 5, size);
+        for (int n = 0; n < size / 2; ++n) {
+            sim.net.groups[n] = 1;
+        }
+        runUntil(sim.queue, sim.queue.now + 5 * minute);
+        CHECK(liveCount(sim.agents[0].membership) == static_cast<std::size_t>(size / 2));
+        sim.net.groups.clear();
+        const std::int64_t before = sim.falseDeaths;
+        CHECK(runUntilAgreed(sim, sim.queue.now + 2 * minute) != never);
+        CHECK(sim.falseDeaths == before);
+    }
+}
+
+// Guards against an isolated member that takes all others for dead and spreads it afterwards.
+TEST_CASE("a member that was cut off for ten seconds kills nobody")
+{
+    MemberSim sim;
+    startGroup(sim, 6, 30);
+    sim.net.groups[4] = 1;
+    runUntil(sim.queue, sim.queue.now + 10 * second);
+    sim.net.groups.clear();
+    sim.falseDeaths = 0;
+    CHECK(runUntilAgreed(sim, sim.queue.now + minute) != never);
+    CHECK(sim.falseDeaths == 0);
+}
+
+// Guards against deaths of live members by mere loss of datagrams.
+TEST_CASE("loss causes suspicions but no deaths")
+{
+    MemberSim sim;
+    startGroup(sim, 7, 30);
+    sim.net.loss = 0.1;
+    runUntil(sim.queue, sim.queue.now + 5 * minute);
+    CHECK(sim.falseDeaths == 0);
+    CHECK(agreed(sim));
+}
+
+// Guards against a reused address that keeps a dead instance alive.
+TEST_CASE("a ping for another instance is not answered")
+{
+    MemberSim sim;
+    startGroup(sim, 8, 3);
+    wire::PeerMessage ping;
+    ping.kind = wire::PeerKind::Ping;
+    ping.sender.instance = 99;
+    ping.recipient.instance = 98;
+    ping.__isset.recipient = true;
+    MembershipOutput out;
+    handleMembership(sim.agents[0].membership, ping, "10.9.9.9:1", sim.queue.now, out);
+    CHECK(out.messages.empty());
+}
+
+// Guards against orders that change for the others when a member joins or leaves.
+TEST_CASE("ranks of the others don't change with a join or a leave")
+{
+    std::vector<InstanceKey> members;
+    for (int n = 0; n < 20; ++n) {
+        members.push_back({idOf("e" + std::to_string(n)), n});
+    }
+    const std::vector<InstanceKey> before = ranked(members, "watcher", 20);
+    CHECK(ranked(members, "delegate", 20) != before);
+    CHECK(ranked(members, "watcher", 2) == std::vector<InstanceKey>(before.begin(), before.begin() + 2));
+    std::reverse(members.begin(), members.end());
+    CHECK(ranked(members, "watcher", 20) == before);
+    std::erase(members, before[3]);
+    std::vector<InstanceKey> expected = before;
+    expected.erase(expected.begin() + 3);
+    CHECK(ranked(members, "watcher", 20) == expected);
+}
--- /dev/null
+++ b/src/libpimentofold/memberupdates.cpp
@@ -0,0 +1,362 @@
+#include <libpimentofold/memberupdates.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include <pimentofold/codec.h>
+
+namespace pimentofold::memberupdates {
+
+namespace {
+
+using State = wire::MemberState;
+
+/// Bytes of an update without its strings; an upper bound.
+constexpr std::size_t updateBytes = 44;
+constexpr std::size_t sumBytes = 8;
+constexpr std::size_t bitsPerMember = 8;
+/// Largest filter in bytes; it leaves room for updates in the message.
+constexpr std::size_t maxFilterBytes = 1'000;
+/// With more than this many updates in the queue most are known to a random receiver before they are sent to it.
+/// Then a message carries few, and digests do the rest.
+constexpr std::size_t longQueue = 24;
+constexpr std::size_t updatesOfLongQueue = 3;
+constexpr std::size_t referralBytes = 180;
+
+std::size_t sizeOf(const wire::MemberUpdate &update)
+{
+    return updateBytes + update.name.size() + update.address.size() + update.balancerAddress.size() + update.dataCentre.size();
+}
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+/// Leaves out what the receiver can derive: the id follows from the name, the data centre is the sender's, and the
+/// balancer mostly has the agent's IP number. It saves a third of the bytes.
+wire::MemberUpdate toWire(const MembershipState &state, const Member &member, bool full)
+{
+    wire::MemberUpdate update;
+    update.key.incarnation = member.key.incarnation;
+    update.state = member.state;
+    update.stateVersion = member.stateVersion;
+    if (!full) {
+        update.key.instance = member.key.instance;
+        return update;
+    }
+    update.name = member.name;
+    update.address = member.address;
+    const std::string host = hostOf(member.address);
+    update.balancerAddress = hostOf(member.balancerAddress) == host ? member.balancerAddress.substr(host.size()) : member.balancerAddress;
+    update.dataCentre = member.dataCentre == state.self.dataCentre ? "" : member.dataCentre;
+    return update;
+}
+
+Member fromWire(const MembershipState &state, const wire::MemberUpdate &update, Time now)
+{
+    Member member;
+    member.key = {update.key.instance != 0 ? update.key.instance : idOf(update.name), update.key.incarnation};
+    member.state = update.state;
+    member.name = update.name;
+    member.address = update.address;
+    member.balancerAddress = update.balancerAddress.starts_with(':') ? hostOf(update.address) + update.balancerAddress : update.balancerAddress;
+    member.dataCentre = update.dataCentre.empty() ? state.self.dataCentre : update.dataCentre;
+    member.stateVersion = update.stateVersion;
+    member.since = now;
+    return member;
+}
+
+auto precedence(const Member &member)
+{
+    return std::tuple(member.key.incarnation, member.stateVersion, static_cast<int>(member.state));
+}
+
+bool mergeSelf(MembershipState &state, const Member &claim, Time now)
+{
+    Member &self = state.self;
+    if (claim.key.incarnation != self.key.incarnation || claim.stateVersion < self.stateVersion || state.leaving) {
+        return false;
+    }
+    if (claim.state != State::Alive) {
+        self.stateVersion = claim.stateVersion + 1;
+        ++state.counts.refuted;
+    } else if (claim.stateVersion > self.stateVersion) {
+        self.stateVersion = claim.stateVersion; // an earlier agent of this instance refuted a suspicion
+    } else {
+        return false;
+    }
+    publishSelf(state, now);
+    return true;
+}
+
+/// A death that others report is first a suspicion here: after a partition has healed, its two sides hold each other
+/// for dead, and the members concerned need the time to refute it.
+bool softenDeath(const MembershipState &state, const Member &known, Member &claim, Time now)
+{
+    if (claim.state != State::Dead || claim.key.incarnation != known.key.incarnation) {
+        return true;
+    }
+    if (known.state == State::Suspect && claim.stateVersion == known.stateVersion) {
+        return now - known.since >= suspicionTime(state.options, liveCount(state)) / 2;
+    }
+    if (known.state == State::Alive || known.state == State::Suspect) {
+        claim.state = State::Suspect;
+    }
+    return true;
+}
+
+void noteDeadline(MembershipState &state, const Member &member, Time now)
+{
+    if (member.state != State::Alive) {
+        state.nextScanAt = std::min(state.nextScanAt, now);
+    }
+}
+
+void keep(MembershipState &state, Member &known, const Member &claim, MembershipOutput &out)
+{
+    const State::type before = known.state;
+    const std::string name = known.name;
+    const std::string address = known.address;
+    const std::string balancerAddress = known.balancerAddress;
+    const std::string dataCentre = known.dataCentre;
+    known = claim;
+    if (claim.address.empty()) {
+        known.name = name;
+        known.address = address;
+        known.balancerAddress = balancerAddress;
+        known.dataCentre = dataCentre;
+    }
+    noteDeadline(state, known, claim.since);
+    out.changes.push_back({known, before});
+}
+
+int sendingLimit(const MembershipState &state)
+{
+    const auto n = static_cast<double>(state.members.size());
+    return static_cast<int>(std::ceil(state.options.retransmitFactor * std::log(n + 1)));
+}
+
+void refillBudget(MembershipState &state, Time now)
+{
+    const double added = static_cast<double>(now - state.budgetAt) * static_cast<double>(state.options.updateBytesPerSecond) / static_cast<double>(second);
+    state.updateBudget = std::min(state.updateBudget + added, static_cast<double>(state.options.updateBurstBytes));
+    state.budgetAt = now;
+}
+
+/// @return bytes that are left in the message
+std::size_t roomIn(const wire::PeerMessage &message)
+{
+    std::size_t used = messageBytes + message.digest.size();
+    for (const wire::MemberUpdate &it : message.members) {
+        used += sizeOf(it);
+    }
+    return used < maxDatagramBytes ? maxDatagramBytes - used : 0;
+}
+
+bool addUpdate(MembershipState &state, wire::PeerMessage &message, const Member &member, bool full)
+{
+    wire::MemberUpdate update = toWire(state, member, full);
+    const std::size_t size = sizeOf(update);
+    if (message.members.size() >= state.options.updatesPerMessage || size > roomIn(message) || static_cast<double>(size) > state.updateBudget) {
+        return false;
+    }
+    state.updateBudget -= static_cast<double>(size);
+    message.members.push_back(std::move(update));
+    message.__isset.members = true;
+    return true;
+}
+
+/// @return the queued members in the order of sending: the least sent first, then states other than alive
+std::vector<std::tuple<int, bool, std::uint64_t, Id>> sendingOrder(MembershipState &state)
+{
+    std::vector<std::tuple<int, bool, std::uint64_t, Id>> order;
+    for (const auto &[id, sent] : state.updates) {
+        const bool alive = state.members.at(id).state == State::Alive && id != state.self.key.instance;
+        order.emplace_back(sent, alive, next(state.random), id);
+    }
+    const std::size_t n = std::min(order.size(), order.size() > longQueue ? updatesOfLongQueue : state.options.updatesPerMessage);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end());
+    order.resize(n);
+    return order;
+}
+
+std::uint64_t hashOf(const Member &member)
+{
+    const auto u = [](std::int64_t n) { return static_cast<std::uint64_t>(n); };
+    // Suspicions come and go; they aren't worth a comparison.
+    const std::uint64_t state = isLive(member) ? 0 : u(member.state);
+    return mix(mix(u(member.key.instance), u(member.key.incarnation)), u(member.stateVersion) * 8 + state);
+}
+
+std::string sumOf(const MembershipState &state)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[id, member] : state.members) {
+        sum ^= member.state == State::Dead ? 0 : hashOf(member);
+    }
+    std::string result;
+    for (std::size_t n = 0; n < sumBytes; ++n) {
+        result += static_cast<char>(sum >> (8 * n));
+    }
+    return result;
+}
+
+/// @return the bit of a member in a filter of this size
+std::size_t bitOf(const Member &member, std::int64_t salt, std::size_t filterBytes)
+{
+    return mix(hashOf(member), static_cast<std::uint64_t>(salt)) % (filterBytes * 8);
+}
+
+bool inFilter(const std::string &filter, std::size_t bit)
+{
+    return (static_cast<unsigned char>(filter[bit / 8]) >> (bit % 8) & 1U) != 0;
+}
+
+} // namespace
+
+bool merge(MembershipState &state, const wire::MemberUpdate &update, Time now, MembershipOutput &out)
+{
+    if (update.state < State::Alive || update.state > State::Dead) {
+        return false;
+    }
+    Member claim = fromWire(state, update, now);
+    if (claim.key.instance == state.self.key.instance) {
+        return mergeSelf(state, claim, now);
+    }
+    const auto it = state.members.find(claim.key.instance);
+    if (it == state.members.end()) {
+        if (claim.address.empty() || claim.state == State::Dead) {
+            return false;
+        }
+        state.members[claim.key.instance] = claim;
+        noteDeadline(state, claim, now);
+        enqueue(state, claim.key.instance);
+        out.changes.push_back({claim, {}});
+        return true;
+    }
+    if (precedence(claim) <= precedence(it->second) || !softenDeath(state, it->second, claim, now)) {
+        return false;
+    }
+    keep(state, it->second, claim, out);
+    enqueue(state, claim.key.instance);
+    return true;
+}
+
+void changeState(MembershipState &state, Member &member, State::type next, Time now, MembershipOutput &out)
+{
+    const State::type before = member.state;
+    member.state = next;
+    member.since = now;
+    noteDeadline(state, member, now);
+    enqueue(state, member.key.instance);
+    out.changes.push_back({member, before});
+}
+
+void enqueue(MembershipState &state, Id instance)
+{
+    state.updates[instance] = 0;
+    const Member &member = state.members.at(instance);
+    const bool refutation = member.state == State::Alive && member.stateVersion > 0;
+    if (refutation || member.state != State::Alive) {
+        state.urgent = true;
+    }
+}
+
+bool spend(MembershipState &state, std::size_t bytes, Time now)
+{
+    refillBudget(state, now);
+    if (state.updateBudget < static_cast<double>(bytes)) {
+        return false;
+    }
+    state.updateBudget -= static_cast<double>(bytes);
+    return true;
+}
+
+void advanceUpdates(MembershipState &state)
+{
+    constexpr int step = 3;
+    const int limit = sendingLimit(state);
+    for (auto &[id, sent] : state.updates) {
+        sent += step;
+    }
+    std::erase_if(state.updates, [limit](const auto &it) { return it.second >= limit; });
+}
+
+void publishSelf(MembershipState &state, Time now)
+{
+    state.self.since = now;
+    state.members[state.self.key.instance] = state.self;
+    enqueue(state, state.self.key.instance);
+}
+
+void piggyback(MembershipState &state, wire::PeerMessage &message, Id recipient, Time now)
+{
+    refillBudget(state, now);
+    const auto known = state.members.find(recipient);
+    if (known != state.members.end() && known->second.state != State::Alive) {
+        addUpdate(state, message, known->second, false);
+    }
+    const int limit = sendingLimit(state);
+    for (const auto &[sent, alive, tie, id] : sendingOrder(state)) {
+        if (id == recipient) {
+            continue;
+        }
+        const Member &member = state.members.at(id);
+        if (!addUpdate(state, message, member, member.state == State::Alive)) {
+            break;
+        }
+        if (++state.updates[id] >= limit) {
+            state.updates.erase(id);
+        }
+    }
+}
+
+void addSelf(MembershipState &state, wire::PeerMessage &message)
+{
+    message.members.push_back(toWire(state, state.self, true));
+    message.__isset.members = true;
+}
+
+std::string digestOf(const MembershipState &state, std::int64_t salt, bool withFilter)
+{
+    std::string filter;
+    if (withFilter) {
+        filter.resize(std::min(state.members.size() * bitsPerMember / 8, maxFilterBytes));
+        for (const auto &[id, member] : state.members) {
+            const std::size_t bit = bitOf(member, salt, filter.size());
+            filter[bit / 8] = static_cast<char>(static_cast<unsigned char>(filter[bit / 8]) | 1U << (bit % 8));
+        }
+    }
+    return sumOf(state) + filter;
+}
+
+bool addMissing(MembershipState &state, const std::string &digest, std::int64_t salt, wire::PeerMessage &message, Time now)
+{
+    if (digest.size() < sumBytes || digest.size() > sumBytes + maxFilterBytes || digest.starts_with(sumOf(state))) {
+        return false;
+    }
+    const std::string filter = digest.substr(sumBytes);
+    if (filter.empty()) {
+        return true;
+    }
+    refillBudget(state, now);
+    // Even without budget a peer learns of two members, so that those who know only a few seeds can ask others.
+    state.updateBudget = std::max(state.updateBudget, static_cast<double>(referralBytes));
+    std::vector<std::tuple<bool, std::uint64_t, Id>> order;
+    for (const auto &[id, member] : state.members) {
+        if (!inFilter(filter, bitOf(member, salt, filter.size()))) {
+            order.emplace_back(member.state == State::Dead, next(state.random), id);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto &[dead, tie, id] : order) {
+        if (!addUpdate(state, message, state.members.at(id), !dead)) {
+            break;
+        }
+    }
+    return true;
+}
+
+} // namespace pimentofold::memberupdates
--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -2,9 +2,13 @@
 
 namespace pimentofold {
 
+int measureMembership(const MeasureOptions &options);
+
 const std::vector<Measurement> &measurements()
 {
-    static const std::vector<Measurement> table{};
+    static const std::vector<Measurement> table{
+        {"membership", "control cost and detection time of membership by number of members", measureMembership},
+    };
     return table;
 }
 
