--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -6,6 +6,7 @@
 
 int measureBalance(const MeasureOptions &options);
 int measureCapacity(const MeasureOptions &options);
+int measureMembership(const MeasureOptions &options);
 
 const std::vector<Measurement> &measurements()
 {
@@ -14,6 +15,7 @@
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
         {"capacity", "slopes for docs/CAPACITY.md; size 1 for a smoke run", &measureCapacity},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
+        {"membership", "control cost and detection time of membership by number of members", &measureMembership},
     };
     return table;
 }
