--- a/src/pimentofold-balancer/agentport.h
+++ b/src/pimentofold-balancer/agentport.h
@@ -18,7 +18,7 @@
 public:
     struct Callbacks {
         std::function<void(const wire::NodeView &view)> onView;
-        std::function<wire::LocalMessage()> makeReport;
+        std::function<wire::LocalMessage(bool first)> makeReport; ///< first: of a connection
         std::function<void(const std::string &reason)> onMalformed;
     };
 
--- a/src/pimentofold-balancer/balancer.cpp
+++ b/src/pimentofold-balancer/balancer.cpp
@@ -50,7 +50,7 @@
               [this](const wire::PeerMessage &message, const Address &from) { onPeerMessage(message, from); })
     , m_agent(settings.viewAddress,
               {[this](const wire::NodeView &view) { applyView(view); },
-               [this] { return makeReport(); },
+               [this](bool first) { return makeReport(first); },
                [this](const std::string &reason) {
                    logEvent(m_log, "agent_frame_malformed", {{"reason", reason}});
                }})
@@ -85,6 +85,7 @@
     remapRoutes(m_routes, m_view, view);
     std::swap(m_view, view);
     m_view.dataCentre = m_settings.dataCentre;
+    m_objects = from.objects;
     enterOwnState();
     m_pool.apply(m_view);
     m_ports.apply(m_view);
@@ -106,7 +107,7 @@
     m_agent.report();
 }
 
-wire::LocalMessage Balancer::makeReport()
+wire::LocalMessage Balancer::makeReport(bool first)
 {
     wire::LocalMessage message;
     message.leave = m_stopping;
@@ -118,6 +119,9 @@
     report.instance.instance = m_own.instance;
     report.instance.incarnation = m_own.incarnation;
     report.__isset.instance = true;
+    if (first && !m_objects.empty()) {
+        report.__set_objects(m_objects);
+    }
     double flows = 0;
     const Time now = monotonicNow();
     for (const auto &[id, target] : m_pool.targets()) {
--- a/src/pimentofold-balancer/balancer.h
+++ b/src/pimentofold-balancer/balancer.h
@@ -85,7 +85,7 @@
     void applyView(const wire::NodeView &from);
     void enterOwnState();
     void onTargetChange(PooledTarget &target, const std::string &what);
-    wire::LocalMessage makeReport();
+    wire::LocalMessage makeReport(bool first);
     std::string renderAll();
     void fastTick();
     void slowTick();
@@ -153,6 +153,7 @@
     Random m_random;
     Codec m_codec;
     View m_view;
+    std::vector<wire::ObjectHead> m_objects; ///< versions that the view was made from
     FlowCache m_routes;
     InFlightTable m_inFlight;
     std::unordered_map<Id, RetryBudget> m_budgets;
