--- a/src/pimentofold-balancer/agentport.cpp
+++ b/src/pimentofold-balancer/agentport.cpp
@@ -24,7 +24,7 @@
     callbacks.onFrame = [this, id](std::string_view payload) { onFrame(id, payload); };
     callbacks.onClosed = [this, id](const std::string &) { m_connections.erase(id); };
     const auto connection = m_connections.emplace(id, std::make_unique<FramedConnection>(descriptor, std::move(callbacks))).first;
-    connection->second->send(m_codec.encode(m_callbacks.makeReport()));
+    connection->second->send(m_codec.encode(m_callbacks.makeReport(true)));
 }
 
 void AgentPort::onFrame(std::uint64_t id, std::string_view payload)
@@ -44,7 +44,7 @@
 
 void AgentPort::report()
 {
-    const std::string bytes(m_codec.encode(m_callbacks.makeReport()));
+    const std::string bytes(m_codec.encode(m_callbacks.makeReport(false)));
     for (const auto &[id, connection] : m_connections) {
         if (connection->pendingBytes() < maxPending) {
             connection->send(bytes);
