--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -50,6 +50,7 @@
     urgency: int = 0
     floor_share: float = 0.0
     opens_per_second: float = 400.0
+    flow_life_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -69,7 +70,7 @@
     teams: list
 
 
-def both_teams(data_centres=3, flows_per_target=550, rate=1.0, opens=350.0):
+def both_teams(data_centres=3, flows_per_target=550, rate=1.0, opens=350.0, flow_life_ms=0):
     """The two teams of the design page: 15 and 4 targets each, over all data centres."""
     lookup_flows = 5 * flows_per_target
     list_flows = flows_per_target * 4 // 3
@@ -87,6 +88,8 @@
         Service("invoice", 24402, (2, 1, 1), list_flows, [Work("invoice", 15 * rate, deadline_ms=4000)],
                 session=False, slots=2, service_time_us=4000, urgency=3, floor_share=0.1, opens_per_second=opens / 4),
     ])
+    for it in foundation.services + shop.services:
+        it.flow_life_ms = flow_life_ms
     return Size(data_centres, 5, [foundation, shop])
 
 
@@ -169,7 +172,7 @@
         self.targets, self.entries, self.callers = [], [], []
         self.past_runs = []  # run lists of targets that have ended
         self.past_counts = []
-        self.spare = {}
+        self.replacements = 0
         self._peer_secret = secrets.token_hex(16)
 
     def __enter__(self):
@@ -332,6 +335,23 @@
                {"role": "entry", "team": entry.team.name, "service": "", "dataCentre": entry.data_centre,
                 "address": f"{entry.ip}:{AGENT_PEER_PORT}", "state": state, "slots": 0})
 
+    def withdraw_entry(self, entry):
+        expect("DELETE", self.platform_address, f"/admin/instances/{entry.name}")
+
+    def metric(self, entry, name):
+        """Value of a metric of a balancer; 0 when it doesn't answer."""
+        status, text = http("GET", f"{entry.ip}:{BALANCER_METRICS_PORT}", "/metrics")
+        for line in (text if status == 200 else "").splitlines():
+            if line.startswith(f"pimentofold_{name} "):
+                return float(line.split()[1])
+        return 0.0
+
+    @staticmethod
+    def members_of(entry):
+        """Members as an instance's agent knows them; none when it doesn't answer."""
+        status, answer = http("GET", entry.agent_status, "/status")
+        return answer["members"] if status == 200 else []
+
     def replace_entry(self, entry):
         """Stops an instance as planned and starts it again; returns the seconds of the graceful stop."""
         self.announce_entry(entry, "leaving")
@@ -359,7 +379,7 @@
                 callers = Callers(team, dc, f"127.{self.network}.9.{team_index * 10 + dc_index}")
                 entries = [it.ip for it in self.entries if it.team is team and it.data_centre == dc]
                 settings = {"node": f"callers-{team.name}-{dc}", "adminAddress": callers.admin, "ip": callers.ip, "sockets": 4,
-                            "seed": team_index * 100 + dc_index, "groups": [self.group_of(team, it, entries) for it in team.services]}
+                            "platform": self.platform_address, "dataCentre": dc, "platformIntervalMs": 300, "seed": team_index * 100 + dc_index, "groups": [self.group_of(team, it, entries) for it in team.services]}
                 callers.process = self.start(settings["node"], "caller-standin", settings)
                 self.callers.append(callers)
         for it in self.callers:
@@ -371,7 +391,7 @@
         work = [{"kind": it.kind, "index": i, "rate": it.rate, "repeatable": it.repeatable, "deadlineMs": it.deadline_ms,
                  "cancelShare": it.cancel_share, "rangeBytes": it.range_bytes} for i, it in enumerate(service.work)]
         return {"team": team.name, "service": service.name, "port": service.port, "balancers": entries, "session": service.session,
-                "flows": service.flows, "opensPerSecond": service.opens_per_second, "tokenShare": 0.5, "work": work}
+                "flows": service.flows, "opensPerSecond": service.opens_per_second, "flowLifeMs": service.flow_life_ms, "tokenShare": 0.5, "work": work}
 
     def all_callers(self, path, body):
         for it in self.callers:
@@ -380,11 +400,5 @@
     def set_phase(self, name):
         self.all_callers("/admin/phase", {"name": name})
 
-    def set_fabric(self, without=()):
-        """Sets the balancers among which the callers' datagrams are spread."""
-        for it in self.callers:
-            ips = [e.ip for e in self.entries if e.team is it.team and e.data_centre == it.data_centre and e not in without]
-            expect("PUT", it.admin, "/admin/balancers", {"balancers": ips})
-
     def caller_counts(self):
         return [expect("GET", it.admin, "/admin/counts") for it in self.callers]
--- a/scripts/lib/observations.py
+++ b/scripts/lib/observations.py
@@ -51,8 +51,8 @@
 def phase_totals(fleet, phases=None):
     """Sums the callers' counts over phases (all of them by default)."""
     total = {"requests": 0, "work": 0, "answered": 0, "wrong": 0, "mayHaveRun": 0, "unanswered": 0, "cancelled": 0,
-             "retransmissions": 0, "refused": {}, "unclear": {}, "opened": 0, "openUnanswered": 0, "openRefused": {},
-             "brokenToken": {}, "brokenBare": {}, "late": 0, "malformed": 0, "once_work": 0}
+             "retransmissions": 0, "refused": {}, "unclear": {}, "openedToken": 0, "openedBare": 0, "openUnanswered": 0, "openRefused": {},
+             "brokenToken": {}, "brokenBare": {}, "late": 0, "malformed": 0}
     for counts in fleet.caller_counts():
         for name, phase in counts["phases"].items():
             if phases is None or name in phases:
--- a/src/caller-standin/callercounts.cpp
+++ b/src/caller-standin/callercounts.cpp
@@ -62,7 +62,8 @@
 
 nlohmann::json toJson(const FlowCounts &counts)
 {
-    return {{"opened", counts.opened},
+    return {{"openedToken", counts.openedToken},
+            {"openedBare", counts.openedBare},
             {"closed", counts.closed},
             {"openUnanswered", counts.openUnanswered},
             {"openRefused", counts.openRefused},
--- a/src/caller-standin/callercounts.h
+++ b/src/caller-standin/callercounts.h
@@ -34,7 +34,8 @@
 
 /// Counts of the flows of one service.
 struct FlowCounts {
-    std::int64_t opened = 0;
+    std::int64_t openedToken = 0;
+    std::int64_t openedBare = 0;
     std::int64_t closed = 0;
     std::int64_t openUnanswered = 0;
     std::map<std::string, std::int64_t> openRefused; ///< by reason
--- a/src/caller-standin/callerprocess.cpp
+++ b/src/caller-standin/callerprocess.cpp
@@ -23,6 +23,12 @@
 constexpr std::size_t closesPerTick = 100;
 constexpr Time stopLimit = 3 * second;
 
+std::string listUrl(const CallerSettings &settings)
+{
+    const std::string url = "http://" + *settings.platform + "/v1/instances";
+    return settings.dataCentre.empty() ? url : url + "?dc=" + settings.dataCentre;
+}
+
 class CallerProcess
 {
 public:
@@ -39,7 +45,7 @@
         }
         m_admin = serveCallerAdmin(parseAddress(settings.adminAddress), m_callers);
         if (settings.platform) {
-            m_entries.emplace(*settings.platform, settings.platformInterval, [this](const std::string &team, const std::vector<std::uint32_t> &numbers) {
+            m_entries.emplace(listUrl(settings), settings.platformInterval, [this](const std::string &team, const std::vector<std::uint32_t> &numbers) {
                 setBalancers(team, numbers);
             });
         }
--- a/src/caller-standin/callersettings.cpp
+++ b/src/caller-standin/callersettings.cpp
@@ -80,6 +80,7 @@
     if (hasField(top, "platform")) {
         settings.platform = takeAddress(top, "platform");
     }
+    settings.dataCentre = takeString(top, "dataCentre", "");
     settings.platformInterval = takeInteger(top, "platformIntervalMs", 10, maxMs, settings.platformInterval / millisecond) * millisecond;
     for (SettingsObject &it : takeObjects(top, "groups")) {
         settings.groups.push_back(readGroup(it));
--- a/src/caller-standin/callersettings.h
+++ b/src/caller-standin/callersettings.h
@@ -17,6 +17,7 @@
 ///         "sockets": 4,                              // UDP sockets, among which the flows are divided
 ///         "seed": 1,
 ///         "platform": "127.20.0.1:8080",             // optional: the balancers are those of its instance list
+///         "dataCentre": "dc1",                       // optional: only those of this data centre
 ///         "platformIntervalMs": 500,
 ///         "groups": [
 ///             {"team": "foundation", "service": "lookup", "port": 5301,
@@ -65,6 +66,7 @@
     int sockets = 4;
     std::uint64_t seed = 1;
     std::optional<std::string> platform;
+    std::string dataCentre; ///< empty: all
     Time platformInterval = 500 * millisecond;
     std::vector<GroupSettings> groups;
 };
--- a/src/caller-standin/entrylist.cpp
+++ b/src/caller-standin/entrylist.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-EntryList::EntryList(const std::string &platform, Time interval, std::function<void(const std::string &, std::vector<std::uint32_t>)> onList)
-    : m_url("http://" + platform + "/v1/instances")
+EntryList::EntryList(const std::string &url, Time interval, std::function<void(const std::string &, std::vector<std::uint32_t>)> onList)
+    : m_url(url)
     , m_onList(std::move(onList))
     , m_timer([this] { read(); })
 {
--- a/src/caller-standin/entrylist.h
+++ b/src/caller-standin/entrylist.h
@@ -15,10 +15,10 @@
 class EntryList
 {
 public:
-    /// @param platform "ip:port"
+    /// @param url of the platform's instance list
     /// @param interval between reads
     /// @param onList called with the IP numbers of a team's live balancers after each read
-    EntryList(const std::string &platform, Time interval, std::function<void(const std::string &team, std::vector<std::uint32_t>)> onList);
+    EntryList(const std::string &url, Time interval, std::function<void(const std::string &team, std::vector<std::uint32_t>)> onList);
 
 private:
     void read();
--- a/src/caller-standin/flows.cpp
+++ b/src/caller-standin/flows.cpp
@@ -109,7 +109,7 @@
         removeFlow(callers, number);
         return;
     }
-    ++counts.opened;
+    ++(flow.carriesToken ? counts.openedToken : counts.openedBare);
     --group.opening;
     if (flow.carriesToken) {
         flow.token = packet.token;
--- a/src/pimentofold-balancer/balancer.cpp
+++ b/src/pimentofold-balancer/balancer.cpp
@@ -1,5 +1,6 @@
 #include <pimentofold-balancer/balancer.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -139,6 +140,10 @@
 std::string Balancer::renderAll()
 {
     setGauge(m_metrics, "view_generation", static_cast<double>(m_view.generation));
+    const auto ready =
+        std::count_if(m_pool.targets().begin(), m_pool.targets().end(), [](const auto &it) { return it.second->link.state == LinkState::Ready; });
+    setGauge(m_metrics, "targets_ready", static_cast<double>(ready));
+    setGauge(m_metrics, "view_members", static_cast<double>(m_view.members.size()));
     setGauge(m_metrics, "in_flight", static_cast<double>(m_inFlight.size()));
     setGauge(m_metrics, "stopping", m_stopping ? 1 : 0);
     m_metrics.counters["dropped_total{reason=\"oversized\"}"] = static_cast<std::int64_t>(m_ports.oversized());
