Use each new flow at once

Cause: a trial of planned changes waited without end for a drained target whose newest flows had never been used, so that callers didn't know their server. Change: callers send a small request on each flow as soon as it is open. Result: unit tests pass.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -287,7 +287,12 @@
 
     def remove_target(self, target, limit=15):
         """Ends a drained target once its flows have ended; its counts and run list are kept."""
-        wait_until(f"{target.instance} has no flows", lambda: self.counts_of(target)["flows"] == 0, limit)
+        def empty():
+            # Repeated, since a caller learns the server of a flow only from its first answer.
+            self.close_flows_of(target, 0)
+            return self.counts_of(target)["flows"] == 0
+
+        wait_until(f"{target.instance} has no flows", empty, limit, 0.5)
         self.past_runs += expect("GET", target.admin, "/admin/runs")["runs"]
         self.past_counts.append(self.counts_of(target))
         target.process.terminate()
--- a/src/caller-standin/callers.cpp
+++ b/src/caller-standin/callers.cpp
@@ -45,6 +45,14 @@
     }
 }
 
+void useIfOpen(Callers &callers, std::int64_t number, Time now)
+{
+    const auto it = callers.flows.find(number);
+    if (it != callers.flows.end() && it->second.phase == FlowPhase::Open) {
+        useNewFlow(callers, number, now);
+    }
+}
+
 } // namespace
 
 Callers makeCallers(const CallerSettings &settings, Time now)
@@ -74,6 +82,7 @@
     } else if (packet.kind == wire::PacketKind::Opened || (packet.kind == wire::PacketKind::Answer && packet.request == 0)) {
         if (opening && callers.groups[flow->second.group].settings.port == port) {
             onOpened(callers, packet.flow, packet, now);
+            useIfOpen(callers, packet.flow, now);
         } else {
             ++callers.counts.phase().late;
         }
--- a/src/caller-standin/callers.h
+++ b/src/caller-standin/callers.h
@@ -55,6 +55,7 @@
     Time retransmitAt = 0;
     Time cancelAt = never;
     bool cancelled = false;
+    bool startOnly = false; ///< one datagram of the answer is enough
     bool sweep = false; ///< checks that the flow still holds; see startSweep()
     RangeFetch fetch;
 };
