--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -21,6 +21,14 @@
 BALANCER_PEER_PORT, BALANCER_VIEW_PORT, BALANCER_METRICS_PORT = 24000, 24001, 24002
 AGENT_PEER_PORT, AGENT_METRICS_PORT = 24010, 24012
 
+# Faults of the fabric, for each datagram from a caller.
+LOSS_SHARE = 0.002
+DUPLICATE_SHARE = 0.005
+# Every so many targets one reports late and one always reports itself as idle.
+MISLEADING_EVERY = 7
+LATE_REPORTS_MS = 800
+COLD_START_MS = 1000
+
 
 @dataclasses.dataclass
 class Work:
@@ -112,6 +120,8 @@
     instance: str
     data_centre: str
     ip: str
+    status_lag_ms: int = 0
+    reported_load: str = "true"
     process: Process = None
 
     @property
@@ -250,7 +260,10 @@
                     for _ in range(service.targets[dc_index]):
                         number += 1
                         ip = f"127.{self.network}.{100 + team_index}.{number}"
-                        self.add_target(Target(team, service, f"{service.name}-{number:02}", dc, ip))
+                        target = Target(team, service, f"{service.name}-{number:02}", dc, ip)
+                        target.status_lag_ms = LATE_REPORTS_MS if number % MISLEADING_EVERY == 3 else 0
+                        target.reported_load = "idle" if number % MISLEADING_EVERY == 5 else "true"
+                        self.add_target(target)
 
     def add_target(self, target):
         settings = {"node": target.instance, "adminAddress": target.admin, "platform": self.platform_address, "drainLimitMs": 5000,
@@ -258,6 +271,8 @@
                                  "dataCentre": target.data_centre, "address": f"{target.ip}:{TARGET_PORT}",
                                  "session": target.service.session, "slots": target.service.slots,
                                  "serviceTimeUs": target.service.service_time_us, "queueLimit": 64,
+                                 "coldStartMs": COLD_START_MS, "coldFactor": 3, "statusLagMs": target.status_lag_ms,
+                                 "reportedLoad": target.reported_load,
                                  "answerBytes": target.service.answer_bytes}]}
         target.process = self.start(f"target-{target.team.name}-{target.instance}", "target-standin", settings)
         self.targets.append(target)
@@ -384,7 +399,8 @@
                 callers = Callers(team, dc, f"127.{self.network}.9.{team_index * 10 + dc_index}")
                 entries = [it.ip for it in self.entries if it.team is team and it.data_centre == dc]
                 settings = {"node": f"callers-{team.name}-{dc}", "adminAddress": callers.admin, "ip": callers.ip, "sockets": 4,
-                            "platform": self.platform_address, "dataCentre": dc, "platformIntervalMs": 300, "seed": team_index * 100 + dc_index, "groups": [self.group_of(team, it, entries) for it in team.services]}
+                            "platform": self.platform_address, "dataCentre": dc, "platformIntervalMs": 300,
+                            "lossShare": LOSS_SHARE, "duplicateShare": DUPLICATE_SHARE, "seed": team_index * 100 + dc_index, "groups": [self.group_of(team, it, entries) for it in team.services]}
                 callers.process = self.start(settings["node"], "caller-standin", settings)
                 self.callers.append(callers)
         for it in self.callers:
--- a/src/caller-standin/callerprocess.cpp
+++ b/src/caller-standin/callerprocess.cpp
@@ -33,7 +33,8 @@
 {
 public:
     explicit CallerProcess(const CallerSettings &settings)
-        : m_log{settings.node, {}}
+        : m_settings(settings)
+        , m_log{settings.node, {}}
         , m_callers(makeCallers(settings, monotonicNow()))
         , m_fabric{settings.seed + 1}
         , m_tick([this] { onTick(); })
@@ -85,21 +86,31 @@
         }
     }
 
-    /// Sends what the callers produced, each datagram to a random balancer of its service.
+    /// Sends what the callers produced. The fabric may lose a datagram or deliver it twice.
     void deliver()
     {
         for (const Sending &it : m_callers.out) {
-            const GroupSettings &group = m_callers.groups[it.group].settings;
-            if (group.balancers.empty()) {
-                continue;
+            const int copies = chance(m_fabric, m_settings.duplicateShare) ? 2 : 1;
+            for (int i = 0; i < copies; ++i) {
+                if (!chance(m_fabric, m_settings.lossShare)) {
+                    sendToAnyBalancer(it);
+                }
             }
-            const Address to{group.balancers[below(m_fabric, group.balancers.size())], group.port};
-            const auto socket = static_cast<std::uint64_t>(it.packet.flow) % m_sockets.size();
-            m_sockets[socket]->send(m_codec.encode(it.packet), to);
         }
         m_callers.out.clear();
     }
 
+    void sendToAnyBalancer(const Sending &sending)
+    {
+        const GroupSettings &group = m_callers.groups[sending.group].settings;
+        if (group.balancers.empty()) {
+            return;
+        }
+        const Address to{group.balancers[below(m_fabric, group.balancers.size())], group.port};
+        const auto socket = static_cast<std::uint64_t>(sending.packet.flow) % m_sockets.size();
+        m_sockets[socket]->send(m_codec.encode(sending.packet), to);
+    }
+
     void startStop()
     {
         logEvent(m_log, "stopping", {{"flows", m_callers.flows.size()}});
@@ -127,6 +138,7 @@
         }
     }
 
+    const CallerSettings &m_settings;
     EventLog m_log;
     Callers m_callers;
     Random m_fabric;
--- a/src/caller-standin/callersettings.cpp
+++ b/src/caller-standin/callersettings.cpp
@@ -82,6 +82,8 @@
     }
     settings.dataCentre = takeString(top, "dataCentre", "");
     settings.platformInterval = takeInteger(top, "platformIntervalMs", 10, maxMs, settings.platformInterval / millisecond) * millisecond;
+    settings.lossShare = takeNumber(top, "lossShare", 0, 1, 0);
+    settings.duplicateShare = takeNumber(top, "duplicateShare", 0, 1, 0);
     for (SettingsObject &it : takeObjects(top, "groups")) {
         settings.groups.push_back(readGroup(it));
     }
--- a/src/caller-standin/callersettings.h
+++ b/src/caller-standin/callersettings.h
@@ -19,6 +19,7 @@
 ///         "platform": "127.20.0.1:8080",             // optional: the balancers are those of its instance list
 ///         "dataCentre": "dc1",                       // optional: only those of this data centre
 ///         "platformIntervalMs": 500,
+///         "lossShare": 0, "duplicateShare": 0,       // of the fabric, for each datagram to a balancer
 ///         "groups": [
 ///             {"team": "foundation", "service": "lookup", "port": 5301,
 ///              "balancers": ["127.21.1.1"],          // IP numbers, until the platform names others
@@ -68,6 +69,8 @@
     std::optional<std::string> platform;
     std::string dataCentre; ///< empty: all
     Time platformInterval = 500 * millisecond;
+    double lossShare = 0;
+    double duplicateShare = 0;
     std::vector<GroupSettings> groups;
 };
 
