Measure flood; remember refused retransmissions and relay fresh requests first

Cause: measured over the library, an entry balancer that refused a retransmission made NotRun false while another copy ran, and after a flood callers at the end of their patience held up new ones. RefusalMemory for retransmissions; entry balancers refuse only first sendings. Relay limits keep a reserve for requests with much time left and are sent each 400 ms.

--- a/src/include/pimentofold/ingress.h
+++ b/src/include/pimentofold/ingress.h
@@ -95,11 +95,16 @@
 /// A limit is valid this long after the dispatcher sent it; the dispatcher repeats it while it refuses work.
 constexpr Time relayLimitLifetime = 1 * second;
 
+/// A dispatcher sends a limit to one balancer for one kind of work at most this often.
+constexpr Time relayLimitEvery = 400 * millisecond;
+
 /// Takes over a limit that a dispatcher sent in a RelayAck (`relayPerSecond`); see relayAllowance() in admission.h.
 void setRelayLimit(RelayLimit &limit, double perSecond, Time now);
 
-/// Decides on one request that would be relayed, and counts it.
-/// @return false: refuse it here as NotRun/Overload, with the hint of retryHintMs()
-bool passRelay(RelayLimit &limit, Time now);
+/// Decides on one request that would be relayed, and counts it. Requests with little time left are held back first, as
+/// in the queues of admission, so that new callers are served at once when a flood is over.
+/// @param timeLeft share of the service's usual deadline that the request has left, 0 to 1
+/// @return false: refuse it here as NotRun/Overload, with the hint of retryHintMs(); but see refusalmemory.h
+bool passRelay(RelayLimit &limit, double timeLeft, Time now);
 
 } // namespace pimentofold
--- /dev/null
+++ b/src/include/pimentofold/refusalmemory.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <unordered_set>
+
+#include <pimentofold/types.h>
+
+/// Refusals of retransmissions, remembered for as long as an earlier copy of the request may still be on its way.
+///
+/// A refusal as NotRun must stay true. A first sending (`attempt` 1) can be refused without memory: a caller that has
+/// retransmitted meanwhile ignores the refusal, since it names an older attempt. A retransmission is different: the first
+/// sending may arrive after the refusal and run. Therefore
+///
+/// - an entry balancer refuses only first sendings (mayRefuseWithoutMemory()) and drops other excess silently;
+/// - the dispatcher remembers each retransmission that it refuses, and drops later copies.
+namespace pimentofold {
+
+/// Refused requests, oldest first. Bounded: beyond `most` the oldest are forgotten.
+struct RefusalMemory {
+    struct Entry {
+        std::uint64_t request = 0;
+        Time at = 0;
+    };
+
+    std::size_t most = 8192; ///< about 60 bytes each
+    Time keep = 10 * second; ///< longer than a datagram can wait in sockets and queues
+    std::deque<Entry> entries;
+    std::unordered_set<std::uint64_t> requests;
+};
+
+/// @param attempt of the caller's packet
+/// @return whether a balancer may answer NotRun without remembering the request
+bool mayRefuseWithoutMemory(int attempt);
+
+/// Remembers a refused request.
+/// @param request hash of service, flow and request number
+void rememberRefusal(RefusalMemory &memory, std::uint64_t request, Time now);
+
+/// @return whether the request was refused lately; it must not run
+bool wasRefused(const RefusalMemory &memory, std::uint64_t request);
+
+} // namespace pimentofold
--- a/src/libpimentofold/ingress.cpp
+++ b/src/libpimentofold/ingress.cpp
@@ -10,6 +10,8 @@
 constexpr double costGain = 0.05;
 constexpr double leastDatagrams = 4; // a bucket holds the cost of this many datagrams, however small its share
 constexpr double relayBurst = 0.1; // seconds of a relay limit's rate that can be used at once
+constexpr double leastRelayBurst = 4; // so that a reserve for requests with much time left exists at low rates
+constexpr double timeLeftReserve = 0.5; // of the burst, for requests with all of their time left
 
 IngressService *findService(Ingress &gate, Id service)
 {
@@ -193,15 +195,17 @@
     limit.validUntil = perSecond > 0 ? now + relayLimitLifetime : now;
 }
 
-bool passRelay(RelayLimit &limit, Time now)
+bool passRelay(RelayLimit &limit, double timeLeft, Time now)
 {
     if (limit.perSecond == 0 || now >= limit.validUntil) {
         return true;
     }
     const double elapsed = static_cast<double>(now - limit.refilledAt) / static_cast<double>(second);
     limit.refilledAt = now;
-    limit.tokens = std::min(limit.tokens + elapsed * limit.perSecond, std::max(1.0, relayBurst * limit.perSecond));
-    if (limit.tokens < 1) {
+    const double burst = std::max(leastRelayBurst, relayBurst * limit.perSecond);
+    limit.tokens = std::min(limit.tokens + elapsed * limit.perSecond, burst);
+    const double reserve = burst * timeLeftReserve * (1 - std::clamp(timeLeft, 0.0, 1.0));
+    if (limit.tokens < 1 + reserve) {
         return false;
     }
     limit.tokens -= 1;
--- a/src/libpimentofold/ingress_test.cpp
+++ b/src/libpimentofold/ingress_test.cpp
@@ -121,16 +121,32 @@
 TEST_CASE("a relay limit is kept while valid and ends by itself")
 {
     RelayLimit limit;
-    CHECK(passRelay(limit, 0));
+    CHECK(passRelay(limit, 0, 0));
     setRelayLimit(limit, 100, 0);
     int passed = 0;
     for (Time now = 0; now < second; now += millisecond) {
-        passed += passRelay(limit, now) ? 1 : 0;
+        passed += passRelay(limit, 1, now) ? 1 : 0;
     }
     CHECK(passed == doctest::Approx(100).epsilon(0.02));
     passed = 0;
     for (Time now = second; now < 2 * second; now += millisecond) {
-        passed += passRelay(limit, now) ? 1 : 0;
+        passed += passRelay(limit, 1, now) ? 1 : 0;
     }
     CHECK(passed == 1000);
 }
+
+// Guards against callers at the end of their patience that hold up new ones after a flood.
+TEST_CASE("a relay limit holds back requests with little time left first")
+{
+    RelayLimit limit;
+    setRelayLimit(limit, 100, 0);
+    int fresh = 0;
+    int old = 0;
+    for (Time now = 0; now < second; now += millisecond) {
+        old += passRelay(limit, 0.1, now) ? 1 : 0;
+        old += passRelay(limit, 0.3, now) ? 1 : 0;
+        fresh += now % (20 * millisecond) == 0 && passRelay(limit, 1, now) ? 1 : 0;
+    }
+    CHECK(fresh >= 49);
+    CHECK(old == doctest::Approx(50).epsilon(0.1));
+}
--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -6,6 +6,7 @@
 {
     static const std::vector<Measurement> table{
         {"balance", "use of slots and waits of a lookup-like service beside other placements", measureBalance},
+        {"flood", "service that is kept while one kind of work floods", measureFlood},
     };
     return table;
 }
--- a/src/pimentofold-measure/measurements.h
+++ b/src/pimentofold-measure/measurements.h
@@ -25,5 +25,6 @@
 const std::vector<Measurement> &measurements();
 
 int measureBalance(const MeasureOptions &options);
+int measureFlood(const MeasureOptions &options);
 
 } // namespace pimentofold
