--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -14,6 +14,7 @@
         {"balance", "use of slots and waits of a lookup-like service beside other placements", &measureBalance},
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
         {"capacity", "slopes for docs/CAPACITY.md; size 1 for a smoke run", &measureCapacity},
+        {"flood", "service that is kept while one kind of work floods", &measureFlood},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
         {"membership", "control cost and detection time of membership by number of members", &measureMembership},
     };
