--- a/src/include/pimentofold/configstore.h
+++ b/src/include/pimentofold/configstore.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <pimentofold/types.h>
@@ -30,7 +30,11 @@
     std::string kind;
     std::string name;
 
-    friend auto operator<=>(const ObjectKey &, const ObjectKey &) = default;
+    friend bool operator==(const ObjectKey &, const ObjectKey &) = default;
+    friend bool operator<(const ObjectKey &a, const ObjectKey &b)
+    {
+        return std::tie(a.kind, a.name) < std::tie(b.kind, b.name);
+    }
 };
 
 /// One version of an object. It never changes once it is made, so that it can be shared.
@@ -78,7 +82,8 @@
 bool isNewer(const ConfigStore &store, const ObjectKey &key, std::int64_t version);
 
 /// @return whether no object is held below its floor, so that a view made from the store doesn't revert anything
-bool reachesFloors(const ConfigStore &store);
+/// @param agentMade asks for the objects that agents make themselves too
+bool reachesFloors(const ConfigStore &store, bool agentMade);
 
 /// @return digest of one head; ConfigStore::root is the exclusive or of those of all objects
 std::uint64_t digestOfHead(const wire::ObjectHead &head);
--- a/src/include/pimentofold/platformwatch.h
+++ b/src/include/pimentofold/platformwatch.h
@@ -14,6 +14,9 @@
 constexpr int watchWaitSeconds = 25;
 /// An answer that has not come by then after the start of a long poll counts as an error.
 constexpr Time watchTimeLimit = (watchWaitSeconds + 5) * second;
+/// A connection to the platform that isn't open by then counts as an error. Long polls open a connection each, since
+/// a kept one may have died in a partition without notice.
+constexpr Time platformConnectLimit = 2 * second;
 /// Polls of one watcher start at least this far apart, so that a burst of changes costs few calls.
 constexpr Time leastWatchInterval = 500 * millisecond;
 
--- a/src/include/pimentofold/statusboard.h
+++ b/src/include/pimentofold/statusboard.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -45,6 +46,9 @@
     std::map<Id, InstanceInForce> instances;
 };
 
+/// @return "alive", "suspect", "leaving" or "dead"
+std::string_view name(wire::MemberState::type state);
+
 /// Takes an InForce message; ignores other kinds.
 void handleInForce(StatusBoard &board, const wire::PeerMessage &message);
 
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -162,6 +162,8 @@
     // The system's proxy settings are not meant for the platform's address.
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout / millisecond));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout / millisecond));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.newConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &takeHeader);
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -16,6 +16,8 @@
     std::map<std::string, std::string> headers;
     std::string body;
     Time timeout = 5 * second;
+    Time connectTimeout = 2 * second;
+    bool newConnection = false; ///< opens a connection for this call instead of a kept one
 };
 
 struct HttpResult {
--- a/src/libpimentofold/configmessages.cpp
+++ b/src/libpimentofold/configmessages.cpp
@@ -140,6 +140,7 @@
         }
     }
     std::vector<std::string> candidates;
+    candidates.reserve(byDataCentre.size());
     for (const auto &[name, addresses] : byDataCentre) {
         candidates.push_back(addresses[below(spread.random, addresses.size())]);
     }
--- a/src/libpimentofold/configrepair.cpp
+++ b/src/libpimentofold/configrepair.cpp
@@ -32,10 +32,10 @@
     return digest;
 }
 
-wire::PeerMessage digestMessage(const ConfigSpread &spread, std::string bytes, bool remote)
+wire::PeerMessage digestMessage(const ConfigSpread &spread, const std::string &bytes, bool remote)
 {
     wire::PeerMessage message = spreadMessage(spread, wire::PeerKind::Digest);
-    message.__set_digest(std::move(bytes));
+    message.__set_digest(bytes);
     message.__set_revision(spread.watch.revision);
     if (remote) {
         message.__set_dataCentre(spread.dataCentre);
@@ -128,8 +128,8 @@
     }
     std::vector<ConfigObjectPointer> newer;
     for (const auto &[key, object] : spread.store.objects) {
-        const bool covered =
-            (message.hops == 0 || (!theirs.empty() && key >= theirs.begin()->first)) && (message.last || (!theirs.empty() && key <= theirs.rbegin()->first));
+        const bool covered = (message.hops == 0 || (!theirs.empty() && !(key < theirs.begin()->first)))
+            && (message.last || (!theirs.empty() && !(theirs.rbegin()->first < key)));
         const auto it = theirs.find(key);
         if (bucketOf(key) == bucket && covered && (it == theirs.end() || it->second < object->version)) {
             newer.push_back(object);
@@ -199,9 +199,9 @@
     if (heads.empty()) {
         return;
     }
-    for (auto &group : splitHeads(heads, false)) {
+    for (const auto &group : splitHeads(heads, false)) {
         wire::PeerMessage message = spreadMessage(spread, wire::PeerKind::Pull);
-        message.__set_heads(std::move(group));
+        message.__set_heads(group);
         out.messages.push_back({to, std::move(message)});
         ++spread.counts.pulls;
     }
--- a/src/libpimentofold/configspread.cpp
+++ b/src/libpimentofold/configspread.cpp
@@ -102,7 +102,9 @@
         return nullptr;
     }
     if (!object.__isset.total) {
-        return std::make_shared<const ConfigObject>(fromWire(object));
+        // Most pushes bring what is held already; they need no copy.
+        const bool known = versionOf(spread.store, key) == object.head.version;
+        return known ? nullptr : std::make_shared<const ConfigObject>(fromWire(object));
     }
     if (!isNewer(spread.store, key, object.head.version)) {
         return nullptr;
--- /dev/null
+++ b/src/libpimentofold/configspread_test.cpp
@@ -0,0 +1,199 @@
+#include <pimentofold/configspread.h>
+
+#include <deque>
+
+#include <doctest/doctest.h>
+
+#include <pimentofold/codec.h>
+#include <pimentofold/peerseal.h>
+
+using namespace pimentofold;
+
+namespace {
+
+ConfigObjectPointer makeObject(const std::string &name, std::int64_t version, const std::string &value = "{}")
+{
+    return std::make_shared<const ConfigObject>(ConfigObject{{"template", name}, version, false, value, "change"});
+}
+
+/// Agents of one data centre whose datagrams all arrive in the same instant, unless they are lost.
+struct Group {
+    std::map<std::string, ConfigSpread> agents;
+    Codec codec;
+    Random random{7};
+    double loss = 0;
+    std::size_t largestDatagram = 0;
+
+    explicit Group(const std::vector<std::string> &addresses)
+    {
+        auto local = std::make_shared<std::vector<SpreadPeer>>();
+        for (const std::string &it : addresses) {
+            local->push_back({{idOf(it), 1}, it});
+        }
+        for (const std::string &it : addresses) {
+            ConfigSpread &spread = agents[it];
+            spread.self = {idOf(it), 1};
+            spread.address = it;
+            spread.team = "team";
+            spread.dataCentre = "dc1";
+            startSpread(spread, idOf(it), 0);
+            setSpreadPeers(spread, {false, false, local, {}});
+        }
+    }
+
+    void deliver(const std::string &from, SpreadOutput first, Time now)
+    {
+        std::deque<std::pair<std::string, MemberMessage>> queue;
+        const auto enqueue = [&](const std::string &sender, SpreadOutput &out) {
+            for (MemberMessage &it : out.messages) {
+                queue.emplace_back(sender, std::move(it));
+            }
+        };
+        enqueue(from, first);
+        while (!queue.empty()) {
+            const auto [sender, message] = std::move(queue.front());
+            queue.pop_front();
+            largestDatagram = std::max(largestDatagram, codec.encode(message.message).size() + sealBytes);
+            if (chance(random, loss)) {
+                continue;
+            }
+            SpreadOutput out;
+            handleSpread(agents.at(message.address), message.message, sender, now, out);
+            enqueue(message.address, out);
+        }
+    }
+
+    void run(Time from, Time to)
+    {
+        for (Time now = from; now < to; now += 100 * millisecond) {
+            for (auto &[address, spread] : agents) {
+                SpreadOutput out;
+                tickSpread(spread, now, out);
+                deliver(address, std::move(out), now);
+            }
+        }
+    }
+};
+
+} // namespace
+
+// Guards against objects of up to 1 MB that never arrive, with lost datagrams, or that need too large datagrams.
+TEST_CASE("a large object reaches the other agents in ranges")
+{
+    for (const double loss : {0.0, 0.05}) {
+        Group group({"a", "b", "c"});
+        group.loss = loss;
+        std::string value(maxStoredValueBytes, 'x');
+        for (std::size_t i = 0; i < value.size(); i += 7) {
+            value[i] = static_cast<char>('a' + i % 23);
+        }
+        SpreadOutput out;
+        publishObject(group.agents.at("a"), makeObject("large", 3, value), 0, out);
+        group.deliver("a", std::move(out), 0);
+        group.run(0, 20 * second);
+        for (const auto &[address, spread] : group.agents) {
+            const ConfigObjectPointer held = findObject(spread.store, {"template", "large"});
+            REQUIRE(held);
+            CHECK(held->value == value);
+        }
+        CHECK(group.largestDatagram <= maxDatagramBytes);
+    }
+}
+
+// Guards against a new agent that doesn't fill from its peers, and against lists of heads that miss objects where
+// they are split over datagrams.
+TEST_CASE("an empty agent fills by digests")
+{
+    Group group({"a", "b"});
+    ConfigSpread &full = group.agents.at("a");
+    constexpr int count = 5000;
+    for (int i = 0; i < count; ++i) {
+        applyObject(full.store, makeObject("object-with-a-long-name-" + std::to_string(i), 1 + i % 3));
+    }
+    full.watch.revision = 9;
+    for (int i = 0; i < count; i += 2) {
+        applyObject(group.agents.at("b").store, makeObject("object-with-a-long-name-" + std::to_string(i), 1 + i % 3));
+    }
+    group.run(0, 30 * second);
+    const ConfigSpread &empty = group.agents.at("b");
+    CHECK(empty.store.objects.size() == count);
+    CHECK(empty.store.root == full.store.root);
+    CHECK(empty.filled);
+    CHECK(empty.watch.revision == 9);
+    CHECK(group.largestDatagram <= maxDatagramBytes);
+}
+
+// Guards against versions that step back, also behind what a restarted agent's balancer has in force.
+TEST_CASE("the store takes over newer versions only")
+{
+    struct Step {
+        std::int64_t version;
+        ApplyResult result;
+    };
+    ConfigStore store;
+    raiseFloor(store, {"template", "t"}, 3);
+    CHECK_FALSE(reachesFloors(store, false));
+    raiseFloor(store, {"entries", "team.dc1"}, 3);
+    for (const Step &it : std::vector<Step>{{2, ApplyResult::Older},
+                                            {3, ApplyResult::Applied},
+                                            {3, ApplyResult::Known},
+                                            {2, ApplyResult::Older},
+                                            {5, ApplyResult::Applied},
+                                            {4, ApplyResult::Older}}) {
+        CHECK(applyObject(store, makeObject("t", it.version)) == it.result);
+    }
+    CHECK(reachesFloors(store, false));
+    CHECK_FALSE(reachesFloors(store, true));
+    CHECK(versionOf(store, {"template", "t"}) == 5);
+    CHECK(applyObject(store, makeObject("", 1)) == ApplyResult::Refused);
+    CHECK(applyObject(store, makeObject("u", 1, std::string(maxStoredValueBytes + 1, ' '))) == ApplyResult::Refused);
+    CHECK(store.objects.size() == 1);
+}
+
+// Guards against a stampede on the platform: synchronised or unbounded retries, polls without a pause, and trust in
+// an answer that is older than one seen.
+TEST_CASE("polls back off with full jitter and distrust old revisions")
+{
+    Random random{3};
+    struct Bound {
+        int failures;
+        Time most;
+    };
+    for (const Bound &it : std::vector<Bound>{{1, 200 * millisecond}, {2, 400 * millisecond}, {5, 3200 * millisecond}, {7, mostBackOff}, {1000, mostBackOff}}) {
+        Time least = never;
+        Time most = 0;
+        for (int i = 0; i < 2000; ++i) {
+            const Time delay = backOff(it.failures, random);
+            least = std::min(least, delay);
+            most = std::max(most, delay);
+        }
+        CHECK(most <= it.most);
+        CHECK(most > it.most * 9 / 10);
+        CHECK(least < it.most / 10);
+    }
+    PlatformWatch watch;
+    startPoll(watch, 0);
+    CHECK_FALSE(isPollDue(watch, minute));
+    CHECK(finishPoll(watch, {true, 10, {}}, millisecond, random));
+    CHECK(watch.nextAt == leastWatchInterval);
+    startPoll(watch, second);
+    CHECK_FALSE(finishPoll(watch, {true, 9, {}}, second, random));
+    CHECK(watch.revision == 10);
+    CHECK(watch.untrusted == 1);
+}
+
+// Guards against agents that all call the platform: only watchers do, and a new one asks its peers first.
+TEST_CASE("only watchers poll, after they have tried to fill from peers")
+{
+    Group group({"a", "b"});
+    ConfigSpread &spread = group.agents.at("a");
+    SpreadOutput out;
+    tickSpread(spread, minute, out);
+    CHECK_FALSE(out.watch);
+    spread.peers.watcher = true;
+    tickSpread(spread, second, out);
+    CHECK_FALSE(out.watch);
+    tickSpread(spread, spread.options.fillLimit + second, out);
+    REQUIRE(out.watch);
+    CHECK(out.watch->since == 0);
+}
--- a/src/libpimentofold/configstore.cpp
+++ b/src/libpimentofold/configstore.cpp
@@ -74,9 +74,12 @@
     return version > versionOf(store, key) && (floor == store.floors.end() || version >= floor->second);
 }
 
-bool reachesFloors(const ConfigStore &store)
+bool reachesFloors(const ConfigStore &store, bool agentMade)
 {
-    return std::ranges::all_of(store.floors, [&](const auto &floor) { return versionOf(store, floor.first) >= floor.second; });
+    return std::ranges::all_of(store.floors, [&](const auto &floor) {
+        const bool asked = agentMade || isPlatformKind(floor.first.kind);
+        return !asked || versionOf(store, floor.first) >= floor.second;
+    });
 }
 
 std::uint64_t digestOfHead(const wire::ObjectHead &head)
--- a/src/libpimentofold/statusboard.cpp
+++ b/src/libpimentofold/statusboard.cpp
@@ -9,21 +9,6 @@
 
 namespace {
 
-std::string_view stateName(wire::MemberState::type state)
-{
-    switch (state) {
-    case wire::MemberState::Alive:
-        return "alive";
-    case wire::MemberState::Suspect:
-        return "suspect";
-    case wire::MemberState::Leaving:
-        return "leaving";
-    case wire::MemberState::Dead:
-        return "dead";
-    }
-    return "unknown";
-}
-
 std::string_view stateName(wire::TargetState::type state)
 {
     switch (state) {
@@ -61,7 +46,7 @@
     json list = json::array();
     for (const Member &it : members) {
         const auto found = board.instances.find(it.key.instance);
-        list.push_back({{"node", it.name}, {"state", stateName(it.state)}, {"viewGeneration", found == board.instances.end() ? 0 : found->second.generation}});
+        list.push_back({{"node", it.name}, {"state", name(it.state)}, {"viewGeneration", found == board.instances.end() ? 0 : found->second.generation}});
     }
     return list;
 }
@@ -90,6 +75,9 @@
 
 json withoutLoad(json value)
 {
+    if (!value.is_object()) {
+        return value;
+    }
     value.erase("refused");
     if (value.contains("targets")) {
         for (json &it : value["targets"]) {
@@ -101,6 +89,21 @@
 
 } // namespace
 
+std::string_view name(wire::MemberState::type state)
+{
+    switch (state) {
+    case wire::MemberState::Alive:
+        return "alive";
+    case wire::MemberState::Suspect:
+        return "suspect";
+    case wire::MemberState::Leaving:
+        return "leaving";
+    case wire::MemberState::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
 void handleInForce(StatusBoard &board, const wire::PeerMessage &message)
 {
     if (message.kind != wire::PeerKind::InForce) {
