--- /dev/null
+++ b/src/libpimentofold/once_random_test.cpp
@@ -0,0 +1,56 @@
+#include <doctest/doctest.h>
+
+#include <testsupport/oncerun.h>
+
+using namespace pimentofold;
+using namespace pimentofold::testsupport;
+
+// Guards against second runs, false refusals and foreign answers under every mixture of faults.
+TEST_CASE("random faults break no invariant of the at-most-once records")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        const RunCounts counts = runOnceWorld(randomOptions(seed));
+        CHECK(counts.ran > counts.requests / 3);
+    }
+}
+
+// Guards against tables that refuse falsely or run twice when they are full.
+TEST_CASE("full tables break no invariant")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        RunOptions options = randomOptions(seed);
+        options.limits = {40, 10, 2'000, 1'000, 2};
+        CHECK(runOnceWorld(options).notRun > 0);
+    }
+}
+
+// Guards against checks that can't fail: each deliberate defect breaks the invariant that it is made for.
+TEST_CASE("each defect is found under its invariant's name")
+{
+    struct Row {
+        Defect defect;
+        std::string_view invariant;
+        RunOptions (*options)(std::uint64_t);
+    };
+    const Row rows[] = {
+        {Defect::SecondDispatch, "AtMostOnce", randomOptions},
+        {Defect::ForgottenRefusal, "NotRunIsTrue", randomOptions},
+        {Defect::UnmatchedAnswers, "OwnAnswerWhole", randomOptions},
+        {Defect::AbruptStop, "PlannedStopCutsNothing", plannedOptions},
+    };
+    for (const Row &row : rows) {
+        std::string found;
+        for (std::uint64_t seed = 1; seed <= 40 && found != row.invariant; ++seed) {
+            RunOptions options = row.options(seed);
+            options.defect = row.defect;
+            try {
+                runOnceWorld(options);
+            } catch (const InvariantFailure &failure) {
+                found = failure.invariant;
+            }
+        }
+        CHECK(found == row.invariant);
+    }
+}
