--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -1,5 +1,6 @@
 #include <pimentofold-measure/measurements.h>
 
+#include <pimentofold-measure/converge.h>
 #include <pimentofold-measure/datapath.h>
 
 namespace pimentofold {
@@ -14,6 +15,7 @@
         {"balance", "use of slots and waits of a lookup-like service beside other placements", &measureBalance},
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
         {"capacity", "slopes for docs/CAPACITY.md; size 1 for a smoke run", &measureCapacity},
+        {"converge", "time until a change is in force on all agents", &measureConverge},
         {"flood", "service that is kept while one kind of work floods", &measureFlood},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
         {"membership", "control cost and detection time of membership by number of members", &measureMembership},
