--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -103,4 +103,6 @@
   20: optional i64 revision            // Digest: platform revision up to which the sender has all objects
   21: optional InForceReport report
   22: optional string dataCentre       // Digest between data centres: that of the sender
+  23: double relayPerSecond = 0        // RelayAck of a dispatcher: requests a second that it takes; 0: no limit
+  24: i32 workKind = 0                 // RelayAck: kind of work of serviceId that relayPerSecond is about
 }
--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -7,7 +7,9 @@
 const std::vector<Measurement> &measurements()
 {
     static const std::vector<Measurement> table{
+        {"balance", "use of slots and waits of a lookup-like service beside other placements", measureBalance},
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
+        {"flood", "service that is kept while one kind of work floods", measureFlood},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
     };
     return table;
--- a/src/pimentofold-measure/measurements.h
+++ b/src/pimentofold-measure/measurements.h
@@ -24,4 +24,7 @@
 /// @return all measurements, in the order of their names
 const std::vector<Measurement> &measurements();
 
+int measureBalance(const MeasureOptions &options);
+int measureFlood(const MeasureOptions &options);
+
 } // namespace pimentofold
