Place and admit requests by the load modules

Cause: the balancer chose targets by two random choices alone and refused nothing under overload. Change: each service has an admission with its targets; requests of flows wait for a slot of their target, requests without sessions are placed by their dispatchers, which own the targets. Relays are limited by what a dispatcher takes, refused retransmissions are remembered, and datagrams pass the ingress gate before they are decoded.

--- a/src/pimentofold-balancer/balancer.cpp
+++ b/src/pimentofold-balancer/balancer.cpp
@@ -33,7 +33,8 @@
     , m_requests(counter(m_metrics, "requests_total"))
     , m_refused(counter(m_metrics, "refused_total"))
     , m_pool({[this](std::uint64_t id, const wire::TargetFrame &frame, PooledTarget &target) { onAnswer(id, frame, target); },
-              [this](std::uint64_t id, PooledTarget &target) { onLost(id, target); },
+              [this](std::uint64_t id, PooledTarget &) { onLost(id); },
+              [this](PooledTarget &target) { onTargetStatus(target); },
               [this](PooledTarget &target, const std::string &what) { onTargetChange(target, what); }},
              m_metrics,
              m_random)
@@ -57,7 +58,10 @@
     , m_metricsServer(serveMetrics(settings.metricsAddress, [this] { return renderAll(); }))
     , m_fastTimer([this] { fastTick(); })
     , m_slowTimer([this] { slowTick(); })
-    , m_reportTimer([this] { m_agent.report(); })
+    , m_reportTimer([this] {
+        updateRates();
+        m_agent.report();
+    })
 {
     m_once.self = m_own;
     m_fastTimer.start(fastInterval, fastInterval);
@@ -88,6 +92,7 @@
     m_objects = from.objects;
     enterOwnState();
     m_pool.apply(m_view);
+    updateLoads();
     m_ports.apply(m_view);
     logEvent(m_log,
              "view_applied",
@@ -95,6 +100,13 @@
     m_agent.report();
 }
 
+void Balancer::onTargetStatus(PooledTarget &target)
+{
+    m_now = target.link.heardAt;
+    noteStatus(target);
+    tickAdmission();
+}
+
 void Balancer::onTargetChange(PooledTarget &target, const std::string &what)
 {
     logEvent(m_log,
@@ -104,9 +116,19 @@
               {"ready", target.link.state == LinkState::Ready ? 1 : 0},
               {"draining", target.link.draining ? 1 : 0},
               {"reason", what}});
+    noteTarget(target);
+    if (target.link.draining) {
+        noteStatus(target);
+    }
     m_agent.report();
 }
 
+const TargetLoad *Balancer::loadOf(const PooledTarget &target) const
+{
+    const auto load = m_load.find(target.link.serviceId);
+    return load == m_load.end() ? nullptr : findTarget(load->second.main.targets, target.link.targetId);
+}
+
 wire::LocalMessage Balancer::makeReport(bool first)
 {
     wire::LocalMessage message;
@@ -122,8 +144,8 @@
     if (first && !m_objects.empty()) {
         report.__set_objects(m_objects);
     }
-    double flows = 0;
     const Time now = monotonicNow();
+    double flows = 0;
     for (const auto &[id, target] : m_pool.targets()) {
         wire::TargetObservation observation;
         observation.id = id;
@@ -132,7 +154,8 @@
         observation.inUse = static_cast<std::int32_t>(target->link.inFlight);
         observation.answered = target->answered;
         observation.shed = target->shed;
-        flows += target->openFlows;
+        const TargetLoad *load = loadOf(*target);
+        flows += load == nullptr ? 0 : load->openFlows;
         report.targets.push_back(observation);
     }
     report.flowsOpen = static_cast<std::int64_t>(flows);
@@ -144,6 +167,18 @@
 {
     setGauge(m_metrics, "view_generation", static_cast<double>(m_view.generation));
     setGauge(m_metrics, "in_flight", static_cast<double>(m_inFlight.size()));
+    for (const ViewService &it : m_view.services) {
+        const ServiceLoad &load = m_load[it.id];
+        const std::string label = "{service=\"" + it.serviceName + "\"}";
+        setGauge(m_metrics, "queued" + label, static_cast<double>(load.main.admission.queued + load.direct.admission.queued));
+        setGauge(m_metrics, "limit" + label, load.main.admission.limit.limit);
+    }
+    for (const IngressService &it : m_gate.services) {
+        const ViewService *service = findService(m_view, it.policy.service);
+        if (service != nullptr) {
+            m_metrics.counters["ingress_dropped_total{service=\"" + service->serviceName + "\"}"] = it.dropped;
+        }
+    }
     setGauge(m_metrics, "stopping", m_stopping ? 1 : 0);
     m_metrics.counters["dropped_total{reason=\"oversized\"}"] = static_cast<std::int64_t>(m_ports.oversized());
     m_metrics.counters["peer_dropped_total{reason=\"oversized\"}"] = static_cast<std::int64_t>(m_peers.socket().oversized());
@@ -162,6 +197,7 @@
         onOverdue(it);
     }
     tickRelays();
+    tickAdmission();
     OnceOutput out;
     tickOnce(m_once, onceNow(), out);
     carryOut(std::move(out));
@@ -173,6 +209,9 @@
 void Balancer::slowTick()
 {
     m_pool.tick();
+    for (const auto &[id, target] : m_pool.targets()) {
+        noteTarget(*target);
+    }
     m_ports.apply(m_view);
 }
 
@@ -183,6 +222,7 @@
     m_stopAt = now + m_settings.drainLimit;
     m_lastDatagram = now;
     enterOwnState();
+    updateLoads();
     beginOnceStop(m_once, now + static_cast<Time>(static_cast<double>(m_settings.drainLimit) * requestsShareOfStop));
     logEvent(m_log, "stopping", {{"in_flight", m_inFlight.size()}, {"limit_ms", m_settings.drainLimit / millisecond}});
     m_agent.report();
--- a/src/pimentofold-balancer/balancer.h
+++ b/src/pimentofold-balancer/balancer.h
@@ -15,6 +15,7 @@
 #include <pimentofold-balancer/callerports.h>
 #include <pimentofold-balancer/inflight.h>
 #include <pimentofold-balancer/peerport.h>
+#include <pimentofold-balancer/serviceload.h>
 #include <pimentofold-balancer/targetpool.h>
 
 #include <pimentofold/callerpacket.h>
@@ -37,6 +38,7 @@
     CheckedPacket checked;
     Address caller;
     std::string_view bytes; ///< the datagram as received
+    InstanceKey relayedBy; ///< the balancer that relayed it
     bool relayed = false; ///< it came from another balancer and must not be relayed again
 };
 
@@ -84,7 +86,9 @@
     // balancer.cpp: set-up, view, timers, reports
     void applyView(const wire::NodeView &from);
     void enterOwnState();
+    void onTargetStatus(PooledTarget &target);
     void onTargetChange(PooledTarget &target, const std::string &what);
+    const TargetLoad *loadOf(const PooledTarget &target) const;
     wire::LocalMessage makeReport(bool first);
     std::string renderAll();
     void fastTick();
@@ -94,6 +98,7 @@
     // flows.cpp: packets of callers, opening and closing flows
     void onDatagram(Id serviceId, std::string_view bytes, const Address &from);
     void countFault(const CheckedPacket &checked);
+    void decodeAndHandle(const ViewService &service, std::string_view bytes, const Address &from);
     void handle(Arrival &arrival);
     void open(Arrival &arrival);
     void openWithToken(InFlightId id);
@@ -102,19 +107,17 @@
     void opened(InFlightId id, PooledTarget &target);
     void close(Arrival &arrival);
     void cancel(Arrival &arrival);
-    std::optional<Id> chooseTarget(const ViewService &service, Id except);
 
     // requests.cpp: requests and the answers of targets
     void request(Arrival &arrival);
     void sendToTokenTarget(InFlightId id);
     void sendToCachedRoute(InFlightId id);
-    void place(InFlightId id, Id except);
     InFlightId addInFlight(Arrival &arrival, Purpose purpose);
     bool sendToTarget(InFlightId id, PooledTarget &target);
     void onAnswer(InFlightId id, const wire::TargetFrame &frame, PooledTarget &target);
-    void onNotRun(InFlightId id, const CallOutcome &outcome, PooledTarget &target);
+    void onNotRun(InFlightId id, const CallOutcome &outcome);
     void onRan(InFlightId id, const wire::TargetFrame &frame, PooledTarget &target);
-    void onLost(InFlightId id, PooledTarget &target);
+    void onLost(InFlightId id);
     void onOverdue(InFlightId id);
     void finish(InFlightId id, Refusal refusal);
     void forget(InFlightId id);
@@ -122,6 +125,21 @@
     void refuse(const ReplyTo &to, const Refusal &refusal);
     int retryHint();
 
+    // placement.cpp: admission and target choice
+    static WorkOutcome outcomeOf(const wire::TargetFrame &frame);
+    Lane &laneOf(const InFlight &entry);
+    void offerRequest(InFlightId id, Id target);
+    void carryOut(Lane &lane, std::vector<AdmissionDecision> decisions);
+    void refuseAdmission(const AdmissionDecision &decision);
+    void release(InFlightId id, WorkOutcome outcome);
+    void place(InFlightId id, bool direct);
+    std::optional<Id> chooseTarget(const ViewService &service);
+    void updateLoads();
+    void updateRates();
+    void noteTarget(PooledTarget &target);
+    void noteStatus(PooledTarget &target);
+    void tickAdmission();
+
     // tokens
     std::string mint(const ViewService &service, std::int64_t flow, Id target, std::int64_t targetIncarnation);
     std::string refreshed(const Token &token, const ViewService &service, std::int64_t flow);
@@ -130,6 +148,10 @@
     void onPeerMessage(const wire::PeerMessage &message, const Address &from);
     void onRelay(const wire::PeerMessage &message, const Address &from);
     void relay(const Arrival &arrival, const InstanceKey &to, wire::RelayRole::type role);
+    InstanceKey dispatcherOf(const ViewService &service, const wire::CallerPacket &packet);
+    void relayToDispatcher(Arrival &arrival);
+    void acknowledge(const wire::PeerMessage &message, const Arrival &arrival, const Address &from);
+    void onRelayAck(const wire::PeerMessage &message);
     void sendRelay(PendingRelay &relay);
     void tickRelays();
     void relayUnanswered(const PendingRelay &relay);
@@ -157,7 +179,8 @@
     std::vector<wire::ObjectHead> m_objects; ///< versions that the view was made from
     FlowCache m_routes;
     InFlightTable m_inFlight;
-    std::unordered_map<Id, RetryBudget> m_budgets;
+    std::unordered_map<Id, ServiceLoad> m_load; ///< by service id
+    Ingress m_gate;
     std::unordered_map<std::int64_t, PendingRelay> m_relays; ///< by sequence
     std::int64_t m_sequence = 0;
     OnceState m_once;
--- a/src/pimentofold-balancer/flows.cpp
+++ b/src/pimentofold-balancer/flows.cpp
@@ -9,18 +9,25 @@
     ++m_packets;
     m_now = monotonicNow();
     m_lastDatagram = m_now;
-    Arrival arrival;
-    arrival.service = findService(m_view, serviceId);
-    if (arrival.service == nullptr) {
+    const ViewService *service = findService(m_view, serviceId);
+    if (service == nullptr || !passDatagram(m_gate, serviceId, m_now)) {
         return;
     }
+    decodeAndHandle(*service, bytes, from);
+    chargeDatagram(m_gate, serviceId, monotonicNow() - m_now);
+}
+
+void Balancer::decodeAndHandle(const ViewService &service, std::string_view bytes, const Address &from)
+{
+    Arrival arrival;
+    arrival.service = &service;
     arrival.bytes = bytes;
     arrival.caller = from;
-    arrival.checked = checkPacket(m_codec, bytes, *arrival.service, m_view.keys, wallNow(), arrival.packet);
+    arrival.checked = checkPacket(m_codec, bytes, service, m_view.keys, wallNow(), arrival.packet);
     if (arrival.checked.fault != PacketFault::None) {
         countFault(arrival.checked);
         if (arrival.checked.tokenFault == TokenFault::Expired) {
-            refuse({serviceId, from, &arrival.packet}, {Verdict::NotRun, Reason::TokenExpired, 0, {}});
+            refuse({service.id, from, &arrival.packet}, {Verdict::NotRun, Reason::TokenExpired, 0, {}});
         }
         return;
     }
@@ -87,31 +94,11 @@
     askCandidate(addInFlight(arrival, packet.attempt > 1 ? Purpose::FindBeforeOpen : Purpose::OpenBare));
 }
 
-std::optional<Id> Balancer::chooseTarget(const ViewService &service, Id except)
-{
-    const Time now = m_now;
-    std::vector<PooledTarget *> usable;
-    for (const std::size_t it : service.targets) {
-        PooledTarget *target = m_pool.find(m_view.targets[it].id);
-        if (target != nullptr && target->state == ViewTarget::State::Serving && acceptsNewWork(target->link, now) && target->link.targetId != except) {
-            usable.push_back(target);
-        }
-    }
-    if (usable.empty()) {
-        return std::nullopt;
-    }
-    // The better of two random choices, by open flows and calls in flight for each slot.
-    const auto load = [&](std::size_t i) { return (usable[i]->openFlows + static_cast<double>(usable[i]->link.inFlight)) / usable[i]->slots; };
-    const std::size_t a = below(m_random, usable.size());
-    const std::size_t b = below(m_random, usable.size());
-    return usable[load(b) < load(a) ? b : a]->link.targetId;
-}
-
 void Balancer::openWithToken(InFlightId id)
 {
     InFlight &entry = *m_inFlight.find(id);
     const ViewService *service = findService(m_view, entry.serviceId);
-    const std::optional<Id> choice = service == nullptr ? std::nullopt : chooseTarget(*service, entry.target);
+    const std::optional<Id> choice = service == nullptr ? std::nullopt : chooseTarget(*service);
     if (!choice || !sendToTarget(id, *m_pool.find(*choice))) {
         finish(id, {Verdict::NotRun, Reason::NoTarget, retryHint(), {}});
     }
@@ -135,7 +122,11 @@
         ++entry.asked;
         PooledTarget *target = m_pool.find(listed.id);
         const bool usable = target != nullptr && (!opening || (listed.state == ViewTarget::State::Serving && acceptsNewWork(target->link, now)));
-        if (usable && sendToTarget(id, *target)) {
+        if (usable && entry.purpose == Purpose::Request && target->link.state == LinkState::Ready) {
+            offerRequest(id, listed.id);
+            return;
+        }
+        if (usable && entry.purpose != Purpose::Request && sendToTarget(id, *target)) {
             return;
         }
         entry.skipped = true;
@@ -165,7 +156,9 @@
 {
     InFlight &entry = *m_inFlight.find(id);
     const ViewService *service = findService(m_view, entry.serviceId);
-    target.openFlows += entry.purpose == Purpose::FindBeforeOpen ? 0 : 1;
+    if (entry.purpose != Purpose::FindBeforeOpen) {
+        flowOpened(m_load[entry.serviceId].main.targets, target.link.targetId, m_now);
+    }
     wire::CallerPacket answer;
     answer.kind = wire::PacketKind::Opened;
     answer.flow = entry.packet.flow;
@@ -204,18 +197,24 @@
     frame.serviceId = service.id;
     frame.session = service.session;
     Id target = arrival.checked.token.target;
-    if (target == 0) {
-        // The packet in flight knows the target; a cancel has the key of its request.
+    {
+        // The packet in flight knows the target and the call; a cancel has the key of its request.
         wire::CallerPacket wanted = packet;
         wanted.kind = wire::PacketKind::Request;
-        const InFlight *entry = m_inFlight.find(m_inFlight.findSame(service.id, wanted));
+        const InFlightId same = m_inFlight.findSame(service.id, wanted);
+        const InFlight *entry = m_inFlight.find(same);
+        if (entry != nullptr && entry->queued) {
+            release(same, WorkOutcome::Cancelled);
+            finish(same, {Verdict::NotRun, Reason::Cancelled, 0, {}});
+            return;
+        }
         if (entry != nullptr) {
             target = entry->target;
             frame.call = entry->call;
         }
     }
     if (target == 0 && !service.session && !arrival.relayed) {
-        const InstanceKey dispatcher = packet.repeatable ? chooseDispatcher(m_view, service.id) : arrival.checked.token.home;
+        const InstanceKey dispatcher = packet.repeatable ? dispatcherOf(service, packet) : arrival.checked.token.home;
         if (dispatcher.instance != 0 && dispatcher != m_own) {
             relay(arrival, dispatcher, packet.repeatable ? wire::RelayRole::Dispatcher : wire::RelayRole::Home);
             return;
--- a/src/pimentofold-balancer/inflight.h
+++ b/src/pimentofold-balancer/inflight.h
@@ -44,6 +44,9 @@
     std::int64_t call = 0; ///< on the connection to that target; 0: none
     std::size_t asked = 0; ///< candidates asked so far
     bool skipped = false; ///< a candidate couldn't be asked, so that the flow may exist
+    bool direct = false; ///< in the service's direct lane; see ServiceLoad
+    bool queued = false; ///< waits for admission
+    bool admitted = false; ///< holds a slot of its target
     bool extended = false; ///< has got a second deadline
     bool fromCache = false; ///< the target came from the cache of routes
 };
--- a/src/pimentofold-balancer/oncepath.cpp
+++ b/src/pimentofold-balancer/oncepath.cpp
@@ -142,7 +142,7 @@
     if (arrival.service->session) {
         sendToTokenTarget(id);
     } else {
-        place(id, 0);
+        place(id, true);
     }
 }
 
--- a/src/pimentofold-balancer/relays.cpp
+++ b/src/pimentofold-balancer/relays.cpp
@@ -1,5 +1,6 @@
 #include <pimentofold-balancer/balancer.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pimentofold {
@@ -25,7 +26,7 @@
         onRelay(message, from);
         return;
     case wire::PeerKind::RelayAck:
-        m_relays.erase(message.sequence);
+        onRelayAck(message);
         return;
     case wire::PeerKind::IntentStore:
     case wire::PeerKind::IntentStored:
@@ -66,16 +67,66 @@
     if (role != wire::RelayRole::Dispatcher && !takesOnce(arrival, role)) {
         return;
     }
+    arrival.relayedBy = fromWire(message.sender);
+    acknowledge(message, arrival, from);
+    count(m_metrics, "relays_taken_total");
+    if (role == wire::RelayRole::Witness) {
+        takeOnce(arrival, OnceRole::Witness);
+    } else {
+        handle(arrival);
+    }
+}
+
+/// Acknowledges a relay. While a kind of work is overloaded, its dispatcher also tells the sender what it takes.
+void Balancer::acknowledge(const wire::PeerMessage &message, const Arrival &arrival, const Address &from)
+{
     wire::PeerMessage acknowledgement;
     acknowledgement.kind = wire::PeerKind::RelayAck;
     acknowledgement.sequence = message.sequence;
+    acknowledgement.serviceId = message.serviceId;
     acknowledgement.__set_recipient(message.sender);
+    if (roleOf(message) == wire::RelayRole::Dispatcher) {
+        ServiceLoad &load = m_load[message.serviceId];
+        const int kind = arrival.packet.workKind;
+        Time &sent = load.limitsSent[{arrival.relayedBy, kind}];
+        if (sent == 0 || m_now - sent >= relayLimitEvery) {
+            const auto members = static_cast<int>(servingMembers(m_view).size());
+            acknowledgement.relayPerSecond = relayAllowance(load.main.admission, load.main.targets, kind, members, m_now);
+            acknowledgement.workKind = kind;
+            sent = m_now;
+        }
+    }
     m_peers.reply(from, acknowledgement);
-    count(m_metrics, "relays_taken_total");
-    if (role == wire::RelayRole::Witness) {
-        takeOnce(arrival, OnceRole::Witness);
+}
+
+void Balancer::onRelayAck(const wire::PeerMessage &message)
+{
+    m_relays.erase(message.sequence);
+    const auto load = m_load.find(message.serviceId);
+    if (message.relayPerSecond > 0 && load != m_load.end()) {
+        setRelayLimit(load->second.relayLimits[{fromWire(message.sender), message.workKind}], message.relayPerSecond, m_now);
+    }
+}
+
+InstanceKey Balancer::dispatcherOf(const ViewService &service, const wire::CallerPacket &packet)
+{
+    const std::optional<InstanceKey> dispatcher = dispatcherFor(m_load[service.id].dispatchers, requestHash(service.id, packet.flow, packet.request));
+    return dispatcher.value_or(InstanceKey{});
+}
+
+void Balancer::relayToDispatcher(Arrival &arrival)
+{
+    const ViewService &service = *arrival.service;
+    const InstanceKey dispatcher = dispatcherOf(service, arrival.packet);
+    const Time usual = std::max<Time>(1, service.defaultDeadlineMs * millisecond);
+    const double timeLeft = std::min(1.0, static_cast<double>(deadlineOf(arrival.packet, service)) / static_cast<double>(usual));
+    ServiceLoad &load = m_load[service.id];
+    if (passRelay(load.relayLimits[{dispatcher, arrival.packet.workKind}], timeLeft, m_now)) {
+        relay(arrival, dispatcher, wire::RelayRole::Dispatcher);
+    } else if (mayRefuseWithoutMemory(arrival.packet.attempt)) {
+        refuse({service.id, arrival.caller, &arrival.packet}, {Verdict::NotRun, Reason::Overload, retryHintMs(load.main.admission, m_random), {}});
     } else {
-        handle(arrival);
+        count(m_metrics, "refusals_withheld_total");
     }
 }
 
@@ -144,7 +195,7 @@
     switch (relay.message.role) {
     case wire::RelayRole::Dispatcher:
         if (relay.packet.kind == wire::PacketKind::Request) {
-            place(addInFlight(arrival, Purpose::Request), 0);
+            place(addInFlight(arrival, Purpose::Request), true);
         }
         return;
     case wire::RelayRole::Home:
--- a/src/pimentofold-balancer/requests.cpp
+++ b/src/pimentofold-balancer/requests.cpp
@@ -12,7 +12,6 @@
 // Refused callers come back spread over this time, in ms.
 constexpr int retryHintLeast = 200;
 constexpr int retryHintSpread = 800;
-constexpr double openFlowsLeast = 0;
 
 wire::FrameKind::type frameKind(Purpose purpose)
 {
@@ -79,6 +78,9 @@
     if (target != nullptr) {
         abandonCall(target->link, entry->call);
     }
+    if (entry != nullptr) {
+        release(id, WorkOutcome::Cancelled);
+    }
     m_inFlight.remove(id);
 }
 
@@ -143,17 +145,21 @@
     const ViewService &service = *arrival.service;
     const wire::CallerPacket &packet = arrival.packet;
     const bool closing = packet.kind == wire::PacketKind::Close;
-    noteRequest(m_budgets[service.id], m_now);
+    ServiceLoad &load = m_load[service.id];
+    noteRequest(load.budget, m_now);
+    load.arrived += arrival.relayed ? 0 : 1;
     if (!closing && !packet.repeatable) {
         requestOnce(arrival);
         return;
     }
     if (!service.session) {
-        const InstanceKey dispatcher = chooseDispatcher(m_view, service.id);
+        const InstanceKey dispatcher = dispatcherOf(service, packet);
         if (!arrival.relayed && dispatcher.instance != 0 && dispatcher != m_own) {
-            relay(arrival, dispatcher, wire::RelayRole::Dispatcher);
+            relayToDispatcher(arrival);
+        } else if (wasRefused(load.refusals, requestHash(service.id, packet.flow, packet.request))) {
+            count(m_metrics, "refused_copies_dropped_total");
         } else {
-            place(addInFlight(arrival, Purpose::Request), 0);
+            place(addInFlight(arrival, Purpose::Request), load.main.targets.targets.empty());
         }
         return;
     }
@@ -179,7 +185,11 @@
         finish(id, {Verdict::NotRun, Reason::UnknownFlow, 0, {}});
         return;
     }
-    sendToTarget(id, *target);
+    if (entry.purpose == Purpose::Close) {
+        sendToTarget(id, *target);
+    } else {
+        offerRequest(id, entry.token.target);
+    }
 }
 
 void Balancer::sendToCachedRoute(InFlightId id)
@@ -188,25 +198,19 @@
     const std::uint64_t hash = flowHash(entry.serviceId, entry.packet.flow);
     const std::optional<std::size_t> cached = findRoute(m_routes, hash);
     PooledTarget *target = cached && *cached < m_view.targets.size() ? m_pool.find(m_view.targets[*cached].id) : nullptr;
-    if (target != nullptr && target->link.serviceId == entry.serviceId && sendToTarget(id, *target)) {
+    if (target != nullptr && target->link.serviceId == entry.serviceId && target->link.state == LinkState::Ready) {
         entry.fromCache = true;
+        if (entry.purpose == Purpose::Request) {
+            offerRequest(id, target->link.targetId);
+        } else {
+            sendToTarget(id, *target);
+        }
         return;
     }
     entry.target = 0;
     askCandidate(id);
 }
 
-/// Sends a request of a service without sessions to any target.
-void Balancer::place(InFlightId id, Id except)
-{
-    InFlight &entry = *m_inFlight.find(id);
-    const ViewService *service = findService(m_view, entry.serviceId);
-    const std::optional<Id> choice = service == nullptr ? std::nullopt : chooseTarget(*service, except);
-    if (!choice || !sendToTarget(id, *m_pool.find(*choice))) {
-        finish(id, {Verdict::NotRun, Reason::NoTarget, retryHint(), {}});
-    }
-}
-
 void Balancer::onAnswer(InFlightId id, const wire::TargetFrame &frame, PooledTarget &target)
 {
     m_now = target.link.heardAt;
@@ -216,16 +220,17 @@
         count(m_metrics, "target_answers_unmatched_total");
         if (entry != nullptr) {
             entry->call = 0;
-            onLost(id, target);
+            onLost(id);
         }
         return;
     }
     entry->call = 0;
+    release(id, outcomeOf(frame));
     const CallOutcome outcome = callOutcome(frame.__isset.outcome ? frame.outcome : wire::Outcome::Done);
     if (outcome.verdict == Verdict::Ran) {
         onRan(id, frame, target);
     } else if (outcome.verdict == Verdict::NotRun) {
-        onNotRun(id, outcome, target);
+        onNotRun(id, outcome);
     } else {
         finish(id, {outcome.verdict, outcome.reason, 0, {}});
     }
@@ -252,7 +257,7 @@
         rememberRoute(m_routes, flowHash(entry.serviceId, entry.packet.flow), m_view.targetIndex[entry.target]);
     }
     if (entry.purpose == Purpose::Close) {
-        target.openFlows = std::max(openFlowsLeast, target.openFlows - 1);
+        flowClosed(m_load[entry.serviceId].main.targets, target.link.targetId, m_now);
         forgetRoute(m_routes, flowHash(entry.serviceId, entry.packet.flow));
         wire::CallerPacket answer;
         answer.kind = wire::PacketKind::Closed;
@@ -290,7 +295,7 @@
     }
 }
 
-void Balancer::onNotRun(InFlightId id, const CallOutcome &outcome, PooledTarget &target)
+void Balancer::onNotRun(InFlightId id, const CallOutcome &outcome)
 {
     InFlight &entry = *m_inFlight.find(id);
     const ViewService *service = findService(m_view, entry.serviceId);
@@ -306,21 +311,21 @@
     }
     const Time now = m_now;
     const bool elsewhere = outcome.reason == Reason::Shed && (!session || isOpening(entry.purpose)) && now < entry.deadline;
-    if (elsewhere && takeRetry(m_budgets[entry.serviceId], now)) {
+    if (elsewhere && takeRetry(m_load[entry.serviceId].budget, now)) {
         count(m_metrics, "retries_total");
         if (entry.purpose == Purpose::OpenToken) {
             openWithToken(id);
         } else if (entry.purpose == Purpose::OpenBare) {
             askCandidate(id);
         } else {
-            place(id, target.link.targetId);
+            place(id, entry.direct);
         }
         return;
     }
     finish(id, {Verdict::NotRun, outcome.reason, outcome.reason == Reason::Shed ? retryHint() : 0, {}});
 }
 
-void Balancer::onLost(InFlightId id, PooledTarget &target)
+void Balancer::onLost(InFlightId id)
 {
     m_now = monotonicNow();
     InFlight *entry = m_inFlight.find(id);
@@ -328,12 +333,13 @@
         return;
     }
     entry->call = 0;
+    release(id, WorkOutcome::Lost);
     const ViewService *service = findService(m_view, entry->serviceId);
     const Time now = m_now;
     const bool movable = service != nullptr && !service->session && entry->purpose == Purpose::Request && entry->packet.repeatable && now < entry->deadline;
-    if (movable && takeRetry(m_budgets[entry->serviceId], now)) {
+    if (movable && takeRetry(m_load[entry->serviceId].budget, now)) {
         count(m_metrics, "retries_total");
-        place(id, target.link.targetId);
+        place(id, entry->direct);
         return;
     }
     finish(id, {Verdict::MayHaveRun, Reason::TargetLost, 0, {}});
@@ -349,6 +355,7 @@
     if (entry->purpose == Purpose::OnceRequest && m_inFlight.extend(id, m_now)) {
         return;
     }
+    release(id, WorkOutcome::Expired);
     finish(id, {entry->call == 0 ? Verdict::NotRun : Verdict::MayHaveRun, Reason::TimedOut, 0, {}});
 }
 
--- a/src/pimentofold-balancer/targetpool.cpp
+++ b/src/pimentofold-balancer/targetpool.cpp
@@ -121,10 +121,13 @@
 {
     switch (outcome.result) {
     case FrameResult::Ignored:
+        return;
     case FrameResult::StatusChanged:
+        m_callbacks.onStatus(target);
         return;
     case FrameResult::Identified:
         target.failures = 0;
+        m_callbacks.onStatus(target);
         m_callbacks.onChange(target, "connected");
         return;
     case FrameResult::Answered:
--- a/src/pimentofold-balancer/targetpool.h
+++ b/src/pimentofold-balancer/targetpool.h
@@ -28,7 +28,6 @@
     Time retryAt = 0;
     std::int64_t answered = 0;
     std::int64_t shed = 0;
-    double openFlows = 0; ///< opened less closed through this balancer
 };
 
 class TargetPool
@@ -39,6 +38,8 @@
         std::function<void(std::uint64_t context, const wire::TargetFrame &frame, PooledTarget &target)> onAnswer;
         /// The connection broke under the call; it may have run.
         std::function<void(std::uint64_t context, PooledTarget &target)> onLost;
+        /// The target has sent a status.
+        std::function<void(PooledTarget &target)> onStatus;
         /// Reachability, health or drain of a target has changed.
         std::function<void(PooledTarget &target, const std::string &what)> onChange;
     };
