--- a/src/pimentofold-balancer/balancer_test.cpp
+++ b/src/pimentofold-balancer/balancer_test.cpp
@@ -99,18 +99,18 @@
 TEST_CASE("a bare flow on a later candidate is found")
 {
     Fleet fleet;
-    constexpr std::int64_t flow = 303;
-    fleet.caller.ask(packetOf(wire::PacketKind::Open, flow), fleet.lookupA);
-    FakeTarget &first = fleet.holderOf(flow);
+    constexpr std::int64_t wanted = 303;
+    fleet.caller.ask(packetOf(wire::PacketKind::Open, wanted), fleet.lookupA);
+    FakeTarget &first = fleet.holderOf(wanted);
     FakeTarget &second = &first == &fleet.targets[0] ? fleet.targets[1] : fleet.targets[0];
     first.flows.clear();
-    second.flows.insert(flow);
-    wire::CallerPacket again = packetOf(wire::PacketKind::Open, flow);
+    second.flows.insert(wanted);
+    wire::CallerPacket again = packetOf(wire::PacketKind::Open, wanted);
     again.attempt = 2;
     CHECK(fleet.caller.ask(again, fleet.lookupB).kind == wire::PacketKind::Opened);
     CHECK(first.flows.empty());
     for (int i = 1; i <= 2; ++i) {
-        CHECK(fleet.caller.ask(packetOf(wire::PacketKind::Request, flow, i), fleet.lookupB).verdict == wire::Verdict::Ran);
+        CHECK(fleet.caller.ask(packetOf(wire::PacketKind::Request, wanted, i), fleet.lookupB).verdict == wire::Verdict::Ran);
     }
     // The second request goes to the cached target without a miss.
     CHECK(countOf(first, wire::FrameKind::Request) == 1);
--- a/src/pimentofold-balancer/peerport.cpp
+++ b/src/pimentofold-balancer/peerport.cpp
@@ -9,6 +9,7 @@
 std::vector<SealKey> deriveKeys(const std::vector<std::string> &secrets)
 {
     std::vector<SealKey> keys;
+    keys.reserve(secrets.size());
     for (const std::string &it : secrets) {
         keys.push_back(deriveKey(it, "peer"));
     }
