--- a/src/pimentofoldctl/connection.cpp
+++ b/src/pimentofoldctl/connection.cpp
@@ -65,7 +65,7 @@
         if (connection.now() >= end) {
             throw PlatformUnreachable("the platform gave no answer to " + call.method + " " + call.path + ": " + answer.error);
         }
-        connection.pause(backOff(failures, connection.random));
+        connection.pause(pauseAfter(failures, connection.random));
     }
 }
 
--- a/src/pimentofoldctl/objectwrite.cpp
+++ b/src/pimentofoldctl/objectwrite.cpp
@@ -1,8 +1,8 @@
 #include <pimentofoldctl/objectwrite.h>
 
-#include <algorithm>
 #include <array>
 
+#include <pimentofold/retry.h>
 #include <pimentofoldctl/changeid.h>
 
 namespace pimentofold::ctl {
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr Time firstBackOff = 100 * millisecond;
-constexpr Time longestBackOff = 1 * second;
+constexpr Time firstPause = 200 * millisecond;
+constexpr Time longestPause = 1 * second;
 
 void finish(ObjectWrite &write, WriteOutcome outcome, const std::string &detail)
 {
@@ -192,15 +192,14 @@
     }
 }
 
-Time backOff(int failures, Random &random)
+Time pauseAfter(int failures, Random &random)
 {
-    const Time limit = std::min(longestBackOff, firstBackOff << std::min(failures, 4));
-    return static_cast<Time>(below(random, static_cast<std::uint64_t>(limit)));
+    return failures == 0 ? 0 : backOff(random, failures, firstPause, longestPause);
 }
 
 Time pauseBefore(const ObjectWrite &write, Random &random)
 {
-    return write.failures == 0 ? 0 : backOff(write.failures, random);
+    return pauseAfter(write.failures, random);
 }
 
 } // namespace pimentofold::ctl
--- a/src/pimentofoldctl/objectwrite.h
+++ b/src/pimentofoldctl/objectwrite.h
@@ -68,7 +68,7 @@
 /// @return pause before the next call: none, or after failures an exponential back-off with full jitter
 Time pauseBefore(const ObjectWrite &write, Random &random);
 
-/// @return the back-off after @p failures consecutive failures
-Time backOff(int failures, Random &random);
+/// @return the pause after consecutive failures of calls to the platform
+Time pauseAfter(int failures, Random &random);
 
 } // namespace pimentofold::ctl
--- a/src/pimentofoldctl/platformobject.h
+++ b/src/pimentofoldctl/platformobject.h
@@ -8,17 +8,11 @@
 
 #include <libnet/httpclient.h>
 
+#include <pimentofold/configstore.h>
+
 /// The platform's objects and the calls of its object API.
 namespace pimentofold::ctl {
 
-/// Kind and name of an object.
-struct ObjectKey {
-    std::string kind;
-    std::string name;
-
-    friend auto operator<=>(const ObjectKey &, const ObjectKey &) = default;
-};
-
 /// @return "KIND/NAME"
 std::string toString(const ObjectKey &key);
 
