--- a/src/libpimentofold/template.cpp
+++ b/src/libpimentofold/template.cpp
@@ -110,14 +110,19 @@
     return false;
 }
 
+std::string boundText(ParameterType type, double bound)
+{
+    return type == ParameterType::Integer ? std::to_string(static_cast<std::int64_t>(bound)) : json(bound).dump();
+}
+
 std::string boundsText(const Parameter &parameter)
 {
     std::string text(typeName(parameter.type).expected);
     if (parameter.least) {
-        text += " of at least " + json(*parameter.least).dump();
+        text += " of at least " + boundText(parameter.type, *parameter.least);
     }
     if (parameter.most) {
-        text += (parameter.least ? " and" : " of") + std::string(" at most ") + json(*parameter.most).dump();
+        text += (parameter.least ? " and" : " of") + std::string(" at most ") + boundText(parameter.type, *parameter.most);
     }
     return text;
 }
--- a/src/libpimentofold/template_test.cpp
+++ b/src/libpimentofold/template_test.cpp
@@ -138,7 +138,7 @@
 TEST_CASE("errors of a team name the parameter")
 {
     const BadCase cases[] = {
-        {"/parameters/slots", "65", "team/foundation", "parameters.slots", "at most 64"},
+        {"/parameters/slots", "65", "team/foundation", "parameters.slots", "an integer of at least 1 and at most 64"},
         {"/parameters/slots", "2.5", "team/foundation", "parameters.slots", "an integer"},
         {"/parameters/places", R"(["dc1", 2])", "team/foundation", "parameters.places", "an array of strings"},
         {"/parameters/slotz", "1", "team/foundation", "parameters.slotz", "floor, places, slots, sticky"},
--- a/src/pimentofoldctl/objectfile.cpp
+++ b/src/pimentofoldctl/objectfile.cpp
@@ -37,8 +37,7 @@
     }
     result.value = object.value["value"];
     // Output of `get --json` can be edited and applied; what else it has is of no use here.
-    object.taken.insert("changeId");
-    object.taken.insert("deleted");
+    object.taken.insert({"changeId", "deleted", "exitCode"});
     finishSettings(object);
     return result;
 }
--- a/src/pimentofoldctl/objectwrite.cpp
+++ b/src/pimentofoldctl/objectwrite.cpp
@@ -98,6 +98,8 @@
     } else if (seen.version < *write.request.ifVersion) {
         acceptFailure(write, now, "the platform shows version " + std::to_string(seen.version) + ", which is older than the expected one");
     } else {
+        // The value is needed for the difference that the operator is shown.
+        write.value = write.request.makeValue(seen);
         finish(write, WriteOutcome::Conflict, "the version is not the expected one");
     }
 }
--- a/src/pimentofoldctl/render.cpp
+++ b/src/pimentofoldctl/render.cpp
@@ -25,12 +25,7 @@
 
 std::string describeConflict(const ObjectWrite &write)
 {
-    std::string text = "; present is " + describeVersion(write.current) + "\n";
-    // Before the first write, a wrong --if-version has shown itself and no value was made.
-    if (write.step == WriteStep::Read) {
-        return text;
-    }
-    return text + "what this change would do to the present version:\n" + toText(conflictDifference(write));
+    return "; present is " + describeVersion(write.current) + "\nwhat this change would do to the present version:\n" + toText(conflictDifference(write));
 }
 
 } // namespace
@@ -105,7 +100,7 @@
                  {"detail", write.detail}};
     if (write.outcome == WriteOutcome::Conflict) {
         data["current"] = toJson(write.current);
-        data["difference"] = write.step == WriteStep::Read ? json::array() : toJson(conflictDifference(write));
+        data["difference"] = toJson(conflictDifference(write));
     } else if (write.outcome == WriteOutcome::Written) {
         data["difference"] = toJson(writtenDifference(write));
     }
