Send two requests ahead when runs are short

Cause: with runs of 5 ms a round trip of up to 1 ms is a large part of a run, and one request sent ahead didn't keep the slots busy. Change: two requests are sent ahead to each target of a service whose mean run is below 10 ms. Conclusion: in force; the bound is slots + 1, with short runs slots + 2.

--- a/src/include/pimentofold/admission.h
+++ b/src/include/pimentofold/admission.h
@@ -36,7 +36,7 @@
 /// Order: a kind below its floor comes first; then the more urgent kind below its ceiling; within a kind the
 /// first that came. Floors hold for slot time over a backlog, so also where a floor is less than one slot.
 ///
-/// Bounds: a target never has more requests of this process in flight than its slots and TargetChoiceSettings::sendAhead (1);
+/// Bounds: a target never has more requests of this process in flight than its slots and TargetChoiceSettings::sendAhead (1, or 2 with short runs);
 /// requests that are bound to a target never more than its slots. Memory: at most `queueMost`
 /// queued requests over all kinds and limitMost running ones, about 100 bytes each.
 namespace pimentofold {
--- a/src/include/pimentofold/targetchoice.h
+++ b/src/include/pimentofold/targetchoice.h
@@ -39,6 +39,8 @@
     /// Single requests that may be in flight to a target beyond its slots, when no slot is free, so that the target
     /// doesn't idle for a round trip after each answer. Only at full share, and not after a target has refused one.
     int sendAhead = 1;
+    int sendAheadShort = 2; ///< the same for a service with short runs, where a round trip is a larger part of a run
+    Time shortRun = 10 * millisecond; ///< mean run below which runs count as short
     Time noAheadAfterShed = 60 * second; ///< a target that shed a request sent ahead gets no further one for this time
     double leastRamp = 0.1; ///< share at the start of a ramp, so that a cold target gets some work
 };
@@ -98,6 +100,8 @@
 struct TargetSet {
     TargetChoiceSettings settings;
     std::vector<TargetLoad> targets;
+    double meanRun = 0; ///< smoothed time from start to answer over all targets, in microseconds
+    int runsSeen = 0; ///< counted up to 100, from which on meanRun is used
     bool healthIgnored = false; ///< more than half of the serving targets look unhealthy
 };
 
@@ -122,6 +126,9 @@
 /// Takes one of the target's slots.
 void requestStarted(TargetSet &set, Id target);
 
+/// Tells the time from start to answer of a request that ran.
+void recordRun(TargetSet &set, Time run);
+
 /// Frees the slot. Sheds, drains and losses keep new work away from the target at once.
 void requestEnded(TargetSet &set, Id target, TargetOutcome outcome, Time now);
 
@@ -131,8 +138,8 @@
 std::optional<Id> chooseForOpen(const TargetSet &set, Time now, Random &random);
 
 /// Chooses the target of a single request: the one with the lowest estimated load per slot among those with
-/// a free slot; ties are broken at random. When no slot is free, up to `sendAhead` requests go to each target beyond its
-/// slots. Reports only rank the targets. Whether a slot is free depends on this process' own requests alone, so a
+/// a free slot; ties are broken at random. When no slot is free, up to `sendAhead` requests (`sendAheadShort` with short
+/// runs) go to each target beyond its slots. Reports only rank the targets. Whether a slot is free depends on this process' own requests alone, so a
 /// wrong report can neither overfill a target nor exclude it.
 /// @return nothing when there is no room; the request has to wait
 std::optional<Id> chooseForRequest(const TargetSet &set, Time now, Random &random);
--- a/src/libpimentofold/admission.cpp
+++ b/src/libpimentofold/admission.cpp
@@ -404,6 +404,7 @@
     if (outcome == WorkOutcome::Done) {
         countRate(kind.endedRate);
         recordRun(admission, kind, now - run.since);
+        recordRun(targets, now - run.since);
     } else if (outcome == WorkOutcome::Shed) {
         admission.limit.shed += 1;
     }
--- a/src/libpimentofold/targetchoice.cpp
+++ b/src/libpimentofold/targetchoice.cpp
@@ -11,6 +11,8 @@
 constexpr double lossCut = 0.25;
 constexpr double leastShare = 0.05; // a target at share 0 would never show that it has recovered
 constexpr double contradictionCut = 0.5;
+constexpr int runsNeeded = 100; // before that a single run would decide whether runs are short
+constexpr double runGain = 0.02;
 constexpr double trustGain = 0.1;
 // Loads per slot that differ by less count as equal: half a request on a target of four slots. With 0.05 the
 // imbalance of targets with two to four slots at 70% load was 1.10, with this it is 1.05.
@@ -103,6 +105,12 @@
     target.rampUntil = now + warmup;
 }
 
+int mostAhead(const TargetSet &set)
+{
+    const bool isShort = set.runsSeen >= runsNeeded && set.meanRun < static_cast<double>(set.settings.shortRun);
+    return isShort && set.settings.sendAhead > 0 ? set.settings.sendAheadShort : set.settings.sendAhead;
+}
+
 double openScore(const TargetSet &set, const TargetLoad &target, Time now)
 {
     const double flows = halved(target.openFlows, now - target.flowsAt, set.settings.flowHalfLife);
@@ -236,6 +244,12 @@
     }
 }
 
+void recordRun(TargetSet &set, Time run)
+{
+    set.runsSeen = std::min(set.runsSeen + 1, runsNeeded);
+    set.meanRun += std::max(runGain, 1.0 / set.runsSeen) * (static_cast<double>(run) - set.meanRun);
+}
+
 void requestEnded(TargetSet &set, Id target, TargetOutcome outcome, Time now)
 {
     TargetLoad *it = find(set, target);
@@ -283,7 +297,7 @@
 std::optional<Id> chooseForRequest(const TargetSet &set, Time now, Random &random)
 {
     const std::optional<Id> free = chooseBelow(set, false, now, random);
-    return free || set.settings.sendAhead == 0 ? free : chooseBelow(set, true, now, random);
+    return free || mostAhead(set) == 0 ? free : chooseBelow(set, true, now, random);
 }
 
 bool mayStartOn(const TargetSet &set, Id target)
@@ -295,7 +309,7 @@
 int aheadSlots(const TargetSet &set, const TargetLoad &target, Time now)
 {
     const bool undisturbed = shareNow(set, target, now) >= 1 && now >= target.rampUntil && now >= target.aheadFrom;
-    return undisturbed ? set.settings.sendAhead : 0;
+    return undisturbed ? mostAhead(set) : 0;
 }
 
 bool acceptsNewWork(const TargetSet &set, const TargetLoad &target, Time now)
@@ -334,7 +348,7 @@
 {
     int total = 0;
     for (const TargetLoad &it : set.targets) {
-        total += it.reachable ? it.slots + set.settings.sendAhead : 0;
+        total += it.reachable ? it.slots + mostAhead(set) : 0;
     }
     return total;
 }
--- a/src/libpimentofold/targetchoice_test.cpp
+++ b/src/libpimentofold/targetchoice_test.cpp
@@ -174,6 +174,21 @@
     CHECK_FALSE(chooseForRequest(set, 0, random));
 }
 
+// Guards against slots that idle for a large part of each run.
+TEST_CASE("more is sent ahead when runs are short")
+{
+    TargetSet set = makeSet(1, 2);
+    CHECK(totalAhead(set, 0) == 1);
+    recordRun(set, 5 * millisecond);
+    CHECK(totalAhead(set, 0) == 1);
+    for (int i = 0; i < 100; ++i) {
+        recordRun(set, 5 * millisecond);
+    }
+    CHECK(totalAhead(set, 0) == 2);
+    set.settings.sendAhead = 0;
+    CHECK(totalAhead(set, 0) == 0);
+}
+
 // Guards against sheds that repeat because requests are sent ahead to a target that doesn't queue.
 TEST_CASE("nothing more is sent ahead to a target that refused it")
 {
