--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -18,6 +18,7 @@
         {"converge", "time until a change is in force on all agents", &measureConverge},
         {"flood", "service that is kept while one kind of work floods", &measureFlood},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
+        {"limits", "laws of the adaptive limit on a session service", &measureLimits},
         {"membership", "control cost and detection time of membership by number of members", &measureMembership},
     };
     return table;
