Measure capacity slopes of membership and configuration spreading

Change: slopes of bytes sent and processor time of a node from the simulations of membership (with the replacements of the target size) and of configuration spreading.

--- a/src/pimentofold-measure/capacity.cpp
+++ b/src/pimentofold-measure/capacity.cpp
@@ -18,7 +18,7 @@
 {
     const CapacityScale scale = options.size == 0 ? CapacityScale::Full : CapacityScale::Smoke;
     nlohmann::json slopes = nlohmann::json::array();
-    for (const auto &part : {dataPathSlopes(scale), controlStateSlopes(scale)}) {
+    for (const auto &part : {dataPathSlopes(scale), controlStateSlopes(scale), controlTrafficSlopes(scale)}) {
         for (const Slope &it : part) {
             slopes.push_back(toJson(it));
         }
--- a/src/pimentofold-measure/capacity.h
+++ b/src/pimentofold-measure/capacity.h
@@ -23,4 +23,8 @@
 /// Memory and processor time of the control plane's state: objects, members, views.
 std::vector<Slope> controlStateSlopes(CapacityScale scale);
 
+/// Bytes and processor time of membership by number of members and of configuration spreading by changes a day, from
+/// simulations on virtual time.
+std::vector<Slope> controlTrafficSlopes(CapacityScale scale);
+
 } // namespace pimentofold
--- a/src/pimentofold-measure/slope.cpp
+++ b/src/pimentofold-measure/slope.cpp
@@ -117,6 +117,14 @@
     return fastestMicroseconds(work) / reference;
 }
 
+double processorUnits(const std::function<void()> &work)
+{
+    const double reference = referenceMicroseconds();
+    const double start = processorMicroseconds();
+    work();
+    return (processorMicroseconds() - start) / reference;
+}
+
 std::size_t residentBytes()
 {
     std::ifstream in("/proc/self/statm");
--- a/src/pimentofold-measure/slope.h
+++ b/src/pimentofold-measure/slope.h
@@ -57,6 +57,10 @@
 /// @return processor time of @p work divided by that of one reference unit (referenceHashes hashes)
 double referenceUnits(const std::function<void()> &work);
 
+/// Times one run of work that can't be repeated.
+/// @return processor time of @p work divided by that of one reference unit
+double processorUnits(const std::function<void()> &work);
+
 /// Hashes of 64 bytes in one reference unit.
 constexpr int referenceHashes = 1000;
 
