--- a/src/include/pimentofold/configrange.h
+++ b/src/include/pimentofold/configrange.h
@@ -20,15 +20,18 @@
 constexpr std::size_t maxWholeObjectBytes = 1200;
 /// Ranges that are asked for and not yet received, at most; 32 ranges fit in a socket buffer of default size.
 constexpr std::size_t rangeWindow = 32;
-/// Without a new range for this long, the missing ones are asked for again, from another peer.
+/// Without a new range for this long, the missing ones are asked for again, from another peer
+/// that is known to hold the object.
 constexpr Time rangeTimeLimit = 200 * millisecond;
 /// Transfers that go on at the same time, at most; each one holds up to maxStoredValueBytes.
 constexpr std::size_t maxTransfers = 4;
+/// Peers that are remembered as holding an object, at most.
+constexpr std::size_t maxSources = 4;
 
 /// A large object on its way to this agent.
 struct RangeTransfer {
     ConfigObject object; ///< the value has its full length; ranges are filled in as they come
-    std::string source; ///< address of the peer that is asked
+    std::vector<std::string> sources; ///< addresses of peers that hold the object; the first one is asked
     std::vector<bool> received; ///< by number of the range
     std::size_t missing = 0;
     std::size_t nextRange = 0; ///< the first range that was not yet asked for in this round
@@ -64,8 +67,10 @@
 /// @return heads for a Pull message, empty when the window is full
 std::vector<wire::ObjectHead> askForRanges(RangeTransfer &transfer);
 
-/// Starts a new round after a time without progress.
-/// @param source peer to ask from now on
-void restartRound(RangeTransfer &transfer, const std::string &source, Time now);
+/// Notes that a peer holds the object too.
+void addSource(RangeTransfer &transfer, const std::string &source);
+
+/// Starts a new round after a time without progress, with the next peer.
+void restartRound(RangeTransfer &transfer, Time now);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/configspread.h
+++ b/src/include/pimentofold/configspread.h
@@ -31,6 +31,8 @@
     Time digestInterval = 2 * second;
     /// After a digest that differed the next one comes sooner, a few times in a row, so that a new agent fills fast.
     Time repairInterval = 200 * millisecond;
+    /// A digest without an answer by then goes to another peer, since the first one may have stopped.
+    Time digestTimeLimit = 300 * millisecond;
     int mostRepairs = 20; ///< digests in a row at the repair interval
     std::size_t bucketsPerDigest = 8; ///< buckets that one exchange repairs, at most
     /// A new agent that has reached no peer for this long starts with the platform.
@@ -75,6 +77,12 @@
     Time at = 0;
 };
 
+/// When the next digest is sent.
+struct DigestTimer {
+    Time nextAt = 0;
+    Time retryAt = never; ///< when it goes to another peer unless an answer comes
+};
+
 /// Counts for metrics and measurements.
 struct SpreadCounts {
     std::int64_t pushes = 0;
@@ -106,8 +114,8 @@
     std::map<ObjectKey, Announcement> announced;
     Time startedAt = 0;
     bool filled = false; ///< holds what a peer or the platform holds
-    Time nextDigestAt = 0;
-    Time nextRemoteDigestAt = 0;
+    DigestTimer localDigests;
+    DigestTimer remoteDigests;
     int repairs = 0;
     ByteBudget pushBudget;
     ByteBudget rangeBudget;
--- a/src/libpimentofold/configrange.cpp
+++ b/src/libpimentofold/configrange.cpp
@@ -25,7 +25,7 @@
     RangeTransfer transfer;
     transfer.object = fromWire(range);
     transfer.object.value.assign(static_cast<std::size_t>(range.total), '\0');
-    transfer.source = source;
+    transfer.sources = {source};
     transfer.received.assign((transfer.object.value.size() + rangeBytes - 1) / rangeBytes, false);
     transfer.missing = transfer.received.size();
     return transfer;
@@ -92,6 +92,7 @@
     if (transfer == nullptr) {
         return nullptr;
     }
+    addSource(*transfer, source);
     const auto offset = static_cast<std::size_t>(range.offset);
     const std::size_t number = offset / rangeBytes;
     transfer->outstanding -= std::min<std::size_t>(transfer->outstanding, 1);
@@ -127,9 +128,16 @@
     return heads;
 }
 
-void restartRound(RangeTransfer &transfer, const std::string &source, Time now)
+void addSource(RangeTransfer &transfer, const std::string &source)
 {
-    transfer.source = source;
+    if (std::ranges::find(transfer.sources, source) == transfer.sources.end() && transfer.sources.size() < maxSources) {
+        transfer.sources.push_back(source);
+    }
+}
+
+void restartRound(RangeTransfer &transfer, Time now)
+{
+    std::ranges::rotate(transfer.sources, transfer.sources.begin() + 1);
     transfer.nextRange = 0;
     transfer.outstanding = 0;
     transfer.progressAt = now;
--- a/src/libpimentofold/configrepair.cpp
+++ b/src/libpimentofold/configrepair.cpp
@@ -64,7 +64,7 @@
     out.messages.push_back({to, digestMessage(spread, toBytes(spread.store.buckets.data(), digestBuckets), remote)});
 }
 
-void handleRoot(ConfigSpread &spread, const wire::PeerMessage &message, const std::string &from, Time now, SpreadOutput &out)
+void handleRoot(ConfigSpread &spread, const wire::PeerMessage &message, const std::string &from, SpreadOutput &out)
 {
     const bool remote = isRemote(spread, message);
     if (digestAt(message.digest, 0) != spread.store.root) {
@@ -78,7 +78,6 @@
     }
     if (!remote) {
         spread.repairs = 0;
-        spread.nextDigestAt = std::max(spread.nextDigestAt, now);
     }
     if (!message.last) {
         sendRootDigest(spread, from, remote, false, out);
@@ -108,7 +107,8 @@
     }
     if (!differing.empty() && spread.repairs < spread.options.mostRepairs) {
         ++spread.repairs;
-        spread.nextDigestAt = std::min(spread.nextDigestAt, now + spread.options.repairInterval);
+        DigestTimer &timer = isRemote(spread, message) ? spread.remoteDigests : spread.localDigests;
+        timer.nextAt = std::min(timer.nextAt, now + spread.options.repairInterval);
     }
 }
 
@@ -155,8 +155,9 @@
     if (isRemote(spread, message)) {
         learnDelegates(spread, message, now);
     }
+    (isRemote(spread, message) ? spread.remoteDigests : spread.localDigests).retryAt = never;
     if (message.digest.size() == digestBytes) {
-        handleRoot(spread, message, from, now, out);
+        handleRoot(spread, message, from, out);
     } else if (message.digest.size() == digestBytes * digestBuckets) {
         handleBuckets(spread, message, from, now, out);
     } else if (message.digest.size() == 1) {
--- a/src/libpimentofold/configspread.cpp
+++ b/src/libpimentofold/configspread.cpp
@@ -76,6 +76,9 @@
         const auto transfer = spread.transfers.find(key);
         Announcement &asked = spread.announced[key];
         const bool underWay = transfer != spread.transfers.end() && transfer->second.object.version >= it.version;
+        if (underWay) {
+            addSource(transfer->second, from);
+        }
         if (underWay || (asked.version >= it.version && now - asked.at < announcementLimit)) {
             continue;
         }
@@ -90,7 +93,7 @@
 {
     const auto it = spread.transfers.find(key);
     if (it != spread.transfers.end()) {
-        sendPull(spread, askForRanges(it->second), it->second.source, out);
+        sendPull(spread, askForRanges(it->second), it->second.sources.front(), out);
     }
 }
 
@@ -141,28 +144,40 @@
         if (now - transfer.progressAt < rangeTimeLimit) {
             continue;
         }
-        const auto others = randomLocalPeers(spread, 1, "");
-        restartRound(transfer, others.empty() ? transfer.source : others.front(), now);
-        sendPull(spread, askForRanges(transfer), transfer.source, out);
+        restartRound(transfer, now);
+        sendPull(spread, askForRanges(transfer), transfer.sources.front(), out);
+    }
+}
+
+/// @return whether a digest is due; sets the next time
+bool takeDigestTurn(DigestTimer &timer, const SpreadOptions &options, Time now)
+{
+    if (now < timer.nextAt && now < timer.retryAt) {
+        return false;
+    }
+    if (now >= timer.nextAt) {
+        timer.nextAt = now + options.digestInterval;
+    }
+    timer.retryAt = now + options.digestTimeLimit;
+    return true;
+}
+
+void sendDigests(ConfigSpread &spread, bool remote, SpreadOutput &out)
+{
+    for (const std::string &to : remote ? randomRemotePeers(spread, 1, "") : randomLocalPeers(spread, 1, "")) {
+        ++spread.counts.digests;
+        sendRootDigest(spread, to, remote, true, out);
     }
 }
 
 void tickDigests(ConfigSpread &spread, Time now, SpreadOutput &out)
 {
-    if (now >= spread.nextDigestAt) {
-        spread.nextDigestAt = now + spread.options.digestInterval;
-        for (const std::string &to : randomLocalPeers(spread, 1, "")) {
-            ++spread.counts.digests;
-            sendRootDigest(spread, to, false, true, out);
-        }
+    if (takeDigestTurn(spread.localDigests, spread.options, now)) {
+        sendDigests(spread, false, out);
     }
-    if (spread.peers.delegate && now >= spread.nextRemoteDigestAt) {
-        spread.nextRemoteDigestAt = now + spread.options.digestInterval;
+    if (spread.peers.delegate && takeDigestTurn(spread.remoteDigests, spread.options, now)) {
         std::erase_if(spread.remotes, [&](const auto &it) { return now - it.second.heardAt > spread.options.remoteRetention; });
-        for (const std::string &to : randomRemotePeers(spread, 1, "")) {
-            ++spread.counts.digests;
-            sendRootDigest(spread, to, true, true, out);
-        }
+        sendDigests(spread, true, out);
     }
 }
 
@@ -174,8 +189,8 @@
     spread.startedAt = now;
     const auto interval = static_cast<std::uint64_t>(spread.options.digestInterval);
     // The first exchange is early, so that a new agent fills soon; agents that start together don't stay in step.
-    spread.nextDigestAt = now + static_cast<Time>(below(spread.random, interval / 10 + 1));
-    spread.nextRemoteDigestAt = now + static_cast<Time>(below(spread.random, interval + 1));
+    spread.localDigests.nextAt = now + static_cast<Time>(below(spread.random, interval / 10 + 1));
+    spread.remoteDigests.nextAt = now + static_cast<Time>(below(spread.random, interval + 1));
     spread.watch.nextAt = now + spread.options.fillLimit + static_cast<Time>(below(spread.random, second));
     spread.pushBudget = {spread.options.pushBurstBytes, now};
     spread.rangeBudget = {spread.options.rangeBurstBytes, now};
--- a/src/libpimentofold/configstore.cpp
+++ b/src/libpimentofold/configstore.cpp
@@ -36,7 +36,7 @@
     if (held && held->version == object->version) {
         return ApplyResult::Known;
     }
-    if (!store.acceptOlder && !isNewer(store, object->key, object->version)) {
+    if (!isNewer(store, object->key, object->version)) {
         if (!held) {
             store.objects.erase(object->key);
         }
@@ -70,6 +70,9 @@
 
 bool isNewer(const ConfigStore &store, const ObjectKey &key, std::int64_t version)
 {
+    if (store.acceptOlder) {
+        return version != versionOf(store, key);
+    }
     const auto floor = store.floors.find(key);
     return version > versionOf(store, key) && (floor == store.floors.end() || version >= floor->second);
 }
--- a/src/pimentofold-measure/controlsim.cpp
+++ b/src/pimentofold-measure/controlsim.cpp
@@ -364,13 +364,17 @@
     if (m_platform.faults.outage) {
         return connected;
     }
+    std::vector<bool> relays(m_options.dataCentres, false); // only live agents pass objects on
+    for (const SimNode &it : m_nodes) {
+        relays[it.dataCentre] = relays[it.dataCentre] || it.up;
+    }
     for (std::size_t i = 0; i < connected.size(); ++i) {
         connected[i] = isOpen(i, i);
     }
     for (std::size_t round = 0; round < connected.size(); ++round) {
         for (std::size_t a = 0; a < connected.size(); ++a) {
             for (std::size_t b = 0; b < connected.size(); ++b) {
-                connected[a] = connected[a] || (connected[b] && isOpen(a, b));
+                connected[a] = connected[a] || (connected[b] && relays[b] && isOpen(a, b));
             }
         }
     }
