Repeat the request for an announced object

Cause: in the randomised run with seed 829 (8% loss) the only request for an announced large object was lost, and the object came with a later digest only. The run with seed 5 of the unit test didn't show the defect acceptOlder. Change: an announced object is asked for again after 200 ms, up to five times, from the peer that announced it last; seed 5 runs with 5% loss.

--- a/src/include/pimentofold/configspread.h
+++ b/src/include/pimentofold/configspread.h
@@ -74,7 +74,9 @@
 /// A large object that a peer has announced and that was asked for.
 struct Announcement {
     std::int64_t version = 0;
-    Time at = 0;
+    std::string source; ///< peer that announced it last
+    Time askAt = 0; ///< when it is asked for again unless a range has come
+    int tries = 0;
 };
 
 /// When the next digest is sent.
--- a/src/libpimentofold/configspread.cpp
+++ b/src/libpimentofold/configspread.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// An announced object that hasn't started to come by then is asked for again at the next announcement.
-constexpr Time announcementLimit = second;
+// An announced object is asked for so often; after that a later announcement or digest starts again.
+constexpr int mostAnnouncementTries = 5;
 // A transfer without any range in so many rounds is given up; a later digest starts it again.
 constexpr int mostRangeTimeouts = 10;
 
@@ -64,29 +64,53 @@
     return spread.remotes.contains(address) || std::ranges::find(spread.remoteSeeds, address) != spread.remoteSeeds.end();
 }
 
+void askForStart(ConfigSpread &spread, const ObjectKey &key, Announcement &announcement, Time now, SpreadOutput &out)
+{
+    wire::ObjectHead head;
+    head.kind = key.kind;
+    head.name = key.name;
+    head.version = announcement.version;
+    head.__set_offset(0);
+    announcement.askAt = now + rangeTimeLimit;
+    ++announcement.tries;
+    sendPull(spread, {head}, announcement.source, out);
+}
+
 /// Asks for the start of large objects that a peer announces.
 void handleAnnouncements(ConfigSpread &spread, const std::vector<wire::ObjectHead> &heads, const std::string &from, Time now, SpreadOutput &out)
 {
-    std::vector<wire::ObjectHead> wanted;
     for (const wire::ObjectHead &it : heads) {
         const ObjectKey key = keyOf(it);
         if (!isWantedBy(spread.team, key) || !isNewer(spread.store, key, it.version)) {
             continue;
         }
         const auto transfer = spread.transfers.find(key);
-        Announcement &asked = spread.announced[key];
-        const bool underWay = transfer != spread.transfers.end() && transfer->second.object.version >= it.version;
-        if (underWay) {
+        if (transfer != spread.transfers.end() && transfer->second.object.version >= it.version) {
             addSource(transfer->second, from);
-        }
-        if (underWay || (asked.version >= it.version && now - asked.at < announcementLimit)) {
             continue;
         }
-        asked = {it.version, now};
-        wanted.push_back(it);
-        wanted.back().__set_offset(0);
+        Announcement &announcement = spread.announced[key];
+        const bool asked = announcement.version >= it.version;
+        announcement.source = from;
+        if (!asked) {
+            announcement = {it.version, from, 0, 0};
+            askForStart(spread, key, announcement, now, out);
+        }
+    }
+}
+
+/// Repeats requests whose answer may have been lost.
+void tickAnnouncements(ConfigSpread &spread, Time now, SpreadOutput &out)
+{
+    std::erase_if(spread.announced, [&](const auto &it) {
+        const bool started = spread.transfers.contains(it.first) || !isNewer(spread.store, it.first, it.second.version);
+        return started || (it.second.tries >= mostAnnouncementTries && now >= it.second.askAt);
+    });
+    for (auto &[key, announcement] : spread.announced) {
+        if (now >= announcement.askAt) {
+            askForStart(spread, key, announcement, now, out);
+        }
     }
-    sendPull(spread, wanted, from, out);
 }
 
 void continueTransfer(ConfigSpread &spread, const ObjectKey &key, SpreadOutput &out)
@@ -204,6 +228,7 @@
 void tickSpread(ConfigSpread &spread, Time now, SpreadOutput &out)
 {
     tickTransfers(spread, now, out);
+    tickAnnouncements(spread, now, out);
     tickDigests(spread, now, out);
     if (!spread.peers.watcher) {
         return;
--- a/src/pimentofold-measure/controlsim_test.cpp
+++ b/src/pimentofold-measure/controlsim_test.cpp
@@ -27,7 +27,7 @@
     return checkConfigNeverReverts(sim);
 }
 
-const std::vector<Run> runs{{1, 3, 5, 0}, {2, 3, 5, 0.01}, {3, 3, 5, 0.05}, {4, 2, 8, 0.01}, {5, 5, 3, 0.01}, {6, 1, 15, 0.02}, {7, 4, 6, 0}, {8, 3, 7, 0.1}};
+const std::vector<Run> runs{{1, 3, 5, 0}, {2, 3, 5, 0.01}, {3, 3, 5, 0.05}, {4, 2, 8, 0.01}, {5, 5, 3, 0.05}, {6, 1, 15, 0.02}, {7, 4, 6, 0}, {8, 3, 7, 0.1}};
 
 } // namespace
 
@@ -47,9 +47,7 @@
 // Guards against a check that can't fail: agents that take over older versions must be found.
 TEST_CASE("ConfigNeverReverts finds agents that accept older versions")
 {
-    std::size_t found = 0;
     for (const Run &run : runs) {
-        found += runFaults(run, true).empty() ? 0 : 1;
+        CHECK_MESSAGE(!runFaults(run, true).empty(), "seed " << run.seed);
     }
-    CHECK(found == runs.size());
 }
