--- a/src/libpimentofold/configspread.cpp
+++ b/src/libpimentofold/configspread.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// An announced object that hasn't started to come by then is asked for again at the next announcement.
-constexpr Time announcementLimit = second;
+// An announced object is asked for so often; after that a later announcement or digest starts again.
+constexpr int mostAnnouncementTries = 5;
 // A transfer without any range in so many rounds is given up; a later digest starts it again.
 constexpr int mostRangeTimeouts = 10;
 
@@ -64,33 +64,60 @@
     return spread.remotes.contains(address) || std::ranges::find(spread.remoteSeeds, address) != spread.remoteSeeds.end();
 }
 
+void askForStart(ConfigSpread &spread, const ObjectKey &key, Announcement &announcement, Time now, SpreadOutput &out)
+{
+    wire::ObjectHead head;
+    head.kind = key.kind;
+    head.name = key.name;
+    head.version = announcement.version;
+    head.__set_offset(0);
+    announcement.askAt = now + rangeTimeLimit;
+    ++announcement.tries;
+    sendPull(spread, {head}, announcement.source, out);
+}
+
 /// Asks for the start of large objects that a peer announces.
 void handleAnnouncements(ConfigSpread &spread, const std::vector<wire::ObjectHead> &heads, const std::string &from, Time now, SpreadOutput &out)
 {
-    std::vector<wire::ObjectHead> wanted;
     for (const wire::ObjectHead &it : heads) {
         const ObjectKey key = keyOf(it);
         if (!isWantedBy(spread.team, key) || !isNewer(spread.store, key, it.version)) {
             continue;
         }
         const auto transfer = spread.transfers.find(key);
-        Announcement &asked = spread.announced[key];
-        const bool underWay = transfer != spread.transfers.end() && transfer->second.object.version >= it.version;
-        if (underWay || (asked.version >= it.version && now - asked.at < announcementLimit)) {
+        if (transfer != spread.transfers.end() && transfer->second.object.version >= it.version) {
+            addSource(transfer->second, from);
             continue;
         }
-        asked = {it.version, now};
-        wanted.push_back(it);
-        wanted.back().__set_offset(0);
+        Announcement &announcement = spread.announced[key];
+        const bool asked = announcement.version >= it.version;
+        announcement.source = from;
+        if (!asked) {
+            announcement = {it.version, from, 0, 0};
+            askForStart(spread, key, announcement, now, out);
+        }
+    }
+}
+
+/// Repeats requests whose answer may have been lost.
+void tickAnnouncements(ConfigSpread &spread, Time now, SpreadOutput &out)
+{
+    std::erase_if(spread.announced, [&](const auto &it) {
+        const bool started = spread.transfers.contains(it.first) || !isNewer(spread.store, it.first, it.second.version);
+        return started || (it.second.tries >= mostAnnouncementTries && now >= it.second.askAt);
+    });
+    for (auto &[key, announcement] : spread.announced) {
+        if (now >= announcement.askAt) {
+            askForStart(spread, key, announcement, now, out);
+        }
     }
-    sendPull(spread, wanted, from, out);
 }
 
 void continueTransfer(ConfigSpread &spread, const ObjectKey &key, SpreadOutput &out)
 {
     const auto it = spread.transfers.find(key);
     if (it != spread.transfers.end()) {
-        sendPull(spread, askForRanges(it->second), it->second.source, out);
+        sendPull(spread, askForRanges(it->second), it->second.sources.front(), out);
     }
 }
 
@@ -141,28 +168,40 @@
         if (now - transfer.progressAt < rangeTimeLimit) {
             continue;
         }
-        const auto others = randomLocalPeers(spread, 1, "");
-        restartRound(transfer, others.empty() ? transfer.source : others.front(), now);
-        sendPull(spread, askForRanges(transfer), transfer.source, out);
+        restartRound(transfer, now);
+        sendPull(spread, askForRanges(transfer), transfer.sources.front(), out);
+    }
+}
+
+/// @return whether a digest is due; sets the next time
+bool takeDigestTurn(DigestTimer &timer, const SpreadOptions &options, Time now)
+{
+    if (now < timer.nextAt && now < timer.retryAt) {
+        return false;
+    }
+    if (now >= timer.nextAt) {
+        timer.nextAt = now + options.digestInterval;
+    }
+    timer.retryAt = now + options.digestTimeLimit;
+    return true;
+}
+
+void sendDigests(ConfigSpread &spread, bool remote, SpreadOutput &out)
+{
+    for (const std::string &to : remote ? randomRemotePeers(spread, 1, "") : randomLocalPeers(spread, 1, "")) {
+        ++spread.counts.digests;
+        sendRootDigest(spread, to, remote, true, out);
     }
 }
 
 void tickDigests(ConfigSpread &spread, Time now, SpreadOutput &out)
 {
-    if (now >= spread.nextDigestAt) {
-        spread.nextDigestAt = now + spread.options.digestInterval;
-        for (const std::string &to : randomLocalPeers(spread, 1, "")) {
-            ++spread.counts.digests;
-            sendRootDigest(spread, to, false, true, out);
-        }
+    if (takeDigestTurn(spread.localDigests, spread.options, now)) {
+        sendDigests(spread, false, out);
     }
-    if (spread.peers.delegate && now >= spread.nextRemoteDigestAt) {
-        spread.nextRemoteDigestAt = now + spread.options.digestInterval;
+    if (spread.peers.delegate && takeDigestTurn(spread.remoteDigests, spread.options, now)) {
         std::erase_if(spread.remotes, [&](const auto &it) { return now - it.second.heardAt > spread.options.remoteRetention; });
-        for (const std::string &to : randomRemotePeers(spread, 1, "")) {
-            ++spread.counts.digests;
-            sendRootDigest(spread, to, true, true, out);
-        }
+        sendDigests(spread, true, out);
     }
 }
 
@@ -174,8 +213,8 @@
     spread.startedAt = now;
     const auto interval = static_cast<std::uint64_t>(spread.options.digestInterval);
     // The first exchange is early, so that a new agent fills soon; agents that start together don't stay in step.
-    spread.nextDigestAt = now + static_cast<Time>(below(spread.random, interval / 10 + 1));
-    spread.nextRemoteDigestAt = now + static_cast<Time>(below(spread.random, interval + 1));
+    spread.localDigests.nextAt = now + static_cast<Time>(below(spread.random, interval / 10 + 1));
+    spread.remoteDigests.nextAt = now + static_cast<Time>(below(spread.random, interval + 1));
     spread.watch.nextAt = now + spread.options.fillLimit + static_cast<Time>(below(spread.random, second));
     spread.pushBudget = {spread.options.pushBurstBytes, now};
     spread.rangeBudget = {spread.options.rangeBurstBytes, now};
@@ -189,6 +228,7 @@
 void tickSpread(ConfigSpread &spread, Time now, SpreadOutput &out)
 {
     tickTransfers(spread, now, out);
+    tickAnnouncements(spread, now, out);
     tickDigests(spread, now, out);
     if (!spread.peers.watcher) {
         return;
