--- a/src/libpimentofold/configstore.cpp
+++ b/src/libpimentofold/configstore.cpp
@@ -74,9 +74,12 @@
     return version > versionOf(store, key) && (floor == store.floors.end() || version >= floor->second);
 }
 
-bool reachesFloors(const ConfigStore &store)
+bool reachesFloors(const ConfigStore &store, bool agentMade)
 {
-    return std::ranges::all_of(store.floors, [&](const auto &floor) { return versionOf(store, floor.first) >= floor.second; });
+    return std::ranges::all_of(store.floors, [&](const auto &floor) {
+        const bool asked = agentMade || isPlatformKind(floor.first.kind);
+        return !asked || versionOf(store, floor.first) >= floor.second;
+    });
 }
 
 std::uint64_t digestOfHead(const wire::ObjectHead &head)
@@ -110,6 +113,11 @@
     return heads;
 }
 
+bool isPlatformKind(std::string_view kind)
+{
+    return kind == "template" || kind == "team" || kind == "keys" || kind == "drain";
+}
+
 bool isWantedBy(std::string_view team, const ObjectKey &key)
 {
     if (key.kind == "template") {
@@ -118,7 +126,8 @@
     if (key.kind == "team" || key.kind == "keys") {
         return key.name == team;
     }
-    return key.kind == "drain" && key.name.size() > team.size() && key.name.starts_with(team) && key.name[team.size()] == '.';
+    const bool ofTeam = key.name.size() > team.size() && key.name.starts_with(team) && key.name[team.size()] == '.';
+    return ofTeam && (key.kind == "drain" || key.kind == "instances" || key.kind == "entries");
 }
 
 ObjectKey keyOf(const wire::ObjectHead &head)
--- a/src/libpimentofold/statusboard.cpp
+++ b/src/libpimentofold/statusboard.cpp
@@ -9,21 +9,6 @@
 
 namespace {
 
-std::string_view stateName(wire::MemberState::type state)
-{
-    switch (state) {
-    case wire::MemberState::Alive:
-        return "alive";
-    case wire::MemberState::Suspect:
-        return "suspect";
-    case wire::MemberState::Leaving:
-        return "leaving";
-    case wire::MemberState::Dead:
-        return "dead";
-    }
-    return "unknown";
-}
-
 std::string_view stateName(wire::TargetState::type state)
 {
     switch (state) {
@@ -61,7 +46,7 @@
     json list = json::array();
     for (const Member &it : members) {
         const auto found = board.instances.find(it.key.instance);
-        list.push_back({{"node", it.name}, {"state", stateName(it.state)}, {"viewGeneration", found == board.instances.end() ? 0 : found->second.generation}});
+        list.push_back({{"node", it.name}, {"state", name(it.state)}, {"viewGeneration", found == board.instances.end() ? 0 : found->second.generation}});
     }
     return list;
 }
@@ -88,8 +73,37 @@
     return list;
 }
 
+json withoutLoad(json value)
+{
+    if (!value.is_object()) {
+        return value;
+    }
+    value.erase("refused");
+    if (value.contains("targets")) {
+        for (json &it : value["targets"]) {
+            it.erase("inUse");
+        }
+    }
+    return value;
+}
+
 } // namespace
 
+std::string_view name(wire::MemberState::type state)
+{
+    switch (state) {
+    case wire::MemberState::Alive:
+        return "alive";
+    case wire::MemberState::Suspect:
+        return "suspect";
+    case wire::MemberState::Leaving:
+        return "leaving";
+    case wire::MemberState::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
 void handleInForce(StatusBoard &board, const wire::PeerMessage &message)
 {
     if (message.kind != wire::PeerKind::InForce) {
@@ -116,6 +130,9 @@
     json inForce = json::array();
     json lagging = json::array();
     for (const auto &[key, object] : input.store->objects) {
+        if (!isPlatformKind(key.kind)) {
+            continue;
+        }
         json nodes = json::array();
         for (const Member &it : input.members) {
             if (mustHaveInForce(it) && !hasInForce(board, it, *input.store, *object)) {
@@ -132,8 +149,7 @@
     for (const auto &[id, instance] : board.instances) {
         refused += instance.refused;
     }
-    return {{"revision", input.revision},
-            {"platformReachable", input.platformReachable},
+    return {{"platformReachable", input.platformReachable},
             {"instances", instancesValue(board, input.members)},
             {"inForce", std::move(inForce)},
             {"lagging", std::move(lagging)},
@@ -143,7 +159,7 @@
 
 bool isReportDue(const InForceReporter &reporter, const wire::InForceReport &report, Id writer, Time now)
 {
-    const bool changed = !(report == reporter.last) || writer != reporter.writer;
+    const bool changed = report.generation != reporter.last.generation || report.rootDigest != reporter.last.rootDigest || writer != reporter.writer;
     return now >= reporter.refreshAt || (changed && now >= reporter.nextAt);
 }
 
@@ -154,7 +170,10 @@
 
 bool isStatusWriteDue(const StatusWriter &writer, const json &value, Time now)
 {
-    return !writer.busy && now >= writer.nextAt && value != writer.written;
+    if (writer.busy || now < writer.nextAt || value == writer.written) {
+        return false;
+    }
+    return now >= writer.nextLoadAt || withoutLoad(value) != withoutLoad(writer.written);
 }
 
 void startStatusWrite(StatusWriter &writer, const json &value, const std::string &changeId, Time now)
@@ -163,6 +182,7 @@
     writer.writing = value;
     writer.changeId = changeId;
     writer.nextAt = now + statusInterval;
+    writer.nextLoadAt = now + loadStatusInterval;
 }
 
 void finishStatusWrite(StatusWriter &writer, const StatusWriteResult &result, Time now, Random &random)
--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -1,14 +1,21 @@
 #include <pimentofold-measure/measurements.h>
 
+#include <pimentofold-measure/converge.h>
 #include <pimentofold-measure/datapath.h>
 
 namespace pimentofold {
 
+int measureMembership(const MeasureOptions &options);
+
 const std::vector<Measurement> &measurements()
 {
     static const std::vector<Measurement> table{
+        {"balance", "use of slots and waits of a lookup-like service beside other placements", measureBalance},
         {"bytes_per_flow", "memory of a balancer for each open flow", &measureBytesPerFlow},
+        {"flood", "service that is kept while one kind of work floods", measureFlood},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
+        {"converge", "time until a change is in force on all agents", measureConverge},
+        {"membership", "control cost and detection time of membership by number of members", measureMembership},
     };
     return table;
 }
