End flows that nobody uses on the targets

An Open with a wish for a token that the fabric delivers twice opens the flow on two targets; the caller knows one of them. Change: targets end flows without any request after 10 s, as servers do with half-open sessions, and count them. Callers repeat the first use of a flow until an answer has come.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -300,7 +300,7 @@
             if it.team is target.team:
                 expect("PUT", it.admin, "/admin/close", {"instance": target.instance, "withinMs": within_ms})
 
-    def remove_target(self, target, limit=15):
+    def remove_target(self, target, limit=25):
         """Ends a drained target once its flows have ended; its counts and run list are kept."""
         def empty():
             # Repeated, since a caller learns the server of a flow only from its first answer.
--- a/src/caller-standin/callers.cpp
+++ b/src/caller-standin/callers.cpp
@@ -39,20 +39,15 @@
     case AlarmKind::Close:
         closeFlow(callers, alarm.flow, now);
         break;
+    case AlarmKind::FirstUse:
+        useNewFlow(callers, alarm.flow, now);
+        break;
     case AlarmKind::Resend:
         onResendAlarm(callers, alarm.number, now);
         break;
     }
 }
 
-void useIfOpen(Callers &callers, std::int64_t number, Time now)
-{
-    const auto it = callers.flows.find(number);
-    if (it != callers.flows.end() && it->second.phase == FlowPhase::Open) {
-        useNewFlow(callers, number, now);
-    }
-}
-
 } // namespace
 
 Callers makeCallers(const CallerSettings &settings, Time now)
@@ -82,7 +77,7 @@
     } else if (packet.kind == wire::PacketKind::Opened || (packet.kind == wire::PacketKind::Answer && packet.request == 0)) {
         if (opening && callers.groups[flow->second.group].settings.port == port) {
             onOpened(callers, packet.flow, packet, now);
-            useIfOpen(callers, packet.flow, now);
+            useNewFlow(callers, packet.flow, now);
         } else {
             ++callers.counts.phase().late;
         }
--- a/src/caller-standin/callers.h
+++ b/src/caller-standin/callers.h
@@ -79,7 +79,7 @@
     Time workDeadline = 0;
 };
 
-enum class AlarmKind { Flow, Call, Close, Resend };
+enum class AlarmKind { Flow, Call, Close, Resend, FirstUse };
 
 /// Something to do at a time. Alarms aren't removed; those of ended flows and calls do nothing.
 struct Alarm {
--- a/src/caller-standin/calls.cpp
+++ b/src/caller-standin/calls.cpp
@@ -146,6 +146,16 @@
     }
 }
 
+/// Repeats the first use of a flow until an answer has told its server.
+void repeatFirstUse(Callers &callers, const CallKey &key, const Call &call, Time now)
+{
+    const auto flow = callers.flows.find(key.first);
+    if (!call.startOnly || call.sweep || flow == callers.flows.end() || flow->second.phase != FlowPhase::Open || !flow->second.server.empty()) {
+        return;
+    }
+    callers.alarms.push({now + firstRetransmission, AlarmKind::FirstUse, key.first, 0});
+}
+
 void endCall(Callers &callers, const CallKey &key)
 {
     callers.calls.erase(key);
@@ -215,6 +225,7 @@
         scheduleResend(callers, call, packet.retryAfterMs * millisecond, now);
     }
     endSweepCheck(callers, key, call, false);
+    repeatFirstUse(callers, key, call, now);
     endCall(callers, key);
 }
 
@@ -241,7 +252,7 @@
     }
 }
 
-void giveUp(Callers &callers, const CallKey &key, Call &call)
+void giveUp(Callers &callers, const CallKey &key, Call &call, Time now)
 {
     WorkCounts &counts = countsOf(callers, call);
     ++counts.unanswered;
@@ -251,6 +262,7 @@
         concludeOperation(callers, key, Verdict::MayHaveRun, Reason::TimedOut);
     }
     endSweepCheck(callers, key, call, false);
+    repeatFirstUse(callers, key, call, now);
     endCall(callers, key);
 }
 
@@ -283,7 +295,10 @@
 
 void useNewFlow(Callers &callers, std::int64_t number, Time now)
 {
-    useFlow(callers, number, false, now);
+    const auto it = callers.flows.find(number);
+    if (it != callers.flows.end() && it->second.phase == FlowPhase::Open) {
+        useFlow(callers, number, false, now);
+    }
 }
 
 void startWork(Callers &callers, std::size_t group, std::size_t work, Time now)
@@ -331,7 +346,7 @@
     }
     Call &call = it->second;
     if (now >= call.deadline) {
-        giveUp(callers, key, call);
+        giveUp(callers, key, call, now);
     } else if (now >= call.cancelAt) {
         call.cancelAt = never;
         call.cancelled = true;
--- a/src/caller-standin/calls.h
+++ b/src/caller-standin/calls.h
@@ -8,7 +8,7 @@
 /// Sends a new piece of work on a random flow, if one is open.
 void startWork(Callers &callers, std::size_t group, std::size_t work, Time now);
 
-/// Sends a first request on a flow that has just been opened, so that its server is known.
+/// Sends a first request on a flow, if it is open, so that its server is known.
 void useNewFlow(Callers &callers, std::int64_t number, Time now);
 
 /// Handles one part of an answer or a verdict.
--- a/src/target-standin/backend.cpp
+++ b/src/target-standin/backend.cpp
@@ -130,6 +130,8 @@
             return;
         }
         backend.flows.insert(frame.flow);
+        backend.unused.insert(frame.flow);
+        backend.opens.emplace_back(now, frame.flow);
         ++backend.counts.opened;
     }
     TargetFrame reply = replyTo(frame, FrameKind::Opened);
@@ -140,6 +142,7 @@
 void request(Backend &backend, ConnectionId from, const TargetFrame &frame, Time now, std::vector<Outgoing> &out)
 {
     ++backend.counts.requests;
+    backend.unused.erase(frame.flow);
     if (backend.settings.session && !backend.flows.contains(frame.flow)) {
         refuse(backend, from, frame, wire::Outcome::UnknownFlow, out);
         return;
@@ -215,6 +218,7 @@
         break;
     case FrameKind::Close:
         backend.flows.erase(frame.flow);
+        backend.unused.erase(frame.flow);
         out.push_back({from, replyTo(frame, FrameKind::Closed)});
         break;
     case FrameKind::Subscribe: {
@@ -270,6 +274,18 @@
     }
 }
 
+/// Ends flows that nobody uses: a repeated Open may have opened a flow on two servers, of which the caller knows one.
+void endUnusedFlows(Backend &backend, Time now)
+{
+    while (!backend.opens.empty() && now - backend.opens.front().first >= backend.settings.unusedLimit) {
+        if (backend.unused.erase(backend.opens.front().second) > 0) {
+            backend.flows.erase(backend.opens.front().second);
+            ++backend.counts.unusedEnded;
+        }
+        backend.opens.pop_front();
+    }
+}
+
 } // namespace
 
 void receive(Backend &backend, ConnectionId from, const TargetFrame &frame, Time now, std::vector<Outgoing> &out)
@@ -294,6 +310,7 @@
 {
     finishWork(backend, now, out);
     startWaitingWork(backend, now, out);
+    endUnusedFlows(backend, now);
     report(backend, now, out);
 }
 
@@ -303,6 +320,9 @@
     if (!backend.reports.empty()) {
         due = std::min(due, backend.reports.front().due);
     }
+    if (!backend.opens.empty()) {
+        due = std::min(due, backend.opens.front().first + backend.settings.unusedLimit);
+    }
     for (const Work &it : backend.running) {
         due = std::min(due, it.due);
     }
--- a/src/target-standin/backend.h
+++ b/src/target-standin/backend.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <target_types.h>
@@ -31,6 +32,7 @@
     int slots = 3; ///< requests that run at the same time
     Time serviceTime = 2 * millisecond; ///< mean of the exponentially distributed time of a request
     std::size_t queueLimit = 16;
+    Time unusedLimit = 10 * second; ///< a flow without any request ends after this time
     Time coldStart = 0; ///< time after the start in which requests take coldFactor times as long
     double coldFactor = 4;
     std::int64_t answerBytes = 200; ///< length of each answer, at least answerHeaderBytes
@@ -49,6 +51,7 @@
 /// Counters since the start.
 struct BackendCounts {
     std::int64_t opened = 0; ///< flows opened, repeated opens not counted
+    std::int64_t unusedEnded = 0; ///< flows that ended since nobody used them
     std::int64_t requests = 0; ///< request frames, ranges included
     std::map<std::string, std::int64_t> outcomes; ///< answers to opens and requests by outcome
     std::int64_t foreign = 0; ///< frames of another service, team or flow
@@ -96,6 +99,8 @@
     BackendFaults faults;
     BackendCounts counts;
     std::set<std::int64_t> flows;
+    std::set<std::int64_t> unused; ///< flows without any request yet
+    std::deque<std::pair<Time, std::int64_t>> opens; ///< when the flows in unused were opened, oldest first
     std::deque<Work> queue;
     std::vector<Work> running;
     std::map<RunKey, int> runs; ///< how often each request that must run at most once ran
--- a/src/target-standin/targetadmin.cpp
+++ b/src/target-standin/targetadmin.cpp
@@ -54,6 +54,7 @@
             {"slots", backend.settings.slots},
             {"flows", backend.flows.size()},
             {"opened", backend.counts.opened},
+            {"unusedEnded", backend.counts.unusedEnded},
             {"requests", backend.counts.requests},
             {"outcomes", backend.counts.outcomes},
             {"foreign", backend.counts.foreign},
--- a/src/target-standin/targetsettings.cpp
+++ b/src/target-standin/targetsettings.cpp
@@ -22,6 +22,7 @@
     server.slots = static_cast<int>(takeInteger(object, "slots", 1, 1024, server.slots));
     server.serviceTime = takeInteger(object, "serviceTimeUs", 0, maxServiceTimeUs, server.serviceTime);
     server.queueLimit = static_cast<std::size_t>(takeInteger(object, "queueLimit", 0, 100'000, static_cast<std::int64_t>(server.queueLimit)));
+    server.unusedLimit = takeInteger(object, "unusedLimitMs", 1, maxMs, server.unusedLimit / millisecond) * millisecond;
     server.coldStart = takeInteger(object, "coldStartMs", 0, maxMs, 0) * millisecond;
     server.coldFactor = takeNumber(object, "coldFactor", 1, 1000, server.coldFactor);
     server.answerBytes = takeInteger(object, "answerBytes", answerHeaderBytes, maxAnswerBytes, server.answerBytes);
--- a/src/target-standin/targetsettings.h
+++ b/src/target-standin/targetsettings.h
@@ -18,8 +18,8 @@
 ///         "servers": [
 ///             {"team": "foundation", "service": "lookup", "instance": "t1", "dataCentre": "dc1",
 ///              "address": "127.2.1.1:6001", "session": true, "slots": 3, "serviceTimeUs": 2000,
-///              "queueLimit": 16, "coldStartMs": 0, "coldFactor": 4, "answerBytes": 200,
-///              "reportedLoad": "true", "statusLagMs": 0}
+///              "queueLimit": 16, "unusedLimitMs": 10000, "coldStartMs": 0, "coldFactor": 4,
+///              "answerBytes": 200, "reportedLoad": "true", "statusLagMs": 0}
 ///         ]
 ///     }
 namespace pimentofold {
