Keep sums over targets between events; model relay acknowledgements

Cause: each decision summed over all targets five times, and the balancer acknowledges relays, which the flood model left out. Change: slotTotals() in one pass, kept for a millisecond or until a target changes. The flood model charges an acknowledgement for each relay; relay limits go along with them.

--- a/src/include/pimentofold/admission.h
+++ b/src/include/pimentofold/admission.h
@@ -155,6 +155,9 @@
     LimitState limit;
     std::size_t queued = 0; ///< over all kinds
     Time accountedAt = 0;
+    SlotTotals totals; ///< of the targets, at totalsAt
+    Time totalsAt = -second;
+    std::uint64_t totalsVersion = 0;
 };
 
 /// Sets the kinds of work. Queued and running requests stay.
--- a/src/include/pimentofold/targetchoice.h
+++ b/src/include/pimentofold/targetchoice.h
@@ -102,6 +102,7 @@
     std::vector<TargetLoad> targets;
     double meanRun = 0; ///< smoothed time from start to answer over all targets, in microseconds
     int runsSeen = 0; ///< counted up to 100, from which on meanRun is used
+    std::uint64_t version = 0; ///< raised by each change that isn't only the passing of time
     bool healthIgnored = false; ///< more than half of the serving targets look unhealthy
 };
 
@@ -157,15 +158,15 @@
 /// @return requests that may be sent to the target beyond its slots now
 int aheadSlots(const TargetSet &set, const TargetLoad &target, Time now);
 
-/// @return slots that requests can use now: usableSlots() of the reachable targets, and all slots of reachable leaving
-///         targets, whose flows go on
-int totalSlots(const TargetSet &set, Time now);
-
-/// @return sum of aheadSlots() over the targets that accept new work
-int totalAhead(const TargetSet &set, Time now);
+/// Sums over the targets of a service.
+struct SlotTotals {
+    int usable = 0; ///< usableSlots() of reachable targets, and all slots of reachable leaving ones, whose flows go on
+    int ahead = 0; ///< aheadSlots() of the targets that accept new work
+    int reachable = 0; ///< all slots of reachable targets, and what may be sent ahead to them when nothing is wrong
+};
 
-/// @return all slots of the reachable targets, and the requests that may be sent ahead when nothing is wrong
-int reachableSlots(const TargetSet &set);
+/// @return the sums at present; takes time in proportion to the number of targets
+SlotTotals slotTotals(const TargetSet &set, Time now);
 
 /// @return estimate of a target's load in requests: own ones plus the reported ones of others, halved each
 ///         reportHalfLife and weighted by trust; at most its slots unless own requests alone are more
--- a/src/libpimentofold/admission.cpp
+++ b/src/libpimentofold/admission.cpp
@@ -227,10 +227,15 @@
     return std::max(1, std::min(slots, static_cast<int>(limit)));
 }
 
-/// @return slots of the targets that the limit lets requests use
-int usedSlots(const Admission &admission, const TargetSet &targets, Time now)
+/// Renews the sums over the targets when a target has changed, or after a millisecond for shares and ramps.
+void updateTotals(Admission &admission, const TargetSet &targets, Time now)
 {
-    return limited(admission, totalSlots(targets, now));
+    if (admission.totalsVersion == targets.version && now - admission.totalsAt < millisecond) {
+        return;
+    }
+    admission.totals = slotTotals(targets, now);
+    admission.totalsAt = now;
+    admission.totalsVersion = targets.version;
 }
 
 double expectedWait(const Admission &admission, const WorkKindState &kind, int slots)
@@ -294,10 +299,11 @@
 /// Starts an event: accounts for the time since the last one.
 Event begin(Admission &admission, TargetSet &targets, Time now, Random &random, Decisions &out)
 {
-    adaptLimit(admission, reachableSlots(targets), now);
+    updateTotals(admission, targets, now);
+    adaptLimit(admission, admission.totals.reachable, now);
     Event event{admission, targets, now, random, out};
-    event.slots = usedSlots(admission, targets, now);
-    event.most = static_cast<std::size_t>(capacity(admission, targets, now));
+    event.slots = limited(admission, admission.totals.usable);
+    event.most = static_cast<std::size_t>(limited(admission, admission.totals.usable + admission.totals.ahead));
     account(admission, event.slots, now);
     return event;
 }
@@ -436,7 +442,8 @@
 
 int capacity(const Admission &admission, const TargetSet &targets, Time now)
 {
-    return limited(admission, totalSlots(targets, now) + totalAhead(targets, now));
+    const SlotTotals totals = slotTotals(targets, now);
+    return limited(admission, totals.usable + totals.ahead);
 }
 
 int retryHintMs(const Admission &admission, Random &random)
@@ -464,7 +471,7 @@
     if (kind.meanRun == 0 || kind.refusedRate < overloadedShare * kind.offeredRate) {
         return 0;
     }
-    const double slots = slotsFor(admission, kind, usedSlots(admission, targets, now));
+    const double slots = slotsFor(admission, kind, limited(admission, slotTotals(targets, now).usable));
     const double rate = slots * static_cast<double>(second) / kind.meanRun;
     return std::max(1.0, allowanceFactor * rate / members);
 }
--- a/src/libpimentofold/loadmetrics.cpp
+++ b/src/libpimentofold/loadmetrics.cpp
@@ -33,7 +33,7 @@
         setGauge(metrics, labelled("admission_mean_run_seconds", service, i), seconds(it.meanRun));
     }
     setGauge(metrics, labelled("admission_limit", service), admission.limit.limit);
-    setGauge(metrics, labelled("targets_usable_slots", service), totalSlots(targets, now));
+    setGauge(metrics, labelled("targets_usable_slots", service), slotTotals(targets, now).usable);
     setGauge(metrics, labelled("targets_health_ignored", service), targets.healthIgnored ? 1 : 0);
 }
 
--- a/src/libpimentofold/targetchoice.cpp
+++ b/src/libpimentofold/targetchoice.cpp
@@ -42,6 +42,9 @@
 
 double shareNow(const TargetSet &set, const TargetLoad &target, Time now)
 {
+    if (target.share >= 1) {
+        return 1;
+    }
     const double grown = static_cast<double>(now - target.shareAt) / static_cast<double>(set.settings.shareRecovery);
     return std::min(1.0, target.share + grown);
 }
@@ -189,6 +192,7 @@
     }
     std::sort(set.targets.begin(), set.targets.end(), [](const TargetLoad &a, const TargetLoad &b) { return a.id < b.id; });
     updateHealthIgnored(set);
+    set.version += 1;
 }
 
 void setReachable(TargetSet &set, Id target, bool reachable, Time now)
@@ -197,6 +201,7 @@
     if (it == nullptr) {
         return;
     }
+    set.version += it->reachable != reachable ? 1 : 0;
     if (it->reachable && !reachable) {
         cutShare(set, *it, lossCut, now);
     }
@@ -217,6 +222,7 @@
     it->leastInFlight = it->inFlight;
     it->doneSinceReport = 0;
     takeWarmup(*it, report.warmup, now);
+    set.version += 1;
     updateHealthIgnored(set);
 }
 
@@ -256,6 +262,7 @@
     if (it == nullptr || it->inFlight == 0) {
         return;
     }
+    set.version += outcome != TargetOutcome::Done || it->pausedUntil > 0 ? 1 : 0;
     const bool wasAhead = it->inFlight > it->slots;
     it->inFlight -= 1;
     it->leastInFlight = std::min(it->leastInFlight, it->inFlight);
@@ -324,39 +331,28 @@
     return std::clamp(slots, 1, target.slots);
 }
 
-int totalSlots(const TargetSet &set, Time now)
+SlotTotals slotTotals(const TargetSet &set, Time now)
 {
-    int total = 0;
+    SlotTotals totals;
     for (const TargetLoad &it : set.targets) {
+        if (!it.reachable) {
+            continue;
+        }
         const bool newWork = it.serving && !it.draining;
-        const int slots = newWork ? usableSlots(set, it, now) : it.slots;
-        total += it.reachable ? slots : 0;
-    }
-    return total;
-}
-
-int totalAhead(const TargetSet &set, Time now)
-{
-    int total = 0;
-    for (const TargetLoad &it : set.targets) {
-        total += acceptsNewWork(set, it, now) ? aheadSlots(set, it, now) : 0;
+        totals.usable += newWork ? usableSlots(set, it, now) : it.slots;
+        totals.ahead += acceptsNewWork(set, it, now) ? aheadSlots(set, it, now) : 0;
+        totals.reachable += it.slots + mostAhead(set);
     }
-    return total;
-}
-
-int reachableSlots(const TargetSet &set)
-{
-    int total = 0;
-    for (const TargetLoad &it : set.targets) {
-        total += it.reachable ? it.slots + mostAhead(set) : 0;
-    }
-    return total;
+    return totals;
 }
 
 double estimatedLoad(const TargetSet &set, const TargetLoad &target, Time now)
 {
-    const double others = halved(target.othersInUse, now - target.reportedAt, set.settings.reportHalfLife) * target.trust;
     const auto own = static_cast<double>(target.inFlight);
+    if (target.othersInUse == 0) {
+        return own;
+    }
+    const double others = halved(target.othersInUse, now - target.reportedAt, set.settings.reportHalfLife) * target.trust;
     return std::max(own, std::min(own + others, static_cast<double>(target.slots)));
 }
 
--- a/src/libpimentofold/targetchoice_test.cpp
+++ b/src/libpimentofold/targetchoice_test.cpp
@@ -178,15 +178,15 @@
 TEST_CASE("more is sent ahead when runs are short")
 {
     TargetSet set = makeSet(1, 2);
-    CHECK(totalAhead(set, 0) == 1);
+    CHECK(slotTotals(set, 0).ahead == 1);
     recordRun(set, 5 * millisecond);
-    CHECK(totalAhead(set, 0) == 1);
+    CHECK(slotTotals(set, 0).ahead == 1);
     for (int i = 0; i < 100; ++i) {
         recordRun(set, 5 * millisecond);
     }
-    CHECK(totalAhead(set, 0) == 2);
+    CHECK(slotTotals(set, 0).ahead == 2);
     set.settings.sendAhead = 0;
-    CHECK(totalAhead(set, 0) == 0);
+    CHECK(slotTotals(set, 0).ahead == 0);
 }
 
 // Guards against sheds that repeat because requests are sent ahead to a target that doesn't queue.
--- a/src/pimentofold-measure/floodmodel.cpp
+++ b/src/pimentofold-measure/floodmodel.cpp
@@ -162,23 +162,29 @@
     chargeDatagram(self.gate, id, step.cost);
 }
 
-/// Tells an overloaded kind's limit to the balancer that relayed a request of it.
-void sendLimit(Step &step, std::size_t to, std::size_t service)
+/// @return the limit that goes out with an acknowledgement; 0 when none is due
+double limitDue(FloodModel &model, std::size_t to, std::size_t service)
 {
-    FloodModel &model = step.model;
     Time &sentAt = model.balancers[to].limitSentAt[service];
     if (model.protection != Protection::InForce || model.sim.now < sentAt + relayLimitEvery) {
-        return;
+        return 0;
     }
     const FloodService &it = model.services[service];
     const double perSecond = relayAllowance(it.admission, it.set, 0, floodBalancers, model.sim.now);
-    if (perSecond <= 0) {
-        return;
+    if (perSecond > 0) {
+        sentAt = model.sim.now;
+        model.limitMessages += 1;
     }
-    sentAt = model.sim.now;
-    step.cost += model.costs.limit;
-    model.limitMessages += 1;
-    afterStep(step, fleetHop, [&model, to, service, perSecond] { deliver(model, to, {ItemKind::RelayLimit, {}, 0, WorkOutcome::Done, service, perSecond}); });
+    return perSecond;
+}
+
+/// Acknowledges a relay; an overloaded kind's limit goes along.
+void acknowledge(Step &step, std::size_t to, std::size_t service)
+{
+    FloodModel &model = step.model;
+    const double perSecond = limitDue(model, to, service);
+    step.cost += model.costs.acknowledgement;
+    afterStep(step, fleetHop, [&model, to, service, perSecond] { deliver(model, to, {ItemKind::RelayAck, {}, 0, WorkOutcome::Done, service, perSecond}); });
 }
 
 void handleAnswer(Step &step, const FloodItem &item)
@@ -211,14 +217,16 @@
     case ItemKind::Relay:
         step.cost += model.costs.peerReceipt;
         dispatch(step, item.copy);
-        sendLimit(step, item.from, item.service);
+        acknowledge(step, item.from, item.service);
         break;
     case ItemKind::TargetAnswer:
         handleAnswer(step, item);
         break;
-    case ItemKind::RelayLimit:
+    case ItemKind::RelayAck:
         step.cost += model.costs.peerReceipt;
-        setRelayLimit(model.balancers[step.balancer].relayLimits[item.service], item.perSecond, model.sim.now);
+        if (item.perSecond > 0) {
+            setRelayLimit(model.balancers[step.balancer].relayLimits[item.service], item.perSecond, model.sim.now);
+        }
         break;
     }
 }
@@ -274,7 +282,7 @@
 
 void slowDown(StepCosts &costs, Time factor)
 {
-    for (Time *it : {&costs.receipt, &costs.decode, &costs.relay, &costs.peerReceipt, &costs.start, &costs.answer, &costs.refusal, &costs.limit}) {
+    for (Time *it : {&costs.receipt, &costs.decode, &costs.relay, &costs.peerReceipt, &costs.start, &costs.answer, &costs.refusal, &costs.acknowledgement}) {
         *it *= factor;
     }
 }
--- a/src/pimentofold-measure/floodmodel.h
+++ b/src/pimentofold-measure/floodmodel.h
@@ -35,7 +35,7 @@
     Time start = 20; ///< a frame to a target
     Time answer = 30; ///< an answer from a target to its caller
     Time refusal = 10;
-    Time limit = 10; ///< a RelayAck with a relay limit
+    Time acknowledgement = 10; ///< a RelayAck to a relaying balancer
 };
 
 /// Multiplies all costs.
@@ -70,7 +70,7 @@
     friend bool operator==(const FloodCopy &, const FloodCopy &) = default;
 };
 
-enum class ItemKind { Caller, Relay, TargetAnswer, RelayLimit };
+enum class ItemKind { Caller, Relay, TargetAnswer, RelayAck };
 
 /// What waits for a balancer's processor.
 struct FloodItem {
@@ -79,7 +79,7 @@
     std::size_t from = 0; ///< Relay: the balancer; TargetAnswer: the target
     WorkOutcome outcome = WorkOutcome::Done;
     std::size_t service = 0;
-    double perSecond = 0; ///< RelayLimit
+    double perSecond = 0; ///< RelayAck: a relay limit, 0 for none
 };
 
 /// A balancer: one processor that serves its sockets in turn.
