--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -8,6 +8,7 @@
 int measureBalance(const MeasureOptions &options);
 int measureCapacity(const MeasureOptions &options);
 int measureMembership(const MeasureOptions &options);
+int measureSoak(const MeasureOptions &options);
 
 const std::vector<Measurement> &measurements()
 {
@@ -20,6 +21,7 @@
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
         {"limits", "laws of the adaptive limit on a session service", &measureLimits},
         {"membership", "control cost and detection time of membership by number of members", &measureMembership},
+        {"soak", "random runs of the at-most-once records with growing seeds", &measureSoak},
     };
     return table;
 }
