--- a/scripts/lib/capacity_model.py
+++ b/scripts/lib/capacity_model.py
@@ -117,7 +117,7 @@
         state = self.at("object_memory", OBJECTS_PER_NODE) + self.at("member_memory", self.members)
         # The view is held in wire form, as built and as last sent.
         state += 2 * self.at("view_memory", self.targets)
-        return (state + self.measured["process"]["agent_resident_bytes"]) / MB
+        return state / MB + self.measured["control"]["memory_mb_max"]
 
     def once_records(self):
         """Returns records that a balancer holds as home and as witness together."""
@@ -133,7 +133,7 @@
         return [
             Figure("bytes sent a second", self.control_bytes(), "B/s", BYTES_LIMIT, "membership_bytes at a data centre's members and spread_bytes at all changes"),
             Figure("share of a core", self.control_cpu(), "%", CPU_LIMIT_PERCENT, "membership_cpu, spread_cpu, view_build_cpu, view_parse_cpu"),
-            Figure("memory of the agent", self.agent_memory(), "MB", MEMORY_LIMIT_MB, "object_memory for one object an address of the whole fleet, member_memory, view_memory, resident memory of an idle agent"),
+            Figure("memory of the agent", self.agent_memory(), "MB", MEMORY_LIMIT_MB, "object_memory for one object an address of the whole fleet, member_memory, view_memory, and the resident memory of a real agent (scripts/measure control)"),
             Figure("change in force everywhere, longest", self.converge("healthy")["max_s"], "s", CONVERGE_LIMIT_S, f"converge over {self.converge('healthy')['members']:,} agents on virtual time"),
             Figure("the same with a platform that answers after 1 s", self.converge("slow")["max_s"], "s", CONVERGE_LIMIT_S, "as above"),
             Figure("the same across a 20 s outage, from acceptance", self.converge("away")["max_s"], "s", CONVERGE_LIMIT_S, "as above"),
@@ -145,10 +145,11 @@
 
     def open_points(self):
         """Returns what misses its limit and what the measurement leaves out."""
-        points = [f"{it.name}: {it.value:.3g} {it.unit} is above the limit of {it.limit:g} {it.unit}."
-                  for it in self.control_figures() if it.limit and it.value > it.limit]
+        figures = self.control_figures() + [it for role in roles(self) for it in role.figures]
+        over = {it.name: it for it in figures if it.limit and it.value > it.limit}
+        points = [f"Over its limit: {it.name}, {it.value:.3g} {it.unit} against {it.limit:g} {it.unit}." for it in over.values()]
         if not points:
-            points.append("No figure of control is above its limit.")
+            points.append("No figure is above its limit.")
         large = [it["name"] for it in self.slopes.values() if it["fit_error"] > 0.1]
         if large:
             points.append("Not linear in the measured range (fit error above 10%): " + ", ".join(large) + ".")
@@ -230,14 +231,14 @@
 
 def operators(model):
     """Returns the role of the operators' command and the platform's writes."""
-    statuses = DATA_CENTRES * NODES / INSTANCES_PER_TEAM * 3 / DATA_CENTRES / 2
+    groups = NODES / INSTANCES_PER_TEAM * 3
     return Role(
         "Operators' command and platform",
         "objects with versions.",
         "a read and a conditional write for each change; one status object for each data centre and team.",
         "conditional writes with change ids.",
         [Figure("writes by operators", CHANGES_PER_DAY / SECONDS_PER_DAY, "a second", PLATFORM_WRITES_PER_SECOND, "changes a day"),
-         Figure("status objects, if each changed every 2 s", statuses, "writes a second", PLATFORM_WRITES_PER_SECOND, "upper bound: a status is written only when it changed")],
+         Figure("status objects, if each changed every 2 s", groups / 2, "writes a second", PLATFORM_WRITES_PER_SECOND, "upper bound: a status is written only when it changed")],
         "status writes: they must then be written less often than every 2 s.")
 
 
