Measure dispatchers in each data centre

Cause: 'balance' had one dispatcher for all data centres, while members of one data centre elect their own. Change: 'balance' adds a dispatcher in each data centre, over its own targets and over all targets; targets of each size are spread over the data centres.

--- a/src/pimentofold-measure/balance.cpp
+++ b/src/pimentofold-measure/balance.cpp
@@ -26,9 +26,16 @@
 constexpr Time reportEvery = 250 * millisecond;
 constexpr Time staleAge = 5 * second;
 
-enum class Policy { Omniscient, OmniscientOnPath, Dispatcher, AloneTwoChoices, Random, RoundRobin };
+enum class Policy { Omniscient, OmniscientOnPath, Dispatcher, DispatcherPerCentre, DispatchersOverlap, AloneTwoChoices, Random, RoundRobin };
 enum class Reports { Honest, Stale, Liars };
 
+/// A dispatcher.
+struct Lane {
+    int balancer = 0;
+    Admission admission;
+    TargetSet targets;
+};
+
 /// One way of placing requests, over one run of the same arrivals.
 struct Fleet {
     Policy policy = Policy::Dispatcher;
@@ -40,8 +47,8 @@
     std::vector<SimTarget> targets;
     std::vector<TargetEntry> entries;
     std::deque<SimJob> central; ///< the omniscient queue
-    std::vector<TargetSet> views; ///< one for each balancer, or only the dispatcher's
-    Admission admission;
+    std::vector<TargetSet> views; ///< of the balancers that place alone
+    std::vector<Lane> lanes; ///< the dispatchers: one, or one for each data centre
     std::unordered_map<RequestId, SimJob> held; ///< requests that admission has queued
     std::vector<std::size_t> roundRobin;
     std::vector<std::deque<TargetReport>> history;
@@ -61,9 +68,15 @@
     return from % dataCentres == to % dataCentres ? localHop : remoteHop;
 }
 
+/// Each data centre has targets of each size, 14 to 16 slots in all.
+int centreOf(std::size_t target)
+{
+    return static_cast<int>((target + target / 3) % dataCentres);
+}
+
 Time targetHop(int from, std::size_t target)
 {
-    return from % dataCentres == static_cast<int>(target) % dataCentres ? localHop : remoteHop;
+    return from % dataCentres == centreOf(target) ? localHop : remoteHop;
 }
 
 std::size_t indexOf(Id target)
@@ -76,14 +89,14 @@
     after(fleet.sim, targetHop(from, target), [&fleet, target, job = std::move(job)]() mutable { submit(fleet.sim, fleet.targets[target], std::move(job)); });
 }
 
-void carryOut(Fleet &fleet, const std::vector<AdmissionDecision> &out)
+void carryOut(Fleet &fleet, Lane &lane, const std::vector<AdmissionDecision> &out)
 {
     for (const AdmissionDecision &it : out) {
         if (it.action == AdmissionAction::Start) {
-            const TargetLoad &load = *findTarget(fleet.views[0], it.target);
+            const TargetLoad &load = *findTarget(lane.targets, it.target);
             fleet.mostOnTarget = std::max(fleet.mostOnTarget, load.inFlight - load.slots);
             const auto job = fleet.held.find(it.id);
-            send(fleet, 0, indexOf(it.target), std::move(job->second));
+            send(fleet, lane.balancer, indexOf(it.target), std::move(job->second));
             fleet.held.erase(job);
         } else if (it.action == AdmissionAction::Refuse) {
             fleet.refused += 1;
@@ -92,24 +105,24 @@
     }
 }
 
-/// The dispatcher (balancer 0) gets a request.
-void dispatch(Fleet &fleet, RequestId id, SimJob job)
+/// A dispatcher gets a request.
+void dispatch(Fleet &fleet, Lane &lane, RequestId id, SimJob job)
 {
     auto ended = std::move(job.ended);
     // The answer reaches the dispatcher after the hop of its target.
-    job.ended = [&fleet, id, ended = std::move(ended)](WorkOutcome outcome) {
-        const Id target = fleet.admission.running.at(id).target;
-        after(fleet.sim, targetHop(0, indexOf(target)), [&fleet, id, outcome, ended] {
+    job.ended = [&fleet, &lane, id, ended = std::move(ended)](WorkOutcome outcome) {
+        const Id target = lane.admission.running.at(id).target;
+        after(fleet.sim, targetHop(lane.balancer, indexOf(target)), [&fleet, &lane, id, outcome, ended] {
             std::vector<AdmissionDecision> out;
             ended(outcome);
-            finish(fleet.admission, fleet.views[0], id, outcome, fleet.sim.now, fleet.choices, out);
-            carryOut(fleet, out);
+            finish(lane.admission, lane.targets, id, outcome, fleet.sim.now, fleet.choices, out);
+            carryOut(fleet, lane, out);
         });
     };
     fleet.held[id] = std::move(job);
     std::vector<AdmissionDecision> out;
-    offer(fleet.admission, fleet.views[0], {id, 0, fleet.sim.now + deadline, 100, 0}, fleet.sim.now, fleet.choices, out);
-    carryOut(fleet, out);
+    offer(lane.admission, lane.targets, {id, 0, fleet.sim.now + deadline, 100, 0}, fleet.sim.now, fleet.choices, out);
+    carryOut(fleet, lane, out);
 }
 
 /// Starts requests of the central queue on free slots; the queue knows all slots without delay.
@@ -198,9 +211,13 @@
         break;
     }
     case Policy::Dispatcher:
-        fleet.relayed += balancer != 0 ? 1 : 0;
-        after(fleet.sim, hopTo(balancer, 0), [&fleet, id, job = std::move(job)]() mutable { dispatch(fleet, id, std::move(job)); });
+    case Policy::DispatcherPerCentre:
+    case Policy::DispatchersOverlap: {
+        Lane &lane = fleet.lanes[index % fleet.lanes.size()];
+        fleet.relayed += balancer != lane.balancer ? 1 : 0;
+        after(fleet.sim, hopTo(balancer, lane.balancer), [&fleet, &lane, id, job = std::move(job)]() mutable { dispatch(fleet, lane, id, std::move(job)); });
         break;
+    }
     case Policy::AloneTwoChoices:
         sendAlone(fleet, balancer, indexOf(*chooseForOpen(fleet.views[index], fleet.sim.now, fleet.choices)), std::move(job));
         break;
@@ -258,10 +275,36 @@
         for (TargetSet &it : fleet.views) {
             reportStatus(it, static_cast<Id>(target) + 1, said, fleet.sim.now);
         }
+        for (Lane &it : fleet.lanes) {
+            reportStatus(it.targets, static_cast<Id>(target) + 1, said, fleet.sim.now);
+        }
     }
     after(fleet.sim, reportEvery, [&fleet, until] { report(fleet, until); });
 }
 
+void useTargets(TargetSet &set, const std::vector<TargetEntry> &entries)
+{
+    setTargets(set, entries, 0);
+    for (const TargetEntry &it : entries) {
+        setReachable(set, it.id, true, 0);
+    }
+}
+
+void setUpLanes(Fleet &fleet)
+{
+    fleet.lanes.resize(fleet.policy == Policy::Dispatcher ? 1 : dataCentres);
+    for (int i = 0; i < static_cast<int>(fleet.lanes.size()); ++i) {
+        Lane &lane = fleet.lanes[static_cast<std::size_t>(i)];
+        std::vector<TargetEntry> entries = fleet.entries;
+        if (fleet.policy == Policy::DispatcherPerCentre) {
+            std::erase_if(entries, [i](const TargetEntry &it) { return centreOf(indexOf(it.id)) != i; });
+        }
+        lane.balancer = i;
+        setPolicies(lane.admission, {});
+        useTargets(lane.targets, entries);
+    }
+}
+
 void setUp(Fleet &fleet, std::uint64_t seed)
 {
     fleet.arrivals.state = seed;
@@ -271,14 +314,11 @@
         fleet.targets.push_back({slots, SIZE_MAX, 0, {}, 0});
         fleet.entries.push_back({i + 1, slots, true});
     }
-    setPolicies(fleet.admission, {});
-    fleet.views.resize(fleet.policy == Policy::Dispatcher ? 1 : balancers);
+    fleet.views.resize(balancers);
     for (TargetSet &it : fleet.views) {
-        setTargets(it, fleet.entries, 0);
-        for (const TargetEntry &entry : fleet.entries) {
-            setReachable(it, entry.id, true, 0);
-        }
+        useTargets(it, fleet.entries);
     }
+    setUpLanes(fleet);
     fleet.roundRobin.resize(balancers);
     for (std::size_t &it : fleet.roundRobin) {
         it = below(fleet.choices, static_cast<std::uint64_t>(slotCount(fleet)));
@@ -341,6 +381,8 @@
 constexpr NamedPolicy policies[] = {
     {"dispatcher_honest", Policy::Dispatcher, Reports::Honest},
     {"omniscient_on_path", Policy::OmniscientOnPath, Reports::Honest},
+    {"dispatcher_per_centre", Policy::DispatcherPerCentre, Reports::Honest},
+    {"dispatchers_overlap", Policy::DispatchersOverlap, Reports::Honest},
     {"dispatcher_stale", Policy::Dispatcher, Reports::Stale},
     {"dispatcher_liars", Policy::Dispatcher, Reports::Liars},
     {"alone_honest", Policy::AloneTwoChoices, Reports::Honest},
@@ -360,7 +402,7 @@
         const BalanceResult measured = runFleet(it.policy, it.reports, scenario);
         row[it.name] = describe(measured, limit);
         mostOnTarget = std::max(mostOnTarget, measured.mostOnTarget);
-        if (it.policy == Policy::Dispatcher) {
+        if (measured.relaysPerRequest > 0) {
             row[it.name]["relays_per_request"] = measured.relaysPerRequest;
         }
     }
