--- a/src/idl/view.thrift
+++ b/src/idl/view.thrift
@@ -53,7 +53,7 @@
   2: list<MemberView> members
   3: list<TargetView> targets
   4: list<ServiceView> services
-  5: list<KeyView> keys          // newest epoch of each team first
+  5: list<KeyView> keys          // epoch for new tokens of each team first
   6: string dataCentre
   7: optional list<peer.ObjectHead> objects  // versions that the view was made from
 }
--- a/src/include/pimentofold/template.h
+++ b/src/include/pimentofold/template.h
@@ -178,7 +178,4 @@
 ///     the order of NodeView::keys
 std::vector<KeyEpoch> keysInUse(const TeamKeys &keys, WallTime now);
 
-/// @return the next time at which the result of keysInUse() changes; nothing when it stays as it is
-std::optional<WallTime> nextKeyChange(const TeamKeys &keys, WallTime now);
-
 } // namespace pimentofold
--- a/src/libpimentofold/teamkeys.cpp
+++ b/src/libpimentofold/teamkeys.cpp
@@ -132,17 +132,4 @@
     return valid;
 }
 
-std::optional<WallTime> nextKeyChange(const TeamKeys &keys, WallTime now)
-{
-    std::optional<WallTime> next;
-    for (const KeyEpoch &it : keys.epochs) {
-        for (const WallTime at : {it.validUntil, it.useFrom}) {
-            if (at > now && (!next || at < *next)) {
-                next = at;
-            }
-        }
-    }
-    return next;
-}
-
 } // namespace pimentofold
--- a/src/libpimentofold/template_test.cpp
+++ b/src/libpimentofold/template_test.cpp
@@ -222,11 +222,8 @@
 
     CHECK(keysInUse(rotated, now).front().epoch == 1);
     CHECK(keysInUse(rotated, now).size() == 2);
-    CHECK(nextKeyChange(rotated, now) == now + keyUseDelayMs);
     CHECK(keysInUse(rotated, now + keyUseDelayMs).front().epoch == 2);
-    CHECK(nextKeyChange(rotated, now + keyUseDelayMs) == rotated.epochs[1].validUntil);
     CHECK(keysInUse(rotated, rotated.epochs[1].validUntil).size() == 1);
-    CHECK_FALSE(nextKeyChange(rotated, rotated.epochs[1].validUntil));
 
     TeamKeys many = initial;
     for (int i = 1; i < static_cast<int>(maxKeyEpochs); ++i) {
