Show broken teams in status in place of an error

Cause: a team whose template is missing, written past the checks of pimentofoldctl, made `status` fail for all teams.

Conclusion: one wrong object no longer hides the state of the others.

--- a/src/pimentofoldctl/queries.cpp
+++ b/src/pimentofoldctl/queries.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <map>
+#include <set>
 
 #include <pimentofold/timeline.h>
 #include <pimentofoldctl/changeid.h>
@@ -55,19 +56,41 @@
     return team.empty() ? !teams.empty() : std::find(teams.begin(), teams.end(), team) != teams.end();
 }
 
-/// @return the status names of the object's teams that are asked for; none for teams that are gone or wrong
-Expectation expectationIn(const PlatformObject &object, const std::string &team, const ObjectValues &values)
+/// Status names by team.
+using TeamStatusNames = std::map<std::string, std::set<std::string>>;
+
+/// @param only the one team that is asked for; empty for all
+/// @param problems gets what is wrong with teams, which then have no status names
+TeamStatusNames teamStatusNames(const ObjectValues &values, const std::string &only, std::vector<std::string> &problems)
+{
+    TeamStatusNames names;
+    for (const auto &[key, value] : values) {
+        if (key.kind != "team" || (!only.empty() && key.name != only)) {
+            continue;
+        }
+        try {
+            names[key.name] = statusNames(expandFrom(key.name, values));
+        } catch (const SettingsError &error) {
+            problems.emplace_back(error.what());
+        }
+    }
+    return names;
+}
+
+/// @return the status names of the object's teams, as far as they have any
+Expectation expectationIn(const PlatformObject &object, const TeamStatusNames &names, const ObjectValues &values)
 {
     Expectation expectation{object.key, object.version, {}};
     for (const std::string &it : teamsOf(object.key, values)) {
-        if ((team.empty() || team == it) && values.contains({"team", it})) {
-            expectation.statusNames.merge(statusNames(expandFrom(it, values)));
+        const auto found = names.find(it);
+        if (found != names.end()) {
+            expectation.statusNames.insert(found->second.begin(), found->second.end());
         }
     }
     return expectation;
 }
 
-Convergence presentConvergence(const std::vector<PlatformObject> &objects, const std::string &team)
+Convergence presentConvergence(const std::vector<PlatformObject> &objects, const std::string &team, std::vector<std::string> &problems)
 {
     ObjectValues values;
     for (const PlatformObject &it : objects) {
@@ -75,6 +98,7 @@
             values[it.key] = it.value;
         }
     }
+    const TeamStatusNames names = teamStatusNames(values, team, problems);
     Convergence convergence;
     for (const PlatformObject &it : objects) {
         const bool wanted = team.empty() || it.key.name.ends_with("." + team);
@@ -82,7 +106,7 @@
             observeStatus(convergence, it);
         }
         if (isPresent(it) && concerns(it, team, values)) {
-            convergence.expectations.push_back(expectationIn(it, team, values));
+            convergence.expectations.push_back(expectationIn(it, names, values));
         }
     }
     return convergence;
@@ -193,19 +217,25 @@
     if (!team.empty() && !isKnownTeam(objects, team)) {
         throw SettingsError("team/" + team, "", "a team that exists");
     }
-    const Convergence convergence = presentConvergence(objects, team);
+    std::vector<std::string> problems;
+    const Convergence convergence = presentConvergence(objects, team, problems);
     const WallTime now = context.wallNow();
     const std::vector<Laggard> lagging = laggards(convergence, now);
     Report report;
-    report.data = {{"inForce", lagging.empty()}, {"lagging", toJson(lagging)}, {"statuses", statusJson(convergence, objects)}};
+    report.data = {{"inForce", lagging.empty() && problems.empty()}, {"lagging", toJson(lagging)}, {"statuses", statusJson(convergence, objects)}};
     for (const auto &[name, status] : convergence.statuses) {
         report.text += describeStatus(status, now);
     }
     for (const Laggard &it : lagging) {
         report.text += toString(it) + "\n";
     }
-    report.text += lagging.empty() ? std::to_string(convergence.expectations.size()) + " objects are in force everywhere\n" : "";
-    report.exit = lagging.empty() ? ExitCode::Ok : ExitCode::NotConverged;
+    for (const std::string &it : problems) {
+        report.text += "problem: " + it + "\n";
+    }
+    const bool good = lagging.empty() && problems.empty();
+    report.data["problems"] = problems;
+    report.text += good ? std::to_string(convergence.expectations.size()) + " objects are in force everywhere\n" : "";
+    report.exit = good ? ExitCode::Ok : ExitCode::NotConverged;
     return report;
 }
 
