Replace silent pairs and dispatchers at once

A new test also found that the first look at deadlines ended all packets in flight, whatever their deadlines. Change: a balancer that leaves relays or intents unanswered counts as not serving for 5 s or until it is heard; tokens and dispatchers then name others. Deadlines are watched from the start of the process. In the last fifth of the drain limit only what runs already is finished. Conclusion: a crash costs each pair one refusal.

--- a/src/include/pimentofold/view.h
+++ b/src/include/pimentofold/view.h
@@ -128,8 +128,17 @@
 /// @param own this balancer as it should be seen
 void setOwnMember(View &view, const ViewMember &own);
 
-/// Chooses the dispatcher of a service: the first serving member of the own data centre in rendezvous order.
-/// @return the dispatcher, or an empty key when the view has no serving member
-InstanceKey chooseDispatcher(const View &view, Id service);
+/// Members that don't answer although the view calls them serving. The view lags behind a crash by the time that
+/// membership needs to detect it; until then no new pair and no dispatcher should be on such a member.
+struct SilentMembers {
+    std::unordered_map<InstanceKey, Time> until; ///< when each one is given another chance
+};
+
+/// A silent member is avoided for this time.
+constexpr Time silentMemberTime = 5 * second;
+
+/// Takes silent members out of the serving ones.
+/// @param view as the agent sent it, apart from the own member
+void hideSilentMembers(View &view, const SilentMembers &silent);
 
 } // namespace pimentofold
--- a/src/libpimentofold/view.cpp
+++ b/src/libpimentofold/view.cpp
@@ -216,10 +216,13 @@
     }
 }
 
-InstanceKey chooseDispatcher(const View &view, Id service)
+void hideSilentMembers(View &view, const SilentMembers &silent)
 {
-    const ViewMember *member = firstByRank(view, static_cast<std::uint64_t>(service), {});
-    return member == nullptr ? InstanceKey{} : member->key;
+    for (ViewMember &it : view.members) {
+        if (silent.until.contains(it.key) && it.state != ViewMember::State::Dead) {
+            it.state = ViewMember::State::Leaving;
+        }
+    }
 }
 
 } // namespace pimentofold
--- a/src/pimentofold-balancer/balancer.cpp
+++ b/src/pimentofold-balancer/balancer.cpp
@@ -29,6 +29,7 @@
     , m_own{idOf(settings.node), wallMicroseconds()}
     , m_log{settings.node + "/balancer", {}}
     , m_random{mix(static_cast<std::uint64_t>(m_own.instance), static_cast<std::uint64_t>(m_own.incarnation))}
+    , m_inFlight(monotonicNow())
     , m_packets(counter(m_metrics, "packets_total"))
     , m_requests(counter(m_metrics, "requests_total"))
     , m_refused(counter(m_metrics, "refused_total"))
@@ -70,10 +71,37 @@
     logEvent(m_log, "started", {{"incarnation", m_own.incarnation}, {"peer", toString(settings.peerAddress)}, {"view", toString(settings.viewAddress)}});
 }
 
-void Balancer::enterOwnState()
+void Balancer::enterLocalState()
 {
+    m_view.members = m_received.members;
+    m_view.memberIndex = m_received.memberIndex;
     const ViewMember::State state = m_stopping ? ViewMember::State::Leaving : ViewMember::State::Alive;
     setOwnMember(m_view, {m_own, state, toString(m_settings.peerAddress), m_settings.dataCentre});
+    hideSilentMembers(m_view, m_silent);
+    updateLoads();
+}
+
+void Balancer::noteSilent(const InstanceKey &member)
+{
+    if (!m_silent.until.emplace(member, m_now + silentMemberTime).second || !isServing(m_view, member)) {
+        return;
+    }
+    logEvent(m_log, "member_silent", {{"member", toString(member)}});
+    enterLocalState();
+}
+
+void Balancer::noteHeard(const InstanceKey &member)
+{
+    if (!m_silent.until.empty() && m_silent.until.erase(member) > 0) {
+        enterLocalState();
+    }
+}
+
+void Balancer::retrySilentMembers()
+{
+    if (std::erase_if(m_silent.until, [this](const auto &it) { return m_now >= it.second; }) > 0) {
+        enterLocalState();
+    }
 }
 
 void Balancer::applyView(const wire::NodeView &from)
@@ -87,12 +115,12 @@
         return;
     }
     remapRoutes(m_routes, m_view, view);
+    view.dataCentre = m_settings.dataCentre;
+    m_received = view;
     std::swap(m_view, view);
-    m_view.dataCentre = m_settings.dataCentre;
     m_objects = from.objects;
-    enterOwnState();
     m_pool.apply(m_view);
-    updateLoads();
+    enterLocalState();
     m_ports.apply(m_view);
     logEvent(m_log,
              "view_applied",
@@ -213,6 +241,7 @@
         noteTarget(*target);
     }
     m_ports.apply(m_view);
+    retrySilentMembers();
 }
 
 void Balancer::stop()
@@ -221,8 +250,7 @@
     m_stopping = true;
     m_stopAt = now + m_settings.drainLimit;
     m_lastDatagram = now;
-    enterOwnState();
-    updateLoads();
+    enterLocalState();
     beginOnceStop(m_once, now + static_cast<Time>(static_cast<double>(m_settings.drainLimit) * requestsShareOfStop));
     logEvent(m_log, "stopping", {{"in_flight", m_inFlight.size()}, {"limit_ms", m_settings.drainLimit / millisecond}});
     m_agent.report();
--- a/src/pimentofold-balancer/balancer.h
+++ b/src/pimentofold-balancer/balancer.h
@@ -85,7 +85,10 @@
 private:
     // balancer.cpp: set-up, view, timers, reports
     void applyView(const wire::NodeView &from);
-    void enterOwnState();
+    void enterLocalState();
+    void noteSilent(const InstanceKey &member);
+    void noteHeard(const InstanceKey &member);
+    void retrySilentMembers();
     void onTargetStatus(PooledTarget &target);
     void onTargetChange(PooledTarget &target, const std::string &what);
     const TargetLoad *loadOf(const PooledTarget &target) const;
@@ -100,6 +103,7 @@
     void countFault(const CheckedPacket &checked);
     void decodeAndHandle(const ViewService &service, std::string_view bytes, const Address &from);
     void handle(Arrival &arrival);
+    void refuseWhenEnding(const Arrival &arrival);
     void open(Arrival &arrival);
     void openWithToken(InFlightId id);
     void askCandidate(InFlightId id);
@@ -175,7 +179,9 @@
     Random m_random;
     Time m_now = 0; ///< monotonic time of the event that is being handled
     Codec m_codec;
-    View m_view;
+    View m_received; ///< as the agent sent it
+    View m_view; ///< with what this balancer knows itself
+    SilentMembers m_silent;
     std::vector<wire::ObjectHead> m_objects; ///< versions that the view was made from
     FlowCache m_routes;
     InFlightTable m_inFlight;
--- a/src/pimentofold-balancer/balancer_test.cpp
+++ b/src/pimentofold-balancer/balancer_test.cpp
@@ -208,6 +208,53 @@
     CHECK(refused.verdict == wire::Verdict::NotRun);
 }
 
+// Guards against refusals that go on until membership has noticed a crashed witness.
+TEST_CASE("a silent witness is replaced by a fresh pair at once")
+{
+    Fleet fleet;
+    const wire::CallerPacket opened = openWithToken(fleet, 717, fleet.lookupA);
+    fleet.b.balancer.reset();
+    wire::CallerPacket request = packetOf(wire::PacketKind::Request, 717, 1);
+    request.repeatable = false;
+    request.__set_token(opened.token);
+    const wire::CallerPacket refused = fleet.caller.ask(request, fleet.lookupA);
+    CHECK(refused.verdict == wire::Verdict::NotRun);
+    CHECK(refused.reason == wire::Reason::PairLost);
+    REQUIRE(refused.__isset.token);
+    request.request = 2;
+    request.__set_token(refused.token);
+    CHECK(fleet.caller.ask(request, fleet.lookupA).verdict == wire::Verdict::Ran);
+}
+
+// Guards against more requests on a target than its slots, and against queued requests that can't be cancelled or outlive
+// their deadlines.
+TEST_CASE("requests beyond the slots wait and are refused truthfully")
+{
+    Fleet fleet;
+    const wire::CallerPacket opened = openWithToken(fleet, 818, fleet.lookupA);
+    FakeTarget &target = fleet.holderOf(818);
+    target.silent = true;
+    wire::CallerPacket request = packetOf(wire::PacketKind::Request, 818);
+    request.__set_token(opened.token);
+    for (request.request = 1; request.request <= 2; ++request.request) {
+        fleet.caller.socket.send(fleet.caller.codec.encode(request), fleet.lookupA);
+    }
+    runUntil([&] { return countOf(target, wire::FrameKind::Request) == 2; });
+    request.deadlineMs = 50;
+    const wire::CallerPacket late = fleet.caller.ask(request, fleet.lookupA);
+    CHECK(late.request == 3);
+    CHECK(late.verdict == wire::Verdict::NotRun);
+    request.request = 4;
+    request.deadlineMs = 20'000;
+    fleet.caller.socket.send(fleet.caller.codec.encode(request), fleet.lookupA);
+    request.kind = wire::PacketKind::Cancel;
+    const wire::CallerPacket cancelled = fleet.caller.ask(request, fleet.lookupA);
+    CHECK(cancelled.request == 4);
+    CHECK(cancelled.verdict == wire::Verdict::NotRun);
+    CHECK(cancelled.reason == wire::Reason::Cancelled);
+    CHECK(countOf(target, wire::FrameKind::Request) == 2);
+}
+
 // Guards against requests of services without sessions that are lost with their dispatcher.
 TEST_CASE("requests without sessions are relayed to the dispatcher and survive its loss")
 {
--- a/src/pimentofold-balancer/flows.cpp
+++ b/src/pimentofold-balancer/flows.cpp
@@ -4,6 +4,13 @@
 
 namespace pimentofold {
 
+namespace {
+
+// In the last fifth of the drain limit nothing new is taken, so that running requests can end.
+constexpr Time lastShareOfStop = 5;
+
+} // namespace
+
 void Balancer::onDatagram(Id serviceId, std::string_view bytes, const Address &from)
 {
     ++m_packets;
@@ -42,6 +49,11 @@
 
 void Balancer::handle(Arrival &arrival)
 {
+    const bool isEnding = m_now >= m_stopAt - m_settings.drainLimit / lastShareOfStop;
+    if (isEnding && arrival.packet.repeatable && arrival.packet.kind != wire::PacketKind::Cancel) {
+        refuseWhenEnding(arrival);
+        return;
+    }
     // The token has been read; packets in flight don't keep its bytes.
     arrival.packet.token.clear();
     arrival.packet.__isset.token = false;
@@ -71,6 +83,17 @@
     }
 }
 
+/// Refuses a packet for lack of time before the end. Requests that may not be repeated aren't refused here, since
+/// only their records tell whether an earlier sending has run.
+void Balancer::refuseWhenEnding(const Arrival &arrival)
+{
+    if (mayRefuseWithoutMemory(arrival.packet.attempt)) {
+        refuse({arrival.service->id, arrival.caller, &arrival.packet}, {Verdict::NotRun, Reason::Stopping, retryHint(), {}});
+    } else {
+        count(m_metrics, "refusals_withheld_total");
+    }
+}
+
 void Balancer::open(Arrival &arrival)
 {
     const ViewService &service = *arrival.service;
--- a/src/pimentofold-balancer/inflight.cpp
+++ b/src/pimentofold-balancer/inflight.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-InFlightTable::InFlightTable()
+InFlightTable::InFlightTable(Time now)
     : m_heads(firstBuckets)
     , m_wheel(wheelSteps)
+    , m_wheelAt(now / wheelStep)
 {
 }
 
--- a/src/pimentofold-balancer/inflight.h
+++ b/src/pimentofold-balancer/inflight.h
@@ -58,7 +58,8 @@
 class InFlightTable
 {
 public:
-    InFlightTable();
+    /// @param now monotonic time from which deadlines are watched
+    explicit InFlightTable(Time now);
 
     /// @return a new entry; references to others stay valid until the next add()
     InFlightId add(InFlight entry);
--- a/src/pimentofold-balancer/oncepath.cpp
+++ b/src/pimentofold-balancer/oncepath.cpp
@@ -173,6 +173,9 @@
         sendParts(entry, frame);
         return;
     }
+    if (outcome.verdict == Verdict::NotRun && outcome.reason == Reason::PairLost && entry.hasToken && entry.token.home == m_own) {
+        noteSilent(entry.token.witness);
+    }
     const ViewService *service = findService(m_view, reply.key.serviceId);
     const bool isWorthRetry = outcome.verdict == Verdict::NotRun && (outcome.reason == Reason::Shed || outcome.reason == Reason::NoTarget);
     std::string fresh = entry.hasToken && service != nullptr ? refreshed(entry.token, *service, reply.key.flow) : std::string();
--- a/src/pimentofold-balancer/relays.cpp
+++ b/src/pimentofold-balancer/relays.cpp
@@ -21,6 +21,7 @@
 void Balancer::onPeerMessage(const wire::PeerMessage &message, const Address &from)
 {
     m_now = monotonicNow();
+    noteHeard(fromWire(message.sender));
     switch (message.kind) {
     case wire::PeerKind::Relay:
         onRelay(message, from);
@@ -182,6 +183,7 @@
 void Balancer::relayUnanswered(const PendingRelay &relay)
 {
     count(m_metrics, "relays_unanswered_total");
+    noteSilent(relay.to);
     Arrival arrival;
     arrival.service = findService(m_view, relay.serviceId);
     if (arrival.service == nullptr) {
