--- a/src/libpimentofold/configrepair.cpp
+++ b/src/libpimentofold/configrepair.cpp
@@ -32,10 +32,10 @@
     return digest;
 }
 
-wire::PeerMessage digestMessage(const ConfigSpread &spread, std::string bytes, bool remote)
+wire::PeerMessage digestMessage(const ConfigSpread &spread, const std::string &bytes, bool remote)
 {
     wire::PeerMessage message = spreadMessage(spread, wire::PeerKind::Digest);
-    message.__set_digest(std::move(bytes));
+    message.__set_digest(bytes);
     message.__set_revision(spread.watch.revision);
     if (remote) {
         message.__set_dataCentre(spread.dataCentre);
@@ -64,7 +64,7 @@
     out.messages.push_back({to, digestMessage(spread, toBytes(spread.store.buckets.data(), digestBuckets), remote)});
 }
 
-void handleRoot(ConfigSpread &spread, const wire::PeerMessage &message, const std::string &from, Time now, SpreadOutput &out)
+void handleRoot(ConfigSpread &spread, const wire::PeerMessage &message, const std::string &from, SpreadOutput &out)
 {
     const bool remote = isRemote(spread, message);
     if (digestAt(message.digest, 0) != spread.store.root) {
@@ -78,7 +78,6 @@
     }
     if (!remote) {
         spread.repairs = 0;
-        spread.nextDigestAt = std::max(spread.nextDigestAt, now);
     }
     if (!message.last) {
         sendRootDigest(spread, from, remote, false, out);
@@ -108,7 +107,8 @@
     }
     if (!differing.empty() && spread.repairs < spread.options.mostRepairs) {
         ++spread.repairs;
-        spread.nextDigestAt = std::min(spread.nextDigestAt, now + spread.options.repairInterval);
+        DigestTimer &timer = isRemote(spread, message) ? spread.remoteDigests : spread.localDigests;
+        timer.nextAt = std::min(timer.nextAt, now + spread.options.repairInterval);
     }
 }
 
@@ -128,8 +128,8 @@
     }
     std::vector<ConfigObjectPointer> newer;
     for (const auto &[key, object] : spread.store.objects) {
-        const bool covered =
-            (message.hops == 0 || (!theirs.empty() && key >= theirs.begin()->first)) && (message.last || (!theirs.empty() && key <= theirs.rbegin()->first));
+        const bool covered = (message.hops == 0 || (!theirs.empty() && !(key < theirs.begin()->first)))
+            && (message.last || (!theirs.empty() && !(theirs.rbegin()->first < key)));
         const auto it = theirs.find(key);
         if (bucketOf(key) == bucket && covered && (it == theirs.end() || it->second < object->version)) {
             newer.push_back(object);
@@ -155,8 +155,9 @@
     if (isRemote(spread, message)) {
         learnDelegates(spread, message, now);
     }
+    (isRemote(spread, message) ? spread.remoteDigests : spread.localDigests).retryAt = never;
     if (message.digest.size() == digestBytes) {
-        handleRoot(spread, message, from, now, out);
+        handleRoot(spread, message, from, out);
     } else if (message.digest.size() == digestBytes * digestBuckets) {
         handleBuckets(spread, message, from, now, out);
     } else if (message.digest.size() == 1) {
@@ -199,9 +200,9 @@
     if (heads.empty()) {
         return;
     }
-    for (auto &group : splitHeads(heads, false)) {
+    for (const auto &group : splitHeads(heads, false)) {
         wire::PeerMessage message = spreadMessage(spread, wire::PeerKind::Pull);
-        message.__set_heads(std::move(group));
+        message.__set_heads(group);
         out.messages.push_back({to, std::move(message)});
         ++spread.counts.pulls;
     }
