Derive roles in the simulation only after changes

Cause: the measurement converge took 5 min 40 s of processor time, most of it for roles that were derived again at every tick of 400 members. Change: the simulation derives roles after a change of membership and once a second, as the agent does.

--- a/src/pimentofold-measure/controlsim.cpp
+++ b/src/pimentofold-measure/controlsim.cpp
@@ -108,6 +108,7 @@
         self.balancerAddress = node.address;
         self.dataCentre = node.spread.dataCentre;
         node.membership = {};
+        node.rolesAt = 0;
         startMembership(node.membership, self, node.spread.seeds, next(m_random), m_now);
     }
     const auto phase = static_cast<Time>(below(m_random, static_cast<std::uint64_t>(m_options.tickInterval)));
@@ -135,8 +136,19 @@
     }
 }
 
+void ControlSim::noteChanges(SimNode &node, const MembershipOutput &members)
+{
+    if (!members.changes.empty()) {
+        node.rolesAt = 0;
+    }
+}
+
 void ControlSim::setRoles(SimNode &node)
 {
+    if (m_now < node.rolesAt) {
+        return;
+    }
+    node.rolesAt = m_now + second;
     SpreadPeers peers;
     auto local = std::make_shared<std::vector<SpreadPeer>>();
     const auto delegates = ranked(node.membership, "delegate", delegatesPerDataCentre);
@@ -161,6 +173,7 @@
     if (m_options.membership) {
         MembershipOutput members;
         tickMembership(node.membership, m_now, members);
+        noteChanges(node, members);
         setRoles(node);
         perform(number, members.messages);
     }
@@ -212,6 +225,7 @@
         if (m_options.membership) {
             MembershipOutput members;
             handleMembership(node.membership, *shared, m_nodes[from].address, m_now, members);
+            noteChanges(node, members);
             perform(to, members.messages);
         }
         SpreadOutput out;
--- a/src/pimentofold-measure/controlsim.h
+++ b/src/pimentofold-measure/controlsim.h
@@ -56,6 +56,7 @@
     Time upSince = 0;
     ConfigSpread spread;
     MembershipState membership;
+    Time rolesAt = 0; ///< when roles are derived from membership again; 0 after a change
     std::map<ObjectKey, std::int64_t> inForce; ///< held by the balancer, also across restarts of the agent
     std::int64_t bytesSent = 0;
     std::int64_t bytesReceived = 0;
@@ -112,6 +113,7 @@
 
     void startNode(std::size_t number);
     void tick(std::size_t number, std::int64_t generation);
+    void noteChanges(SimNode &node, const MembershipOutput &members);
     void setRoles(SimNode &node);
     void setFixedRoles();
     void perform(std::size_t number, std::vector<MemberMessage> &messages);
