--- a/src/include/pimentofold/codec.h
+++ b/src/include/pimentofold/codec.h
@@ -19,9 +19,12 @@
     using std::runtime_error::runtime_error;
 };
 
-/// Largest datagram payload of callers and peers, in bytes. It fits in an Ethernet frame together with
+/// Largest datagram payload of callers and agents, in bytes. It fits in an Ethernet frame together with
 /// the headers and a token.
 constexpr std::size_t maxDatagramBytes = 1452;
+/// Largest datagram payload between balancers, in bytes. A relay wraps a caller's datagram of any size, and an
+/// outcome carries the answer that the witness keeps.
+constexpr std::size_t maxPeerDatagramBytes = 60'000;
 /// Largest frame between balancers and targets and between agent and balancer, in bytes.
 constexpr std::size_t maxFrameBytes = 4 << 20;
 /// Size of the length that precedes each frame, in bytes.
@@ -32,6 +35,9 @@
 {
 public:
     Codec();
+    ~Codec();
+    Codec(const Codec &) = delete;
+    Codec &operator=(const Codec &) = delete;
 
     /// @param value a generated Thrift struct
     /// @return its bytes, valid until the next call
@@ -54,8 +60,9 @@
     {
         prepare(bytes);
         try {
-            value.read(m_reader.get());
+            value.read(reader());
         } catch (const std::exception &error) {
+            m_readerIsClean = false;
             throw DecodeError(error.what());
         }
         if (m_in->available_read() != 0) {
@@ -64,12 +71,16 @@
     }
 
 private:
+    class Reader;
+
+    apache::thrift::protocol::TProtocol *reader();
     void prepare(std::string_view bytes);
 
     std::shared_ptr<apache::thrift::transport::TMemoryBuffer> m_out;
     std::shared_ptr<apache::thrift::transport::TMemoryBuffer> m_in;
     std::unique_ptr<apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer>> m_writer;
-    std::unique_ptr<apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer>> m_reader;
+    std::unique_ptr<Reader> m_reader;
+    bool m_readerIsClean = true; ///< false after a failure, which leaves the nesting of the struct in the reader
 };
 
 /// Appends a frame: the length of @p payload as 4 bytes, most significant first, and the payload.
