Answer Close of an unknown flow as UnknownFlow

The target stand-in answered Close with Closed for flows that it didn't hold, so that the balancer didn't try the next candidate of a bare flow. Change: the answer is UnknownFlow. Admin interfaces list flows.

--- a/scripts/lib/outcome.py
+++ b/scripts/lib/outcome.py
@@ -33,6 +33,7 @@
         "false_not_run": once["false_not_run"], "false_ran": once["false_ran"], "may_have_run": total["mayHaveRun"],
         "may_have_run_by_reason": total["unclear"], "unanswered": total["unanswered"],
         "refused": total_of(total["refused"]), "refused_by_reason": total["refused"],
+        "orphaned_flows": len(fleet.orphaned),
         "open_refused": total_of(total["openRefused"]),
     }
 
--- a/src/caller-standin/calleradmin.cpp
+++ b/src/caller-standin/calleradmin.cpp
@@ -128,6 +128,17 @@
     return {{"operations", list}};
 }
 
+json flowJson(const Callers &callers, std::int64_t number)
+{
+    const auto it = callers.flows.find(number);
+    if (it == callers.flows.end()) {
+        return {{"held", false}};
+    }
+    const Flow &flow = it->second;
+    const char *phase = flow.phase == FlowPhase::Open ? "open" : flow.phase == FlowPhase::Opening ? "opening" : "closing";
+    return {{"held", true}, {"phase", phase}, {"token", flow.carriesToken}, {"server", flow.server}, {"requests", flow.lastRequest}};
+}
+
 json closeFlows(Callers &callers, const json &body)
 {
     const Time within = body.value("withinMs", std::int64_t{0}) * millisecond;
@@ -152,6 +163,10 @@
         return sweepJson(callers.sweep);
     };
     routes["GET /admin/counts"] = [&callers](const Query &, const json &) { return countsJson(callers); };
+    routes["GET /admin/flow"] = [&callers](const Query &query, const json &) {
+        const auto it = query.find("number");
+        return flowJson(callers, it == query.end() ? 0 : json::parse(it->second).get<std::int64_t>());
+    };
     routes["GET /admin/operations"] = [&callers](const Query &, const json &) { return operationsJson(callers); };
     return serveJson(address, std::move(routes));
 }
--- a/src/caller-standin/calleradmin.h
+++ b/src/caller-standin/calleradmin.h
@@ -16,6 +16,7 @@
 ///     PUT /admin/sweep      {"perSecond": 2000}: checks each open flow
 ///     PUT /admin/close      {"instance": "t1", "withinMs": 2000}: closes the flows of a server
 ///     GET /admin/counts     counts by phase, service and kind; flows; progress of the sweep
+///     GET /admin/flow       one flow, by the query number=N
 ///     GET /admin/operations verdicts on each request of work that must run at most once
 namespace pimentofold {
 
--- a/src/target-standin/backend_test.cpp
+++ b/src/target-standin/backend_test.cpp
@@ -87,6 +87,7 @@
 {
     Backend backend = makeBackend();
     CHECK(outcomeOf(send(backend, frameOf(FrameKind::Request, 1, 1))) == Outcome::UnknownFlow);
+    CHECK(outcomeOf(send(backend, frameOf(FrameKind::Close, 1))) == Outcome::UnknownFlow);
     wire::TargetFrame probe = frameOf(FrameKind::Open, 1);
     probe.onlyIfHeld = true;
     CHECK(outcomeOf(send(backend, probe)) == Outcome::UnknownFlow);
--- a/src/target-standin/targetadmin.cpp
+++ b/src/target-standin/targetadmin.cpp
@@ -107,6 +107,15 @@
         }
         return json{{"servers", list}};
     };
+    routes["GET /admin/flows"] = [&servers](const Query &query, const json &) {
+        json list = json::array();
+        for (const BackendServer *it : serversFor(servers, query)) {
+            for (const std::int64_t flow : it->state().flows) {
+                list.push_back(flow);
+            }
+        }
+        return json{{"flows", list}};
+    };
     routes["GET /admin/runs"] = [&servers](const Query &query, const json &) {
         json list = json::array();
         for (const BackendServer *it : serversFor(servers, query)) {
--- a/src/target-standin/targetadmin.h
+++ b/src/target-standin/targetadmin.h
@@ -16,6 +16,7 @@
 ///     PUT /admin/faults   {"unhealthy", "silent", "shedShare", "slowFactor", "statusLagMs", "reportedLoad",
 ///                          "dropConnections"}; fields that are missing go back to their default
 ///     GET /admin/counts   {"servers": [{"instance", "flows", ...}]}
+///     GET /admin/flows    {"flows": [number, ...]}
 ///     GET /admin/runs     {"runs": [{"operation", "flow", "request", "runs", "instance"}]}
 namespace pimentofold {
 
