Count cancelled requests without a verdict as cancelled

Change: silence after a cancellation counts as cancelled. Work that must run at most once stays may_have_run.

--- a/src/caller-standin/callers_test.cpp
+++ b/src/caller-standin/callers_test.cpp
@@ -228,3 +228,21 @@
     CHECK(fetch.wantedOffset == 0);
     CHECK(leadingBytes(fetch) == 0);
 }
+
+// Guards against cancelled requests that are counted as cut: the fabric may have lost the request itself.
+TEST_CASE("silence counts as unanswered unless the caller has cancelled the request")
+{
+    for (const double cancelShare : {0.0, 1.0}) {
+        CAPTURE(cancelShare);
+        CallerSettings settings = settingsOf(true);
+        settings.groups[0].work[0].cancelShare = cancelShare;
+        Callers callers = withOpenFlow(settings);
+        sendWork(callers, 20 * millisecond);
+        for (Time now = 30 * millisecond; now < 3 * second; now += 10 * millisecond) {
+            tick(callers, now);
+        }
+        CHECK(counts(callers).cancelled == (cancelShare > 0 ? 1 : 0));
+        CHECK(counts(callers).unanswered == (cancelShare > 0 ? 0 : 1));
+        CHECK(callers.calls.empty());
+    }
+}
--- a/src/caller-standin/calls.cpp
+++ b/src/caller-standin/calls.cpp
@@ -255,7 +255,8 @@
 void giveUp(Callers &callers, const CallKey &key, Call &call, Time now)
 {
     WorkCounts &counts = countsOf(callers, call);
-    ++counts.unanswered;
+    // A balancer has nothing to say about a cancelled request that never reached it.
+    ++(call.cancelled ? counts.cancelled : counts.unanswered);
     if (!call.operation.empty()) {
         ++counts.mayHaveRun;
         ++counts.unclear["no_verdict"];
