--- a/src/pimentofold-measure/membership.cpp
+++ b/src/pimentofold-measure/membership.cpp
@@ -8,8 +8,6 @@
 
 namespace pimentofold {
 
-int measureMembership(const MeasureOptions &options);
-
 namespace {
 
 using namespace testsupport;
--- a/src/pimentofold-measure/soak.cpp
+++ b/src/pimentofold-measure/soak.cpp
@@ -9,8 +9,6 @@
 
 namespace pimentofold {
 
-int measureSoak(const MeasureOptions &options);
-
 namespace {
 
 using namespace testsupport;
