Check flows on the decisions of the data path at random

Cause: FlowSurvives, NoForeignPacket and LeavingGetsNoNewWork were not checked on tokens, candidates and target connections together.

--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -12,7 +12,7 @@
         {"flood", "service that is kept while one kind of work floods", measureFlood},
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
         {"membership", "control cost and detection time of membership by number of members", measureMembership},
-        {"soak", "random runs of the at-most-once records with growing seeds", measureSoak},
+        {"soak", "random runs of at-most-once records and flows with growing seeds", measureSoak},
     };
     return table;
 }
--- a/src/pimentofold-measure/soak.cpp
+++ b/src/pimentofold-measure/soak.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <pimentofold-measure/measurements.h>
+#include <testsupport/flowrun.h>
 #include <testsupport/oncerun.h>
 
 namespace pimentofold {
@@ -15,6 +16,7 @@
 
 struct SoakResult {
     RunCounts counts;
+    FlowRunCounts flows;
     std::int64_t seeds = 0;
     std::map<std::string, std::int64_t> failures; ///< by invariant
 };
@@ -50,6 +52,14 @@
     ++result.seeds;
     try {
         add(result.counts, runOnceWorld(optionsOf(seed)));
+        FlowRunOptions options;
+        options.seed = seed;
+        const FlowRunCounts flows = runFlows(options);
+        result.flows.flows += flows.flows;
+        result.flows.requests += flows.requests;
+        result.flows.replacements += flows.replacements;
+        result.flows.wrongIdentities += flows.wrongIdentities;
+        result.flows.withoutRoute += flows.withoutRoute;
     } catch (const InvariantFailure &failure) {
         ++result.failures[failure.invariant];
         std::cerr << failure.what() << '\n';
@@ -89,6 +99,12 @@
                               {"partitions", counts.partitions},
                               {"planned_stops", counts.plannedStops},
                               {"messages", counts.messages},
+                              {"flows", result.flows.flows},
+                              {"flow_requests", result.flows.requests},
+                              {"broken_flows", failuresOf(result, "FlowSurvives")},
+                              {"targets_replaced", result.flows.replacements},
+                              {"reused_addresses_refused", result.flows.wrongIdentities},
+                              {"requests_without_route", result.flows.withoutRoute},
                               {"invariant_failures", result.failures}};
     std::cout << json.dump() << '\n';
     return result.failures.empty() ? 0 : 1;
