--- a/src/libpimentofold/once_test.cpp
+++ b/src/libpimentofold/once_test.cpp
@@ -105,6 +105,7 @@
 constexpr int storeKind = wire::PeerKind::IntentStore;
 constexpr int storedKind = wire::PeerKind::IntentStored;
 constexpr int reportKind = wire::PeerKind::Outcome;
+constexpr int handoverAckKind = wire::PeerKind::HandoverAck;
 
 } // namespace
 
@@ -154,6 +155,16 @@
         {"home stops after the dispatch", other, {{dispatchKind, 1, Act::Stop}}, Verdict::Ran, 1},
         {"home has stopped, answers lost", other, {{dispatchKind, 1, Act::Stop}, {answerKind, 1, Act::Lose}, {reportKind, 0, Act::Lose}}, Verdict::Ran, 1},
         {"witness stops after the dispatch", other, {{dispatchKind, 1, Act::Stop, witness}}, Verdict::Ran, 1},
+        {"home and then witness stop, answer lost",
+         other,
+         {{dispatchKind, 1, Act::Stop}, {answerKind, 1, Act::Lose}, {handoverAckKind, 1, Act::Stop, witness}},
+         Verdict::Ran,
+         1},
+        {"home and witness stop before the request",
+         other,
+         {{callerKind, 1, Act::Stop}, {callerKind, 1, Act::Stop, witness}, {callerKind, 0, Act::Delay, 0, 2 * second}},
+         Verdict::NotRun,
+         0},
         {"witness stops before the intent", other, {{relayKind, 1, Act::Stop, witness}}, Verdict::NotRun, 0},
     };
     for (const Row &row : rows) {
@@ -328,3 +339,44 @@
     CHECK(ignored.messages.empty());
     CHECK(ignored.replies.empty());
 }
+
+// Guards against a successor that answers from records that aren't complete, or for pairs that it knows nothing of.
+TEST_CASE("a successor answers only with the complete records of a stopped balancer")
+{
+    const InstanceKey successorKey{3, 30};
+    OnceState atHome = stateOf(homeKey);
+    OnceState atWitness = stateOf(witnessKey);
+    OnceState atSuccessor = stateOf(successorKey);
+    REQUIRE(dispatches(atHome, atWitness, requestFor(1), 1, 1));
+    OnceOutput out;
+    handleOnceOutcome(atHome, requestFor(1).key, {Verdict::Ran, Reason::None, std::string(3'000, 'a'), 0, 1}, {0, 1}, out);
+    beginOnceStop(atHome, minute, {homeKey, successorKey});
+    for (Time now = 0; now < second && !onceStopped(atHome); now += 10 * millisecond) {
+        CHECK_FALSE(holdsEstate(atSuccessor, requestFor(1).pair));
+        OnceOutput sent;
+        OnceOutput answers;
+        tickOnce(atHome, {now, 1}, sent);
+        for (const OnceMessage &it : sent.messages) {
+            handleOncePeer(it.to == successorKey ? atSuccessor : atWitness, it.message, {now, 1}, answers);
+        }
+        for (const OnceMessage &it : answers.messages) {
+            handleOncePeer(atHome, it.message, {now, 1}, sent);
+        }
+    }
+    REQUIRE(onceStopped(atHome));
+    REQUIRE(holdsEstate(atSuccessor, requestFor(1).pair));
+    OnceRequest foreign = requestFor(3);
+    foreign.pair = {{8, 8}, {9, 9}};
+    OnceOutput later;
+    handleOnceRequest(atSuccessor, foreign, OnceRole::Witness, {minute, 1}, later);
+    CHECK(later.replies.empty());
+    handleOnceRequest(atSuccessor, requestFor(1), OnceRole::Witness, {minute, 1}, later);
+    handleOnceRequest(atSuccessor, requestFor(2), OnceRole::Witness, {minute, 1}, later);
+    handleOnceRequest(atSuccessor, requestFor(2), OnceRole::Witness, {minute, expiry + 1}, later);
+    REQUIRE(later.replies.size() == 3);
+    CHECK(later.replies[0].outcome->answer.size() == 3'000);
+    CHECK(later.replies[1].outcome->verdict == Verdict::NotRun);
+    CHECK(later.replies[2].outcome->verdict == Verdict::MayHaveRun);
+    tickOnce(atSuccessor, {minute, expiry + onceEstateKeepMs + 1}, later);
+    CHECK(atSuccessor.estates.empty());
+}
