--- a/src/libpimentofold/membership_test.cpp
+++ b/src/libpimentofold/membership_test.cpp
@@ -164,6 +164,7 @@
 TEST_CASE("ranks of the others don't change with a join or a leave")
 {
     std::vector<InstanceKey> members;
+    members.reserve(20);
     for (int n = 0; n < 20; ++n) {
         members.push_back({idOf("e" + std::to_string(n)), n});
     }
--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -5,11 +5,6 @@
 
 namespace pimentofold {
 
-int measureBalance(const MeasureOptions &options);
-int measureCapacity(const MeasureOptions &options);
-int measureMembership(const MeasureOptions &options);
-int measureSoak(const MeasureOptions &options);
-
 const std::vector<Measurement> &measurements()
 {
     static const std::vector<Measurement> table{
@@ -21,7 +16,7 @@
         {"forward", "packets a second of a balancer against a bare loop", &measureForward},
         {"limits", "laws of the adaptive limit on a session service", &measureLimits},
         {"membership", "control cost and detection time of membership by number of members", &measureMembership},
-        {"soak", "random runs of the at-most-once records with growing seeds", &measureSoak},
+        {"soak", "random runs of at-most-once records and flows with growing seeds", &measureSoak},
     };
     return table;
 }
--- a/src/pimentofold-measure/measurements.h
+++ b/src/pimentofold-measure/measurements.h
@@ -25,7 +25,10 @@
 const std::vector<Measurement> &measurements();
 
 int measureBalance(const MeasureOptions &options);
+int measureCapacity(const MeasureOptions &options);
 int measureFlood(const MeasureOptions &options);
 int measureLimits(const MeasureOptions &options);
+int measureMembership(const MeasureOptions &options);
+int measureSoak(const MeasureOptions &options);
 
 } // namespace pimentofold
