--- a/src/pimentofold-balancer/balancer_test.cpp
+++ b/src/pimentofold-balancer/balancer_test.cpp
@@ -102,9 +102,9 @@
     constexpr std::int64_t wanted = 303;
     fleet.caller.ask(packetOf(wire::PacketKind::Open, wanted), fleet.lookupA);
     FakeTarget &first = fleet.holderOf(wanted);
-    FakeTarget &second = &first == &fleet.targets[0] ? fleet.targets[1] : fleet.targets[0];
+    FakeTarget &other = &first == &fleet.targets[0] ? fleet.targets[1] : fleet.targets[0];
     first.flows.clear();
-    second.flows.insert(wanted);
+    other.flows.insert(wanted);
     wire::CallerPacket again = packetOf(wire::PacketKind::Open, wanted);
     again.attempt = 2;
     CHECK(fleet.caller.ask(again, fleet.lookupB).kind == wire::PacketKind::Opened);
