--- a/src/libpimentofold/configrange.cpp
+++ b/src/libpimentofold/configrange.cpp
@@ -137,7 +137,7 @@
 
 void restartRound(RangeTransfer &transfer, Time now)
 {
-    std::ranges::rotate(transfer.sources, transfer.sources.begin() + 1);
+    std::rotate(transfer.sources.begin(), transfer.sources.begin() + 1, transfer.sources.end());
     transfer.nextRange = 0;
     transfer.outstanding = 0;
     transfer.progressAt = now;
