--- a/src/libpimentofold/targetchoice.cpp
+++ b/src/libpimentofold/targetchoice.cpp
@@ -11,6 +11,8 @@
 constexpr double lossCut = 0.25;
 constexpr double leastShare = 0.05; // a target at share 0 would never show that it has recovered
 constexpr double contradictionCut = 0.5;
+constexpr int runsNeeded = 100; // before that a single run would decide whether runs are short
+constexpr double runGain = 0.02;
 constexpr double trustGain = 0.1;
 // Loads per slot that differ by less count as equal: half a request on a target of four slots. With 0.05 the
 // imbalance of targets with two to four slots at 70% load was 1.10, with this it is 1.05.
@@ -40,6 +42,9 @@
 
 double shareNow(const TargetSet &set, const TargetLoad &target, Time now)
 {
+    if (target.share >= 1) {
+        return 1;
+    }
     const double grown = static_cast<double>(now - target.shareAt) / static_cast<double>(set.settings.shareRecovery);
     return std::min(1.0, target.share + grown);
 }
@@ -103,6 +108,12 @@
     target.rampUntil = now + warmup;
 }
 
+int mostAhead(const TargetSet &set)
+{
+    const bool isShort = set.runsSeen >= runsNeeded && set.meanRun < static_cast<double>(set.settings.shortRun);
+    return isShort && set.settings.sendAhead > 0 ? set.settings.sendAheadShort : set.settings.sendAhead;
+}
+
 double openScore(const TargetSet &set, const TargetLoad &target, Time now)
 {
     const double flows = halved(target.openFlows, now - target.flowsAt, set.settings.flowHalfLife);
@@ -181,6 +192,7 @@
     }
     std::sort(set.targets.begin(), set.targets.end(), [](const TargetLoad &a, const TargetLoad &b) { return a.id < b.id; });
     updateHealthIgnored(set);
+    set.version += 1;
 }
 
 void setReachable(TargetSet &set, Id target, bool reachable, Time now)
@@ -189,6 +201,7 @@
     if (it == nullptr) {
         return;
     }
+    set.version += it->reachable != reachable ? 1 : 0;
     if (it->reachable && !reachable) {
         cutShare(set, *it, lossCut, now);
     }
@@ -209,6 +222,7 @@
     it->leastInFlight = it->inFlight;
     it->doneSinceReport = 0;
     takeWarmup(*it, report.warmup, now);
+    set.version += 1;
     updateHealthIgnored(set);
 }
 
@@ -236,12 +250,19 @@
     }
 }
 
+void recordRun(TargetSet &set, Time run)
+{
+    set.runsSeen = std::min(set.runsSeen + 1, runsNeeded);
+    set.meanRun += std::max(runGain, 1.0 / set.runsSeen) * (static_cast<double>(run) - set.meanRun);
+}
+
 void requestEnded(TargetSet &set, Id target, TargetOutcome outcome, Time now)
 {
     TargetLoad *it = find(set, target);
     if (it == nullptr || it->inFlight == 0) {
         return;
     }
+    set.version += outcome != TargetOutcome::Done || it->pausedUntil > 0 ? 1 : 0;
     const bool wasAhead = it->inFlight > it->slots;
     it->inFlight -= 1;
     it->leastInFlight = std::min(it->leastInFlight, it->inFlight);
@@ -283,7 +304,7 @@
 std::optional<Id> chooseForRequest(const TargetSet &set, Time now, Random &random)
 {
     const std::optional<Id> free = chooseBelow(set, false, now, random);
-    return free || set.settings.sendAhead == 0 ? free : chooseBelow(set, true, now, random);
+    return free || mostAhead(set) == 0 ? free : chooseBelow(set, true, now, random);
 }
 
 bool mayStartOn(const TargetSet &set, Id target)
@@ -295,7 +316,7 @@
 int aheadSlots(const TargetSet &set, const TargetLoad &target, Time now)
 {
     const bool undisturbed = shareNow(set, target, now) >= 1 && now >= target.rampUntil && now >= target.aheadFrom;
-    return undisturbed ? set.settings.sendAhead : 0;
+    return undisturbed ? mostAhead(set) : 0;
 }
 
 bool acceptsNewWork(const TargetSet &set, const TargetLoad &target, Time now)
@@ -310,39 +331,28 @@
     return std::clamp(slots, 1, target.slots);
 }
 
-int totalSlots(const TargetSet &set, Time now)
+SlotTotals slotTotals(const TargetSet &set, Time now)
 {
-    int total = 0;
+    SlotTotals totals;
     for (const TargetLoad &it : set.targets) {
+        if (!it.reachable) {
+            continue;
+        }
         const bool newWork = it.serving && !it.draining;
-        const int slots = newWork ? usableSlots(set, it, now) : it.slots;
-        total += it.reachable ? slots : 0;
+        totals.usable += newWork ? usableSlots(set, it, now) : it.slots;
+        totals.ahead += acceptsNewWork(set, it, now) ? aheadSlots(set, it, now) : 0;
+        totals.reachable += it.slots + mostAhead(set);
     }
-    return total;
-}
-
-int totalAhead(const TargetSet &set, Time now)
-{
-    int total = 0;
-    for (const TargetLoad &it : set.targets) {
-        total += acceptsNewWork(set, it, now) ? aheadSlots(set, it, now) : 0;
-    }
-    return total;
-}
-
-int reachableSlots(const TargetSet &set)
-{
-    int total = 0;
-    for (const TargetLoad &it : set.targets) {
-        total += it.reachable ? it.slots + set.settings.sendAhead : 0;
-    }
-    return total;
+    return totals;
 }
 
 double estimatedLoad(const TargetSet &set, const TargetLoad &target, Time now)
 {
-    const double others = halved(target.othersInUse, now - target.reportedAt, set.settings.reportHalfLife) * target.trust;
     const auto own = static_cast<double>(target.inFlight);
+    if (target.othersInUse == 0) {
+        return own;
+    }
+    const double others = halved(target.othersInUse, now - target.reportedAt, set.settings.reportHalfLife) * target.trust;
     return std::max(own, std::min(own + others, static_cast<double>(target.slots)));
 }
 
--- a/src/pimentofold-measure/measurements.h
+++ b/src/pimentofold-measure/measurements.h
@@ -26,6 +26,7 @@
 
 int measureBalance(const MeasureOptions &options);
 int measureFlood(const MeasureOptions &options);
+int measureLimits(const MeasureOptions &options);
 int measureMembership(const MeasureOptions &options);
 int measureSoak(const MeasureOptions &options);
 
