--- a/src/pimentofold-measure/measurements.cpp
+++ b/src/pimentofold-measure/measurements.cpp
@@ -5,6 +5,8 @@
 
 namespace pimentofold {
 
+int measureCapacity(const MeasureOptions &options);
+
 const std::vector<Measurement> &measurements()
 {
     static const std::vector<Measurement> table{
