Ask the successors of a stopped pair in the balancer

Cause: the balancer had a relay of its own that asked home and witness only. When both had stopped as planned, callers got MayHaveRun for requests that never ran, although a successor held all records. Ruled out: the records themselves; the randomised runs over the library find no such answer. Change: the balancer uses the library's relay module for requests that must run at most once, takes part as a successor, hands its records to one when it stops, and answers MayHaveRun only near the caller's deadline. Its own relays remain for dispatchers and cancellations. Conclusion: planned stops of a whole pair no longer leave outcomes unknown.

--- a/src/include/pimentofold/relay.h
+++ b/src/include/pimentofold/relay.h
@@ -59,11 +59,17 @@
     std::int64_t bothGone = 0;
 };
 
+/// An answer to a caller whose request nobody took charge of.
+struct RelayReply : OnceReply {
+    std::string packet; ///< the caller's datagram, so that the program can add a fresh token
+};
+
 /// What a command asks of the program around it. Commands append.
 struct RelayOutput {
     std::vector<OnceMessage> messages;
     std::vector<OnceRequest> asWitness; ///< the home is gone and this balancer is the witness: handleOnceRequest()
-    std::vector<OnceReply> replies; ///< MayHaveRun/PairLost: nobody acknowledged and the deadline is near
+    std::vector<InstanceKey> silent; ///< balancers that left a relay unacknowledged
+    std::vector<RelayReply> replies; ///< MayHaveRun/PairLost: nobody acknowledged and the deadline is near
 };
 
 /// Starts a relay. The witness itself relays to the home too, before it answers for it.
--- a/src/libpimentofold/relay.cpp
+++ b/src/libpimentofold/relay.cpp
@@ -54,7 +54,7 @@
     auto outcome = std::make_shared<OnceOutcome>();
     outcome->verdict = Verdict::MayHaveRun;
     outcome->reason = Reason::PairLost;
-    out.replies.push_back({request.key, request.route, std::move(outcome)});
+    out.replies.push_back({{request.key, request.route, std::move(outcome)}, request.packet});
 }
 
 OnceRequest toRequest(RelayRequest request)
@@ -72,6 +72,7 @@
 bool advance(RelayState &state, std::int64_t sequence, PendingRelay &relay, Time now, RelayOutput &out)
 {
     if (relay.tries >= relayTries) {
+        out.silent.push_back(relay.recipients.front());
         relay.recipients.erase(relay.recipients.begin());
         relay.tries = 0;
     }
--- a/src/pimentofold-balancer/balancer.cpp
+++ b/src/pimentofold-balancer/balancer.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Relays of both kinds are acknowledged by sequence number, so that their numbers must differ.
+constexpr std::int64_t firstOnceRelay = std::int64_t{1} << 48;
+
 constexpr Time fastInterval = 10 * millisecond;
 constexpr Time slowInterval = 100 * millisecond;
 constexpr Time reportInterval = 1 * second;
@@ -66,6 +69,8 @@
     })
 {
     m_once.self = m_own;
+    m_onceRelays.self = m_own;
+    m_onceRelays.sequence = firstOnceRelay;
     m_fastTimer.start(fastInterval, fastInterval);
     m_slowTimer.start(slowInterval, slowInterval);
     m_reportTimer.start(reportInterval, reportInterval);
@@ -230,6 +235,7 @@
         onOverdue(it);
     }
     tickRelays();
+    tickOnceRelays();
     tickAdmission();
     OnceOutput out;
     tickOnce(m_once, onceNow(), out);
@@ -256,7 +262,7 @@
     m_stopAt = now + m_settings.drainLimit;
     m_lastDatagram = now;
     enterLocalState();
-    beginOnceStop(m_once, now + static_cast<Time>(static_cast<double>(m_settings.drainLimit) * requestsShareOfStop));
+    beginOnceStop(m_once, now + static_cast<Time>(static_cast<double>(m_settings.drainLimit) * requestsShareOfStop), servingMembers(m_view));
     logEvent(m_log, "stopping", {{"in_flight", m_inFlight.size()}, {"limit_ms", m_settings.drainLimit / millisecond}});
     m_agent.report();
 }
@@ -264,11 +270,12 @@
 void Balancer::checkStopped()
 {
     const Time now = monotonicNow();
-    const bool idle = m_inFlight.size() == 0 && m_relays.empty() && onceStopped(m_once) && now - m_lastDatagram >= quietBeforeExit;
+    const bool idle =
+        m_inFlight.size() == 0 && m_relays.empty() && m_onceRelays.pending.empty() && onceStopped(m_once) && now - m_lastDatagram >= quietBeforeExit;
     if (!idle && now < m_stopAt) {
         return;
     }
-    logEvent(m_log, "stopped", {{"in_flight", m_inFlight.size()}, {"relays", m_relays.size()}});
+    logEvent(m_log, "stopped", {{"in_flight", m_inFlight.size()}, {"relays", m_relays.size() + m_onceRelays.pending.size()}});
     stopLoop();
 }
 
--- a/src/pimentofold-balancer/balancer.h
+++ b/src/pimentofold-balancer/balancer.h
@@ -24,6 +24,7 @@
 #include <pimentofold/metrics.h>
 #include <pimentofold/once.h>
 #include <pimentofold/random.h>
+#include <pimentofold/relay.h>
 #include <pimentofold/retry.h>
 #include <pimentofold/verdict.h>
 #include <pimentofold/view.h>
@@ -42,12 +43,11 @@
     bool relayed = false; ///< it came from another balancer and must not be relayed again
 };
 
-/// A packet that was relayed and not yet acknowledged.
-struct PendingRelay {
+/// A packet that was relayed to a dispatcher, or a cancellation to a home, and not yet acknowledged.
+struct UnacknowledgedRelay {
     wire::PeerMessage message;
     Id serviceId = 0;
     wire::CallerPacket packet;
-    Token token;
     Address caller;
     InstanceKey to;
     int tries = 0;
@@ -156,14 +156,18 @@
     void relayToDispatcher(Arrival &arrival);
     void acknowledge(const wire::PeerMessage &message, const Arrival &arrival, const Address &from);
     void onRelayAck(const wire::PeerMessage &message);
-    void sendRelay(PendingRelay &relay);
+    void sendRelay(UnacknowledgedRelay &relay);
     void tickRelays();
-    void relayUnanswered(const PendingRelay &relay);
+    void relayUnanswered(const UnacknowledgedRelay &relay);
 
     // oncepath.cpp: requests that may not be repeated
     static OnceNow onceNow();
     void requestOnce(Arrival &arrival);
-    void homeUnreachable(Arrival &arrival);
+    void relayOnce(const Arrival &arrival);
+    void carryOutRelays(RelayOutput out);
+    bool openOnce(const OnceKey &key, std::string_view packet, Arrival &arrival);
+    std::vector<InstanceKey> successorsOf(const OncePair &pair) const;
+    void tickOnceRelays();
     bool takesOnce(const Arrival &arrival, wire::RelayRole::type role);
     void takeOnce(const Arrival &arrival, OnceRole role);
     void onOncePeer(const wire::PeerMessage &message);
@@ -187,9 +191,10 @@
     InFlightTable m_inFlight;
     std::unordered_map<Id, ServiceLoad> m_load; ///< by service id
     Ingress m_gate;
-    std::unordered_map<std::int64_t, PendingRelay> m_relays; ///< by sequence
+    std::unordered_map<std::int64_t, UnacknowledgedRelay> m_relays; ///< by sequence
     std::int64_t m_sequence = 0;
     OnceState m_once;
+    RelayState m_onceRelays; ///< requests that may not be repeated, on their way to home, witness or successor
     std::unordered_map<OnceKey, Token> m_onceTokens; ///< of requests that haven't been answered yet
     bool m_stopping = false;
     Time m_stopAt = never; ///< latest end of a graceful stop
--- a/src/pimentofold-balancer/oncepath.cpp
+++ b/src/pimentofold-balancer/oncepath.cpp
@@ -4,6 +4,8 @@
 
 #include <pimentofold/answer.h>
 
+#include <pimentofold-balancer/serviceload.h>
+
 namespace pimentofold {
 
 namespace {
@@ -18,6 +20,18 @@
     return {token.home, token.witness};
 }
 
+OnceRoute routeOf(const Arrival &arrival)
+{
+    return {toString(arrival.caller), arrival.packet.offset, arrival.packet.limit, arrival.packet.attempt};
+}
+
+/// A token may name a later incarnation than this view shows; that one is to be asked.
+bool isGone(const View &view, const InstanceKey &key)
+{
+    const ViewMember *member = findMember(view, key.instance);
+    return member == nullptr || member->key.incarnation > key.incarnation;
+}
+
 } // namespace
 
 OnceNow Balancer::onceNow()
@@ -40,36 +54,101 @@
     if (onceRole(m_own, pair) == OnceRole::Home) {
         takeOnce(arrival, OnceRole::Home);
     } else if (!arrival.relayed) {
-        const ViewMember *home = findMember(m_view, pair.home.instance);
-        if (home != nullptr && home->key == pair.home && home->state != ViewMember::State::Dead) {
-            relay(arrival, pair.home, wire::RelayRole::Home);
-        } else {
-            homeUnreachable(arrival);
-        }
+        relayOnce(arrival);
     }
 }
 
-/// Turns to the witness after the home didn't take a request.
-void Balancer::homeUnreachable(Arrival &arrival)
+/// Relays a request to its home, then to its witness, then to those who may keep the records of stopped balancers.
+void Balancer::relayOnce(const Arrival &arrival)
 {
-    const Token &token = arrival.checked.token;
-    if (arrival.packet.kind != wire::PacketKind::Request) {
-        return;
+    RelayRequest request;
+    request.key = onceKeyOf(arrival);
+    request.pair = pairOf(arrival.checked.token);
+    request.route = routeOf(arrival);
+    request.packet = std::string(arrival.bytes);
+    request.homeGone = isGone(m_view, request.pair.home);
+    request.witnessGone = isGone(m_view, request.pair.witness);
+    request.successors = successorsOf(request.pair);
+    request.deadline = m_now + deadlineOf(arrival.packet, *arrival.service);
+    count(m_metrics, "relays_sent_total");
+    RelayOutput out;
+    startRelay(m_onceRelays, std::move(request), m_now, out);
+    carryOutRelays(std::move(out));
+}
+
+std::vector<InstanceKey> Balancer::successorsOf(const OncePair &pair) const
+{
+    const std::vector<InstanceKey> members = servingMembers(m_view);
+    std::vector<InstanceKey> successors = onceSuccessors(members, pair.home);
+    for (const InstanceKey &it : onceSuccessors(members, pair.witness)) {
+        successors.push_back(it);
     }
-    if (onceRole(m_own, pairOf(token)) == OnceRole::Witness) {
-        takeOnce(arrival, OnceRole::Witness);
-    } else if (token.witness.instance != 0 && findMember(m_view, token.witness.instance) != nullptr) {
-        relay(arrival, token.witness, wire::RelayRole::Witness);
-    } else {
-        refuse({arrival.service->id, arrival.caller, &arrival.packet},
-               {Verdict::MayHaveRun, Reason::PairLost, 0, refreshed(token, *arrival.service, arrival.packet.flow)});
+    if (!holdsEstate(m_once, pair)) {
+        std::erase(successors, m_own);
     }
+    return successors;
+}
+
+/// Reads the packet of a request again and keeps its token for the answer.
+/// @return false when the service or the token is no longer valid
+bool Balancer::openOnce(const OnceKey &key, std::string_view packet, Arrival &arrival)
+{
+    arrival.service = findService(m_view, key.serviceId);
+    if (arrival.service == nullptr) {
+        return false;
+    }
+    arrival.checked = checkPacket(m_codec, packet, *arrival.service, m_view.keys, wallNow(), arrival.packet);
+    if (arrival.checked.fault != PacketFault::None) {
+        return false;
+    }
+    m_onceTokens[key] = arrival.checked.token;
+    return true;
+}
+
+void Balancer::carryOutRelays(RelayOutput out)
+{
+    for (OnceMessage &it : out.messages) {
+        m_peers.send(m_view, it.to, it.message);
+    }
+    for (const InstanceKey &it : out.silent) {
+        count(m_metrics, "relays_unanswered_total");
+        noteSilent(it);
+    }
+    for (OnceRequest &it : out.asWitness) {
+        Arrival arrival;
+        if (openOnce(it.key, it.packet, arrival)) {
+            OnceOutput result;
+            it.deadline = m_now + deadlineOf(arrival.packet, *arrival.service);
+            handleOnceRequest(m_once, it, OnceRole::Witness, onceNow(), result);
+            carryOut(std::move(result));
+        }
+    }
+    for (const RelayReply &it : out.replies) {
+        Arrival arrival;
+        if (openOnce(it.key, it.packet, arrival)) {
+            sendOnceReply(it);
+            m_onceTokens.erase(it.key);
+        }
+    }
+}
+
+void Balancer::tickOnceRelays()
+{
+    RelayOutput out;
+    tickRelay(m_onceRelays, m_now, out);
+    carryOutRelays(std::move(out));
 }
 
 bool Balancer::takesOnce(const Arrival &arrival, wire::RelayRole::type role)
 {
-    const OnceRole wanted = role == wire::RelayRole::Home ? OnceRole::Home : OnceRole::Witness;
-    return arrival.checked.hasToken && !arrival.packet.repeatable && onceRole(m_own, pairOf(arrival.checked.token)) == wanted;
+    if (!arrival.checked.hasToken || arrival.packet.repeatable) {
+        return false;
+    }
+    const OncePair pair = pairOf(arrival.checked.token);
+    if (role == wire::RelayRole::Home) {
+        return onceRole(m_own, pair) == OnceRole::Home;
+    }
+    return onceRole(m_own, pair) == OnceRole::Witness || holdsEstate(m_once, pair);
 }
 
 void Balancer::takeOnce(const Arrival &arrival, OnceRole role)
@@ -78,7 +157,7 @@
     OnceRequest request;
     request.key = onceKeyOf(arrival);
     request.pair = pairOf(arrival.checked.token);
-    request.route = {toString(arrival.caller), arrival.packet.offset, arrival.packet.limit, arrival.packet.attempt};
+    request.route = routeOf(arrival);
     request.packet = std::string(arrival.bytes);
     request.deadline = now.now + deadlineOf(arrival.packet, *arrival.service);
     m_onceTokens[request.key] = arrival.checked.token;
--- a/src/pimentofold-balancer/relays.cpp
+++ b/src/pimentofold-balancer/relays.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-constexpr Time relayRetry = 50 * millisecond;
-// After this many unacknowledged sendings the relaying balancer turns elsewhere.
-constexpr int relayTries = 3;
-
 wire::RelayRole::type roleOf(const wire::PeerMessage &message)
 {
     return message.__isset.role ? message.role : wire::RelayRole::Dispatcher;
@@ -103,6 +99,7 @@
 void Balancer::onRelayAck(const wire::PeerMessage &message)
 {
     m_relays.erase(message.sequence);
+    handleRelayAck(m_onceRelays, message);
     const auto load = m_load.find(message.serviceId);
     if (message.relayPerSecond > 0 && load != m_load.end()) {
         setRelayLimit(load->second.relayLimits[{fromWire(message.sender), message.workKind}], message.relayPerSecond, m_now);
@@ -133,10 +130,9 @@
 
 void Balancer::relay(const Arrival &arrival, const InstanceKey &to, wire::RelayRole::type role)
 {
-    PendingRelay relay;
+    UnacknowledgedRelay relay;
     relay.serviceId = arrival.service->id;
     relay.packet = arrival.packet;
-    relay.token = arrival.checked.token;
     relay.caller = arrival.caller;
     relay.to = to;
     relay.message.kind = wire::PeerKind::Relay;
@@ -151,19 +147,19 @@
     m_relays.emplace(m_sequence, std::move(relay));
 }
 
-void Balancer::sendRelay(PendingRelay &relay)
+void Balancer::sendRelay(UnacknowledgedRelay &relay)
 {
     ++relay.tries;
-    relay.nextAt = m_now + relayRetry;
+    relay.nextAt = m_now + relayInterval;
     m_peers.send(m_view, relay.to, relay.message);
 }
 
 void Balancer::tickRelays()
 {
     const Time now = m_now;
-    std::vector<PendingRelay> unanswered;
+    std::vector<UnacknowledgedRelay> unanswered;
     for (auto it = m_relays.begin(); it != m_relays.end();) {
-        PendingRelay &relay = it->second;
+        UnacknowledgedRelay &relay = it->second;
         if (now < relay.nextAt) {
             ++it;
         } else if (relay.tries < relayTries) {
@@ -174,13 +170,13 @@
             it = m_relays.erase(it);
         }
     }
-    for (const PendingRelay &it : unanswered) {
+    for (const UnacknowledgedRelay &it : unanswered) {
         relayUnanswered(it);
     }
 }
 
 /// Serves or passes on a packet whose relay wasn't acknowledged.
-void Balancer::relayUnanswered(const PendingRelay &relay)
+void Balancer::relayUnanswered(const UnacknowledgedRelay &relay)
 {
     count(m_metrics, "relays_unanswered_total");
     noteSilent(relay.to);
@@ -190,23 +186,11 @@
         return;
     }
     arrival.packet = relay.packet;
-    arrival.checked.hasToken = relay.packet.kind == wire::PacketKind::Request && !relay.packet.repeatable;
-    arrival.checked.token = relay.token;
     arrival.caller = relay.caller;
     arrival.bytes = relay.message.packet;
-    switch (relay.message.role) {
-    case wire::RelayRole::Dispatcher:
-        if (relay.packet.kind == wire::PacketKind::Request) {
-            place(addInFlight(arrival, Purpose::Request), true);
-        }
-        return;
-    case wire::RelayRole::Home:
-        homeUnreachable(arrival);
-        return;
-    default:
-        refuse({relay.serviceId, relay.caller, &relay.packet},
-               {Verdict::MayHaveRun, Reason::PairLost, 0, refreshed(relay.token, *arrival.service, relay.packet.flow)});
-        return;
+    // A lost cancellation costs only the target's work.
+    if (relay.message.role == wire::RelayRole::Dispatcher && relay.packet.kind == wire::PacketKind::Request) {
+        place(addInFlight(arrival, Purpose::Request), true);
     }
 }
 
