Withhold refusals of requests whose relay wasn't acknowledged; build views in linear time

Cause: found by reading: a balancer whose relay to a dispatcher wasn't acknowledged placed the request itself and, when it had no room, answered NotRun, although the dispatcher may hold the same request and only its acknowledgement was lost. Also, buildNodeView searched the whole instance list for each service. Change: such refusals are withheld whatever the attempt, and their timeouts are MayHaveRun. The agent groups the instance list by service once for each view.

--- a/scripts/lib/capacity_model.py
+++ b/scripts/lib/capacity_model.py
@@ -212,8 +212,10 @@
         "the platform's revision.",
         "one long poll at a time, at most one each 0.5 s.",
         "two agents for each group of peers, first by rendezvous rank; all others learn from peers.",
-        [Figure("calls on the platform by all watchers of one group for each data centre", model.platform_reads(), "a second", PLATFORM_READS_PER_SECOND, "converge over all agents, 2 watchers for each of 36 groups"),
-         Figure("the same with a group for each team and data centre", model.platform_reads() * groups / DATA_CENTRES, "a second", PLATFORM_READS_PER_SECOND, f"{groups:,.0f} groups of 15; each call sees all changes")],
+        [Figure("long polls of all watchers with one group for each data centre", model.platform_reads(), "a second", PLATFORM_READS_PER_SECOND, "converge over all agents, 2 watchers for each of 36 groups"),
+         Figure("all reads of watchers with a group for each team and data centre", groups + model.platform_reads() * groups / DATA_CENTRES, "a second", PLATFORM_READS_PER_SECOND, "sum of the rows below"),
+         Figure("reads of the instance list, one a second for each team and data centre", groups, "a second", PLATFORM_READS_PER_SECOND, f"{groups:,.0f} groups of 15; the first watcher of each reads it"),
+         Figure("long polls of all watchers with a group for each team and data centre", model.platform_reads() * groups / DATA_CENTRES, "a second", PLATFORM_READS_PER_SECOND, f"{groups:,.0f} groups of 15; each call sees all changes")],
         "calls on the platform, which grow with groups times changes.")
 
 
--- a/src/libpimentofold/nodeview.cpp
+++ b/src/libpimentofold/nodeview.cpp
@@ -1,7 +1,10 @@
 #include <pimentofold/nodeview.h>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -57,22 +60,34 @@
     return view;
 }
 
-bool isTargetOf(const PlatformInstance &instance, const std::string &team, const ServiceSpec &service)
+/// The targets of the instance list by service, so that a view costs one pass over the list.
+using TargetsByService = std::unordered_map<std::string_view, std::vector<const PlatformInstance *>>;
+
+TargetsByService groupTargets(const NodeViewInput &input)
 {
-    return !instance.entry && instance.team == team && instance.service == service.name
-        && std::ranges::find(service.dataCentres, instance.dataCentre) != service.dataCentres.end();
+    TargetsByService groups;
+    for (const PlatformInstance &it : input.instances) {
+        if (!it.entry && it.team == input.team) {
+            groups[it.service].push_back(&it);
+        }
+    }
+    return groups;
 }
 
-void addTargets(const NodeViewInput &input, const ServiceSpec &service, std::map<Id, wire::TargetView> &targets)
+void addTargets(const NodeViewInput &input, const TargetsByService &listed, const ServiceSpec &service, std::map<Id, wire::TargetView> &targets)
 {
     for (const TargetSpec &it : service.targets) {
         const wire::TargetView view = targetView(input, service, it, false);
         targets[view.id] = view;
     }
-    for (const PlatformInstance &it : input.instances) {
-        if (isTargetOf(it, input.team, service)) {
-            const TargetSpec target{it.name, it.dataCentre, it.address, it.slots};
-            const wire::TargetView view = targetView(input, service, target, it.leaving);
+    const auto group = listed.find(service.name);
+    if (group == listed.end()) {
+        return;
+    }
+    for (const PlatformInstance *it : group->second) {
+        if (std::ranges::find(service.dataCentres, it->dataCentre) != service.dataCentres.end()) {
+            const TargetSpec target{it->name, it->dataCentre, it->address, it->slots};
+            const wire::TargetView view = targetView(input, service, target, it->leaving);
             targets[view.id] = view;
         }
     }
@@ -165,9 +180,10 @@
     view.generation = previous.generation;
     view.dataCentre = input.dataCentre;
     std::map<Id, wire::TargetView> targets;
+    const TargetsByService listed = groupTargets(input);
     for (const ServiceSpec &it : input.services->spec.services) {
         view.services.push_back(serviceView(input.team, it));
-        addTargets(input, it, targets);
+        addTargets(input, listed, it, targets);
     }
     keepReachable(input, previous, view, targets);
     for (auto &[id, target] : targets) {
--- a/src/pimentofold-balancer/balancer_test.cpp
+++ b/src/pimentofold-balancer/balancer_test.cpp
@@ -267,6 +267,33 @@
     CHECK(fleet.caller.ask(packetOf(wire::PacketKind::Request, 808, 3), fleet.invoiceB).verdict == wire::Verdict::Ran);
 }
 
+// Guards against an untrue NotRun: a dispatcher that doesn't acknowledge a relay may hold the request all the same.
+TEST_CASE("a request whose relay wasn't acknowledged isn't refused as not run")
+{
+    Fleet fleet;
+    const std::vector<InstanceKey> members{keyOf(fleet.a), keyOf(fleet.b)};
+    const Id service = idOf(team, "invoice");
+    const bool firstDispatches = rankForService(service, members).front() == members.front();
+    const Address entry = firstDispatches ? fleet.invoiceB : fleet.invoiceA;
+    (firstDispatches ? fleet.a : fleet.b).balancer.reset();
+    FakeTarget &target = fleet.targets[2];
+    target.silent = true;
+    wire::CallerPacket request = packetOf(wire::PacketKind::Request, 820);
+    constexpr int most = 8; // more than the target's slots and the requests sent ahead
+    for (request.request = 1; request.request <= most + 2; ++request.request) {
+        // The last two wait for a slot until their deadline.
+        request.deadlineMs = request.request <= most ? 20'000 : 400;
+        fleet.caller.socket.send(fleet.caller.codec.encode(request), entry);
+    }
+    runUntil([&] { return countOf(target, wire::FrameKind::Request) >= 2; });
+    const Time begun = monotonicNow();
+    runUntil([begun] { return monotonicNow() - begun > second; });
+    const std::size_t sent = countOf(target, wire::FrameKind::Request);
+    CHECK(sent <= most);
+    const auto refused = [](const wire::CallerPacket &it) { return it.verdict == wire::Verdict::NotRun; };
+    CHECK(std::ranges::none_of(fleet.caller.answers, refused));
+}
+
 // Guards against a crashed target that leaves callers waiting, and against a MayHaveRun reported as NotRun.
 TEST_CASE("a lost connection under a request is reported as may have run")
 {
--- a/src/pimentofold-balancer/placement.cpp
+++ b/src/pimentofold-balancer/placement.cpp
@@ -81,7 +81,8 @@
 void Balancer::refuseAdmission(const AdmissionDecision &decision)
 {
     InFlight &entry = *m_inFlight.find(decision.id);
-    if (entry.purpose != Purpose::OnceRequest && !mayRefuseWithoutMemory(entry.packet.attempt)) {
+    // A request in the direct lane was relayed before; its dispatcher may hold it although it didn't acknowledge.
+    if (entry.purpose != Purpose::OnceRequest && (entry.direct || !mayRefuseWithoutMemory(entry.packet.attempt))) {
         const ViewService *service = findService(m_view, entry.serviceId);
         if (service == nullptr || service->session || entry.direct) {
             // An earlier sending may be with another balancer, so that "not run" could be untrue.
--- a/src/pimentofold-balancer/requests.cpp
+++ b/src/pimentofold-balancer/requests.cpp
@@ -356,7 +356,9 @@
         return;
     }
     release(id, WorkOutcome::Expired);
-    finish(id, {entry->call == 0 ? Verdict::NotRun : Verdict::MayHaveRun, Reason::TimedOut, 0, {}});
+    // In the direct lane another balancer may hold the request; see refuseAdmission().
+    const bool notRun = entry->call == 0 && !entry->direct;
+    finish(id, {notRun ? Verdict::NotRun : Verdict::MayHaveRun, Reason::TimedOut, 0, {}});
 }
 
 std::string Balancer::mint(const ViewService &service, std::int64_t flow, Id target, std::int64_t targetIncarnation)
--- a/src/pimentofold-balancer/successor_test.cpp
+++ b/src/pimentofold-balancer/successor_test.cpp
@@ -11,11 +11,6 @@
 
 constexpr int lookupPort = 21010;
 
-InstanceKey keyOf(const Node &node)
-{
-    return {node.last.report.instance.instance, node.last.report.instance.incarnation};
-}
-
 /// Four balancers and one target of a service with sessions.
 struct Fleet {
     Fleet()
--- a/src/pimentofold-balancer/testbed.h
+++ b/src/pimentofold-balancer/testbed.h
@@ -183,6 +183,12 @@
     std::size_t reports = 0;
 };
 
+/// @return the key under which a balancer runs
+inline InstanceKey keyOf(const Node &node)
+{
+    return {node.last.report.instance.instance, node.last.report.instance.incarnation};
+}
+
 inline BalancerSettings settingsOf(const std::string &ip)
 {
     BalancerSettings settings;
