--- a/scripts/lib/capacity_model.py
+++ b/scripts/lib/capacity_model.py
@@ -216,7 +216,7 @@
          Figure("all reads of watchers with a group for each team and data centre", groups + model.platform_reads() * groups / DATA_CENTRES, "a second", PLATFORM_READS_PER_SECOND, "sum of the rows below"),
          Figure("reads of the instance list, one a second for each team and data centre", groups, "a second", PLATFORM_READS_PER_SECOND, f"{groups:,.0f} groups of 15; the first watcher of each reads it"),
          Figure("long polls of all watchers with a group for each team and data centre", model.platform_reads() * groups / DATA_CENTRES, "a second", PLATFORM_READS_PER_SECOND, f"{groups:,.0f} groups of 15; each call sees all changes")],
-        "calls on the platform, which grow with groups times changes.")
+        "reads of the platform: with twice the groups they exceed its rate. The instance list then has to be watched or read less often, and long polls have to name the team.")
 
 
 def delegate(model):
