Show the start of a whole data centre on the capacity page

Cause: the page left out the burst of a start of all and the time to detect a failure, although both are measured.

--- a/scripts/lib/capacity_model.py
+++ b/scripts/lib/capacity_model.py
@@ -139,6 +139,17 @@
             Figure("the same across a 20 s outage, from acceptance", self.converge("away")["max_s"], "s", CONVERGE_LIMIT_S, "as above"),
         ]
 
+    def membership_figures(self):
+        """Returns the cost of a whole data centre's start and the time to detect a failure."""
+        run = self.measured["membership"]["sizes"][-1]
+        start, basis = run["start_of_all"], f"membership with {run['members']} members on virtual time"
+        return [
+            Figure("start of all at once: bytes sent a second, mean of at least a minute", start["traffic"]["bytes_per_second"], "B/s", BYTES_LIMIT, basis),
+            Figure("the same, busiest member", start["traffic"]["highest_bytes_per_second"], "B/s", BYTES_LIMIT, basis),
+            Figure("start of all at once: every member knows all others", start["agreed_after_seconds"], "s", 0, basis),
+            Figure("failure known to all members", run["detection"]["all_members_seconds"], "s", 0, basis),
+        ]
+
     def platform_reads(self):
         """Returns calls a second on the platform by all watchers."""
         return self.converge("healthy")["platform_calls_per_s"]
@@ -159,6 +170,7 @@
             "`scripts/measure control` measures real agents at today's size.",
             f"Assumed, since the letter doesn't say: {UNREPEATABLE_PER_NEW_FLOW:g} request that must run at most once for each new flow; {PACKETS_PER_FLOW_SECOND:g} packet a second for each open flow; "
             f"teams of {INSTANCES_PER_TEAM} instances in three data centres; objects of 1,000 bytes; every agent holding {OBJECTS_PER_NODE:,} objects, one for each address, although it needs only those of its team.",
+            "Not measured: joining and catching up against the size of the configuration, platform calls against the number of data centres, and the burst when regions meet again after an hour apart.",
             "Cost between balancers and targets (connections, health) isn't counted as control here; it grows with the targets of an instance's team.",
         ]
         return points
@@ -200,7 +212,7 @@
         "members of its data centre, configuration objects, view.",
         "one probe a second with piggybacked updates, a digest every 2 s, pushes of new objects.",
         "SWIM membership; versioned objects pushed to three peers and repaired by digests.",
-        model.control_figures()[:3],
+        model.control_figures()[:3] + model.membership_figures(),
         "bytes for updates of members: replacements double with the size of a data centre, while probes stay as they are. With twice the data centres of today's size nothing changes for a member.")
 
 
