State both directions and the assumed platform rate on the capacity page

Cause: the page compared only the bytes that a member sends with 2 KB/s, took the platform's rate as 300 writes a second without saying so, and described the use of badly fitting slopes wrongly. The page's test passes. Conclusion: control bytes are within the limit for one direction only, under the upper bound of the page.

--- a/scripts/lib/capacity_model.py
+++ b/scripts/lib/capacity_model.py
@@ -132,6 +132,7 @@
         """Returns the figures of an ordinary member against the letter's limits."""
         return [
             Figure("bytes sent a second", self.control_bytes(), "B/s", BYTES_LIMIT, "membership_bytes at a data centre's members and spread_bytes at all changes"),
+            Figure("bytes sent and received a second", 2 * self.control_bytes(), "B/s", BYTES_LIMIT, "twice the row above, since each byte sent is received by another member"),
             Figure("share of a core", self.control_cpu(), "%", CPU_LIMIT_PERCENT, "membership_cpu, spread_cpu, view_build_cpu, view_parse_cpu"),
             Figure("memory of the agent", self.agent_memory(), "MB", MEMORY_LIMIT_MB, "object_memory for one object an address of the whole fleet, member_memory, view_memory, and the resident memory of a real agent (scripts/measure control)"),
             Figure("change in force everywhere, longest", self.converge("healthy")["max_s"], "s", CONVERGE_LIMIT_S, f"converge over {self.converge('healthy')['members']:,} agents on virtual time"),
@@ -158,13 +159,17 @@
         """Returns what misses its limit and what the measurement leaves out."""
         figures = self.control_figures() + [it for role in roles(self) for it in role.figures]
         over = {it.name: it for it in figures if it.limit and it.value > it.limit}
-        points = [f"Over its limit: {it.name}, {it.value:.3g} {it.unit} against {it.limit:g} {it.unit}." for it in over.values()]
+        points = [f"Over its limit: {it.name}, {it.value:,.0f} {it.unit} against {it.limit:,.0f} {it.unit}." for it in over.values()]
         if not points:
             points.append("No figure is above its limit.")
         large = [it["name"] for it in self.slopes.values() if it["fit_error"] > 0.1]
         if large:
             points.append("Not linear in the measured range (fit error above 10%): " + ", ".join(large) + ".")
         points += [
+            "The letter doesn't say whether its 2 KB a second counts one direction or both. One direction is within it, both together are not, under the upper bound that all changes of the fleet concern every "
+            "member. Agents take only the objects of their own team and all templates, so that the real rate is lower; it isn't measured.",
+            f"The platform's rate of several hundred writes a second is taken as {PLATFORM_WRITES_PER_SECOND:.0f}.",
+            "Converging over all agents was measured with 20 changes, not over a day.",
             "The run over all data centres keeps roles fixed instead of running membership on every agent, so that it fits in one process; the cost of membership comes from its own slope.",
             "Processor time of membership and spreading includes the simulation around them, so that it is an upper bound. System calls of real sockets are not in it; "
             "`scripts/measure control` measures real agents at today's size.",
@@ -212,7 +217,7 @@
         "members of its data centre, configuration objects, view.",
         "one probe a second with piggybacked updates, a digest every 2 s, pushes of new objects.",
         "SWIM membership; versioned objects pushed to three peers and repaired by digests.",
-        model.control_figures()[:3] + model.membership_figures(),
+        model.control_figures()[:4] + model.membership_figures(),
         "bytes for updates of members: replacements double with the size of a data centre, while probes stay as they are. With twice the data centres of today's size nothing changes for a member.")
 
 
--- a/scripts/lib/capacity_page.py
+++ b/scripts/lib/capacity_page.py
@@ -37,8 +37,8 @@
 ## Measured slopes
 
 A line is fitted by least squares; the fit error is the largest distance of a point from the line over the largest
-value. A large fit error means that the cost isn't linear in the size; the figures above then use the point measured
-nearest to the target size where one is there, and say so.
+value. Where the fit error is above 0.1 the cost isn't linear in the size, and the figures above use the next larger
+measured point in place of the line.
 
 {slope_table}
 
