--- a/src/caller-standin/callersettings.cpp
+++ b/src/caller-standin/callersettings.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 
 namespace pimentofold {
 
--- a/src/caller-standin/entrylist.cpp
+++ b/src/caller-standin/entrylist.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 
 namespace pimentofold {
 
--- /dev/null
+++ b/src/include/pimentofold/placement.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <span>
+
+#include <pimentofold/edgeconfig.h>
+#include <pimentofold/random.h>
+#include <pimentofold/targettable.h>
+
+/// Choice of the target for a new flow on an edge node, from the entries of the store, the flows that this node and its
+/// peers have open, and what callers' packets have shown.
+namespace pimentofold {
+
+/// Constants of the choice.
+struct PlacementSettings {
+    /// Opening packets in a row without an answer after which a target gets only single flows, to see whether it is back.
+    int suspectedAfter = 2;
+    Time leastTrialWait = 200 * millisecond; ///< before the first such flow; doubles with each one without an answer
+    Time mostTrialWait = 2 * second;
+    double unansweredCost = 1.5; ///< load, in flows, that an opening packet without an answer counts for
+    double coldCost = 0.6; ///< share by which work takes longer on a target during its cold start
+    double otherDataCentreCost = 0.1; ///< load that the way to another data centre counts for
+};
+
+/// @param tried targets that this flow was offered to already; used again only when there is no other
+/// @param dataCentre of this node
+/// @return the target with the least load per slot; among equals the one that was used longest ago; nullptr when no target
+///         of the route takes new flows
+EdgeTarget *choosePlacement(TargetTable &table,
+                            const PlacementSettings &settings,
+                            const EdgeRoute &route,
+                            std::span<const std::uint64_t> tried,
+                            std::string_view dataCentre,
+                            Time now,
+                            Random &random);
+
+/// Counts an opening packet that showed no sign of an answer in time.
+void noteUnanswered(EdgeTarget &target, const PlacementSettings &settings, Time now);
+
+/// Counts that a caller went on with a flow that it opened on the target.
+void noteAnswered(EdgeTarget &target, Time now);
+
+/// @return whether recent opening packets show that the target doesn't answer
+bool isSuspected(const EdgeTarget &target, const PlacementSettings &settings);
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/include/pimentofold/targettable.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <pimentofold/edgeconfig.h>
+#include <pimentofold/flowpacket.h>
+#include <pimentofold/types.h>
+
+/// Routes and targets of an edge node, and the tokens by which any node finds a flow's target.
+///
+///     applyConfig(table, config);
+///     applyTarget(table, record, now);
+///     const EdgeRoute *route = findRoute(table, packet.flow.service);
+///     TargetEntryState *target = findByToken(table, packet.token, route);
+///
+/// Versions only grow: an older configuration or an older entry of a target changes nothing.
+namespace pimentofold {
+
+/// A target that has lost its entry while it still answered stays in use for this long, because entries that lapse
+/// while the store is away come back within two seconds.
+constexpr Time lapsedEntryHold = 2 * second;
+/// Entries of targets that are gone are kept for open flows for this long.
+constexpr Time goneTargetRetention = 90 * second;
+
+/// A target with what this node has seen of it.
+struct EdgeTarget {
+    TargetRecord record;
+    FlowToken token = 0;
+    bool listed = true; ///< has an entry in the store
+    std::int64_t removedRevision = 0; ///< of the store when the entry was removed
+    Time listedAt = 0; ///< when this incarnation was first known
+    Time removedAt = 0; ///< when the entry was gone; meaningful unless listed
+    Time drainingAt = never; ///< when this node learned that the target leaves
+    Time warmUntil = 0; ///< end of the cold start
+    // What packets of callers show.
+    int flows = 0; ///< open through this node
+    int peerFlows = 0; ///< open through other nodes, as far as they tell
+    Time usedAt = 0; ///< last new flow
+    Time answeredAt = 0; ///< last time that a caller went on with a flow that was opened here
+    int unanswered = 0; ///< opening packets in a row without a sign of an answer
+    Time unansweredAt = 0; ///< when the last one was counted
+    Time trialAt = 0; ///< a suspected target gets one new flow from then on
+};
+
+/// Routes and targets. Only the functions below change them.
+struct TargetTable {
+    EdgeConfig config; ///< revision 0: none yet
+    std::unordered_map<std::uint64_t, EdgeRoute> routes; ///< by address
+    std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by id
+    std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< ids
+    std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< ids by service, in order
+};
+
+/// Takes over a configuration.
+/// @return false when it is not newer than the one in force
+bool applyConfig(TargetTable &table, const EdgeConfig &config);
+
+/// Takes over an entry of a target.
+/// @return false when nothing changed, or the entry is older than what is known
+bool applyTarget(TargetTable &table, const TargetRecord &record, Time now);
+
+/// Takes over that a target's entry was removed.
+/// @param revision of the removal
+/// @return false when the target is unknown, has no entry, or has a newer one
+bool removeTarget(TargetTable &table, std::uint64_t id, std::int64_t revision, Time now);
+
+/// Forgets targets that have been gone for long and have no flows.
+void forgetGoneTargets(TargetTable &table, Time now);
+
+/// @return the route of an address, nullptr when there is none
+const EdgeRoute *findRoute(const TargetTable &table, const Address &address);
+
+/// @return the target with that id, nullptr when it is unknown
+EdgeTarget *findTarget(TargetTable &table, std::uint64_t id);
+
+/// @param route of the packet with the token; decides between targets with the same token; may be nullptr
+/// @return the target that a token names, also one that is gone; nullptr when the token is unknown
+EdgeTarget *findByToken(TargetTable &table, FlowToken token, const EdgeRoute *route);
+
+/// @return the token of a target, never 0
+FlowToken tokenOf(std::uint64_t id);
+
+/// @return whether the entry names a target that takes new flows
+bool takesNewFlows(const EdgeTarget &target, Time now);
+
+} // namespace pimentofold
--- a/src/libnet/framedconnection.h
+++ b/src/libnet/framedconnection.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 #include <libnet/loop.h>
 
 /// Frames over TCP: a 4-byte length and the payload; see appendFrame() in pimentofold/codec.h.
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 #include <libnet/loop.h>
 
 struct MHD_Daemon;
--- a/src/libnet/udpsocket.h
+++ b/src/libnet/udpsocket.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 #include <libnet/loop.h>
 
 #include <pimentofold/codec.h>
--- a/src/libnet/address.cpp
+++ b/src/libpimentofold/address.cpp
@@ -1,4 +1,4 @@
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 
 #include <stdexcept>
 
--- /dev/null
+++ b/src/libpimentofold/targettable.cpp
@@ -0,0 +1,177 @@
+#include <pimentofold/targettable.h>
+
+#include <algorithm>
+
+namespace pimentofold {
+
+namespace {
+
+std::uint64_t routeKey(const Address &address)
+{
+    return static_cast<std::uint64_t>(address.ip) << 16 | address.port;
+}
+
+void eraseToken(TargetTable &table, const EdgeTarget &target)
+{
+    const auto [begin, end] = table.tokens.equal_range(target.token);
+    const auto it = std::find_if(begin, end, [&](const auto &entry) { return entry.second == target.record.id; });
+    if (it != end) {
+        table.tokens.erase(it);
+    }
+}
+
+void eraseFromService(TargetTable &table, const EdgeTarget &target)
+{
+    const auto it = table.services.find(target.record.service);
+    if (it == table.services.end()) {
+        return;
+    }
+    std::erase(it->second, target.record.id);
+    if (it->second.empty()) {
+        table.services.erase(it);
+    }
+}
+
+void addToService(TargetTable &table, const EdgeTarget &target)
+{
+    std::vector<std::uint64_t> &ids = table.services[target.record.service];
+    ids.insert(std::ranges::lower_bound(ids, target.record.id), target.record.id);
+}
+
+/// What was seen of an earlier incarnation says nothing about this one.
+void forgetObservations(EdgeTarget &target, Time now)
+{
+    EdgeTarget fresh;
+    fresh.record = target.record;
+    fresh.token = target.token;
+    fresh.listedAt = now;
+    target = fresh;
+}
+
+void takeRecord(EdgeTarget &target, const TargetRecord &record, Time now)
+{
+    const bool sameRun = target.record.startedAt == record.startedAt && target.record.address == record.address;
+    target.record = record;
+    if (!sameRun) {
+        forgetObservations(target, now);
+    }
+    target.listed = true;
+    target.warmUntil = now + record.warmup;
+    if (record.state == TargetState::Draining) {
+        target.drainingAt = std::min(target.drainingAt, now);
+    } else {
+        target.drainingAt = never;
+    }
+}
+
+bool leadsTo(const EdgeRoute &route, const std::string &service)
+{
+    return std::ranges::any_of(route.shares, [&](const RouteShare &it) { return it.service == service; });
+}
+
+} // namespace
+
+bool applyConfig(TargetTable &table, const EdgeConfig &config)
+{
+    if (config.revision <= table.config.revision) {
+        return false;
+    }
+    table.config = config;
+    table.routes.clear();
+    for (const EdgeRoute &it : config.routes) {
+        table.routes.insert_or_assign(routeKey(it.address), it);
+    }
+    return true;
+}
+
+bool applyTarget(TargetTable &table, const TargetRecord &record, Time now)
+{
+    const auto [it, added] = table.targets.try_emplace(record.id);
+    EdgeTarget &target = it->second;
+    if (added) {
+        target.record = record;
+        target.token = tokenOf(record.id);
+        target.listedAt = now;
+        table.tokens.emplace(target.token, record.id);
+        addToService(table, target);
+        takeRecord(target, record, now);
+        return true;
+    }
+    if (record.revision <= std::max(target.record.revision, target.removedRevision)) {
+        return false;
+    }
+    if (target.record.service != record.service) {
+        eraseFromService(table, target);
+        takeRecord(target, record, now);
+        addToService(table, target);
+        return true;
+    }
+    takeRecord(target, record, now);
+    return true;
+}
+
+bool removeTarget(TargetTable &table, std::uint64_t id, std::int64_t revision, Time now)
+{
+    EdgeTarget *target = findTarget(table, id);
+    if (target == nullptr || !target->listed || revision < target->record.revision) {
+        return false;
+    }
+    target->listed = false;
+    target->removedAt = now;
+    target->removedRevision = revision;
+    return true;
+}
+
+void forgetGoneTargets(TargetTable &table, Time now)
+{
+    std::erase_if(table.targets, [&](const auto &entry) {
+        const EdgeTarget &target = entry.second;
+        if (target.listed || target.flows > 0 || now - target.removedAt < goneTargetRetention) {
+            return false;
+        }
+        eraseToken(table, target);
+        eraseFromService(table, target);
+        return true;
+    });
+}
+
+const EdgeRoute *findRoute(const TargetTable &table, const Address &address)
+{
+    const auto it = table.routes.find(routeKey(address));
+    return it == table.routes.end() ? nullptr : &it->second;
+}
+
+EdgeTarget *findTarget(TargetTable &table, std::uint64_t id)
+{
+    const auto it = table.targets.find(id);
+    return it == table.targets.end() ? nullptr : &it->second;
+}
+
+EdgeTarget *findByToken(TargetTable &table, FlowToken token, const EdgeRoute *route)
+{
+    EdgeTarget *found = nullptr;
+    const auto [begin, end] = table.tokens.equal_range(token);
+    for (auto it = begin; it != end; ++it) {
+        EdgeTarget *target = findTarget(table, it->second);
+        if (target != nullptr && (found == nullptr || (route != nullptr && leadsTo(*route, target->record.service)))) {
+            found = target;
+        }
+    }
+    return found;
+}
+
+FlowToken tokenOf(std::uint64_t id)
+{
+    const auto token = static_cast<FlowToken>(mix(id, 0));
+    return token == 0 ? 1 : token;
+}
+
+bool takesNewFlows(const EdgeTarget &target, Time now)
+{
+    if (!target.listed) {
+        return target.drainingAt == never && target.answeredAt > target.removedAt - second && now - target.removedAt < lapsedEntryHold;
+    }
+    return target.record.state == TargetState::Ready;
+}
+
+} // namespace pimentofold
--- a/src/pimentofold-balancer/balancersettings.h
+++ b/src/pimentofold-balancer/balancersettings.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 
 #include <pimentofold/types.h>
 
--- a/src/pimentofold-balancer/inflight.h
+++ b/src/pimentofold-balancer/inflight.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 
 #include <pimentofold/token.h>
 #include <pimentofold/types.h>
--- a/src/pimentofold-measure/datapathbench.h
+++ b/src/pimentofold-measure/datapathbench.h
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include <libnet/address.h>
+#include <pimentofold/address.h>
 
 /// Ends of the data path for measurements of a real balancer process: targets, callers and a bare datagram loop,
 /// each on a thread of its own with blocking sockets, so that they cost little.
--- /dev/null
+++ b/src/platform/storecalls.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <pimentofold/edgeconfig.h>
+
+/// Calls to the platform's store and what its answers hold.
+namespace pimentofold::platform {
+
+/// The kinds of object that an edge node follows.
+enum class StoreKind {
+    Config, ///< one object, the whole configuration
+    Targets, ///< one object a target
+};
+
+/// @return path and query that list a kind
+/// @param after name of the last object of the page before, empty for the first page
+std::string listTarget(StoreKind kind, const std::string &after);
+
+/// @return path and query that wait for changes
+/// @param revision of the store up to which the caller knows all changes
+/// @param wait longest time until the answer
+std::string watchTarget(StoreKind kind, std::int64_t revision, Time wait);
+
+/// An entry whose bytes or fields are not those of a configuration or a target.
+struct UnreadableObject {
+    std::string name;
+    std::int64_t revision = 0;
+    std::string problem;
+};
+
+/// An object that the store no longer holds.
+struct DeletedObject {
+    std::uint64_t id = 0; ///< of the target; 0 for other objects
+    std::string name;
+    std::int64_t revision = 0;
+};
+
+using StoreObject = std::variant<EdgeConfig, TargetRecord, DeletedObject, UnreadableObject>;
+
+/// A page of a list, or the changes that a watch has waited for.
+struct StoreAnswer {
+    std::vector<StoreObject> objects;
+    std::int64_t revision = 0; ///< of the store
+    bool hasMore = false; ///< a further page follows
+    std::string last; ///< name of the last object, for the next page
+};
+
+/// @param kind that was asked for
+/// @param body of an answer with status 200, to a list or a watch
+/// @return nothing when the body isn't such an answer; single objects that can't be read are part of the result
+std::optional<StoreAnswer> decodeStoreAnswer(StoreKind kind, const std::string &body);
+
+/// Status of an answer when the history from the revision of a watch is gone, so that the kind has to be listed again.
+constexpr int statusHistoryGone = 410;
+
+} // namespace pimentofold::platform
