--- /dev/null
+++ b/src/idl/edge.thrift
@@ -0,0 +1,91 @@
+// Datagrams between edge nodes, in Thrift's compact protocol behind one byte that tells EdgeMessage from the membership's
+// PeerMessage.
+namespace cpp pimentofold.wire
+
+enum EdgeKind {
+  Beat = 1,      // the node that follows the store tells how far it knows it, with what changed since its last beat
+  Fetch = 2,     // asks for what changed since the revisions that the sender knows
+  Changes = 3,   // answers a Fetch, in one or more parts
+  Place = 4,     // a caller's opening packet for the service's dispatcher
+  Held = 5,      // the dispatcher keeps the opening packet until a target has room
+  Ended = 6      // a flow that the dispatcher placed has ended
+}
+
+struct EdgeShare {
+  1: string serviceName
+  2: double weight
+}
+
+struct EdgeRoute {
+  1: string name
+  2: i32 ip
+  3: i16 port
+  4: list<EdgeShare> shares
+  5: i8 kind
+  6: i32 urgency
+  7: i64 aim              // microseconds
+}
+
+struct EdgeEndpoint {
+  1: i32 ip
+  2: i16 port
+}
+
+struct EdgeTarget {
+  1: i64 id
+  2: string name
+  3: string serviceName
+  4: i32 ip
+  5: i16 port
+  6: string dataCentre
+  7: i32 slots
+  8: bool draining
+  9: i64 warmup           // microseconds left when sent
+  10: i64 startedAt
+  11: i64 revision
+}
+
+struct EdgeRemoval {
+  1: i64 id
+  2: i64 revision
+}
+
+// Everything that changed in the store after the base revisions and up to the newer ones.
+struct EdgeChanges {
+  1: i64 configBase
+  2: i64 configRevision
+  3: i64 configVersion
+  4: i64 idleLimit
+  5: list<EdgeRoute> routes
+  6: list<EdgeEndpoint> removedRoutes
+  7: i64 targetsBase
+  8: i64 targetsRevision
+  9: list<EdgeTarget> targets
+  10: list<EdgeRemoval> removedTargets
+  11: i32 part            // from 0
+  12: i32 parts
+  13: i64 configKnown     // revision of the store up to which the sender knows the configuration
+}
+
+struct EdgeFlowEnds {
+  1: i32 callerIp
+  2: i16 callerPort
+  3: i32 serviceIp
+  4: i16 servicePort
+}
+
+struct EdgeMessage {
+  1: required EdgeKind kind
+  2: required i64 sender          // 64-bit hash of the node's name
+  3: optional EdgeChanges changes
+  4: bool healthy = true          // Beat: the sender's calls to the store are answered
+  5: i64 configKnown = 0          // revision of the store up to which the sender knows the configuration
+  6: i64 targetsKnown = 0         // the same for targets
+  7: i64 age = 0                  // microseconds since the sender's knowledge was confirmed by the store
+  12: i64 configRevision = 0      // Beat, Fetch: revision of the configuration that the sender has in force
+  13: bool large = false          // Beat: the changes are so many that receivers had better read the store themselves
+  8: optional binary packet       // Place
+  9: i32 attempt = 0              // Place: from 1
+  10: optional EdgeFlowEnds flow  // Held, Ended
+  11: i64 target = 0              // Ended: where the flow was; 0 when the sender doesn't know
+}
--- /dev/null
+++ b/src/include/pimentofold/edgecodec.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include <pimentofold/dispatch.h>
+#include <pimentofold/storeshare.h>
+
+#include "edge_types.h"
+
+/// Messages between edge nodes to the library's types and back.
+namespace pimentofold {
+
+/// Bytes of changes in one datagram, about; well below what fits, since sizes are estimated.
+constexpr std::size_t changesPerDatagram = 1'100;
+
+/// @return the changes as the bodies of one or more messages
+std::vector<wire::EdgeChanges> toWire(const StoreChanges &changes);
+
+/// Parts of changes from one sender.
+struct PartialChanges {
+    KnownRevisions known;
+    std::int32_t parts = 0;
+    std::set<std::int32_t> received;
+    StoreChanges changes;
+};
+
+/// Adds a part.
+/// @return all changes when this was the last part that was missing; nothing also for parts that can't be used
+std::optional<StoreChanges> addPart(PartialChanges &partial, const wire::EdgeChanges &part);
+
+/// @return the ends of a flow
+wire::EdgeFlowEnds toWire(const FlowKey &key);
+
+/// @return the ends of a flow
+FlowKey fromWire(const wire::EdgeFlowEnds &ends);
+
+} // namespace pimentofold
--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -25,6 +25,8 @@
 struct RouteShare {
     std::string service;
     double weight = 1;
+
+    friend bool operator==(const RouteShare &, const RouteShare &) = default;
 };
 
 /// New flows to one address go to the services of its route.
@@ -36,6 +38,8 @@
     int urgency = 0; ///< 0 is the most urgent
     Time aim = 0; ///< response time that callers want; 0 when the route names none
 
+    friend bool operator==(const EdgeRoute &, const EdgeRoute &) = default;
+
 };
 
 /// One version of the whole configuration.
--- a/src/include/pimentofold/flowpacket.h
+++ b/src/include/pimentofold/flowpacket.h
@@ -27,7 +27,8 @@
     bool finishes = false; ///< the caller sends nothing more
     bool resets = false; ///< the caller has given up the flow
     FlowToken token = 0; ///< the last one that the caller received on this flow
-    std::uint32_t acknowledged = 0; ///< for an opening packet the number of the copy, from 0
+    Time openAge = 0; ///< of an opening packet: since the first copy of it was sent
+    std::uint32_t acknowledged = 0; ///< of a later packet
     std::uint16_t dataBytes = 0;
     std::string_view bytes; ///< the packet as received
 };
--- a/src/include/pimentofold/membership.h
+++ b/src/include/pimentofold/membership.h
@@ -35,6 +35,7 @@
 struct MembershipOptions {
     Time probeInterval = second;
     Time probeTimeout = 300 * millisecond; ///< then the indirect probes start
+    Time joinInterval = second; ///< a member without peers tries its seeds this often
     int indirectProbes = 3;
     Time suspicion = 3 * second; ///< times log10 of the number of members; see suspicionTime()
     std::size_t updatesPerMessage = 12;
@@ -50,6 +51,8 @@
     std::int64_t updateBytesPerSecond = 400;
     std::int64_t updateBurstBytes = 24'000;
     Time digestInterval = 5 * second; ///< a probe carries a digest this often
+    Time catchUpInterval = 200 * millisecond; ///< interval of digests while the members differ from those of the peers
+    Time catchUpRetry = second; ///< the same when a digest brought nothing or was lost
     Time reconnectInterval = 5 * second; ///< a dead member or a seed is probed this often, so that partitions heal
     Time deadRetention = 60 * minute; ///< dead members are forgotten after this time
     Time leavingLimit = 30 * second; ///< a leaving member counts as dead after this time
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -21,17 +21,17 @@
     double otherDataCentreCost = 0.1; ///< load that the way to another data centre counts for
 };
 
-/// @param tried targets that this flow was offered to already; used again only when there is no other
-/// @param dataCentre of this node
+/// What a flow asks for.
+struct PlacementQuery {
+    const EdgeRoute &route;
+    std::span<const std::uint64_t> tried; ///< targets that the flow was offered to; used again only when there is no other
+    std::string_view dataCentre; ///< of this node
+    bool ownTargets = false; ///< prefer targets that this node owns as a dispatcher
+};
+
 /// @return the target with the least load per slot; among equals the one that was used longest ago; nullptr when no target
 ///         of the route takes new flows
-EdgeTarget *choosePlacement(TargetTable &table,
-                            const PlacementSettings &settings,
-                            const EdgeRoute &route,
-                            std::span<const std::uint64_t> tried,
-                            std::string_view dataCentre,
-                            Time now,
-                            Random &random);
+EdgeTarget *choosePlacement(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random);
 
 /// Counts an opening packet that showed no sign of an answer in time.
 void noteUnanswered(EdgeTarget &target, const PlacementSettings &settings, Time now);
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -38,8 +38,8 @@
     Time drainingAt = never; ///< when this node learned that the target leaves
     Time warmUntil = 0; ///< end of the cold start
     // What packets of callers show.
-    int flows = 0; ///< open through this node
-    int peerFlows = 0; ///< open through other nodes, as far as they tell
+    int flows = 0; ///< open ones that this node has placed
+    bool owned = true; ///< this node is the dispatcher that places its flows
     Time usedAt = 0; ///< last new flow
     Time answeredAt = 0; ///< last time that a caller went on with a flow that was opened here
     int unanswered = 0; ///< opening packets in a row without a sign of an answer
@@ -47,19 +47,36 @@
     Time trialAt = 0; ///< a suspected target gets one new flow from then on
 };
 
+/// A route with the version of the configuration that changed it last.
+struct RouteEntry {
+    EdgeRoute route;
+    std::int64_t revision = 0;
+    bool removed = false; ///< kept so that peers hear of the removal
+};
+
 /// Routes and targets. Only the functions below change them.
 struct TargetTable {
-    EdgeConfig config; ///< revision 0: none yet
-    std::unordered_map<std::uint64_t, EdgeRoute> routes; ///< by address
+    std::int64_t configRevision = 0; ///< of the configuration in force; 0: none yet
+    std::int64_t configVersion = 0; ///< the operator's own number
+    Time idleLimit = 0; ///< of the configuration in force
+    std::unordered_map<std::uint64_t, RouteEntry> routes; ///< by address
+    std::int64_t forgottenRevision = 0; ///< highest revision of a removed target that is no longer remembered
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< ids
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< ids by service, in order
 };
 
-/// Takes over a configuration.
+/// Takes over a whole configuration.
 /// @return false when it is not newer than the one in force
 bool applyConfig(TargetTable &table, const EdgeConfig &config);
 
+/// Takes over the difference between two versions of the configuration.
+/// @param base version from which the difference was made
+/// @param change routes that were added or changed, and the number and limits of the newer version
+/// @param removed addresses of routes that were removed
+/// @return false when the newer version is in force already, or a version between is missing
+bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed);
+
 /// Takes over an entry of a target.
 /// @return false when nothing changed, or the entry is older than what is known
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now);
--- /dev/null
+++ b/src/libpimentofold/edgecodec.cpp
@@ -0,0 +1,222 @@
+#include <pimentofold/edgecodec.h>
+
+#include <algorithm>
+
+namespace pimentofold {
+
+namespace {
+
+wire::EdgeRoute toWire(const EdgeRoute &route)
+{
+    wire::EdgeRoute result;
+    result.name = route.name;
+    result.ip = static_cast<std::int32_t>(route.address.ip);
+    result.port = static_cast<std::int16_t>(route.address.port);
+    for (const RouteShare &it : route.shares) {
+        wire::EdgeShare share;
+        share.serviceName = it.service;
+        share.weight = it.weight;
+        result.shares.push_back(std::move(share));
+    }
+    result.kind = static_cast<std::int8_t>(route.kind);
+    result.urgency = route.urgency;
+    result.aim = route.aim;
+    return result;
+}
+
+Address toAddress(std::int32_t ip, std::int16_t port)
+{
+    return {static_cast<std::uint32_t>(ip), static_cast<std::uint16_t>(port)};
+}
+
+/// @return nothing for a route that leads nowhere
+std::optional<EdgeRoute> fromWire(const wire::EdgeRoute &route)
+{
+    if (route.shares.empty() || route.kind < 0 || route.kind > static_cast<int>(WorkKind::Download)) {
+        return std::nullopt;
+    }
+    EdgeRoute result;
+    result.name = route.name;
+    result.address = toAddress(route.ip, route.port);
+    for (const wire::EdgeShare &it : route.shares) {
+        result.shares.push_back({it.serviceName, it.weight});
+    }
+    result.kind = static_cast<WorkKind>(route.kind);
+    result.urgency = route.urgency;
+    result.aim = route.aim;
+    return result;
+}
+
+wire::EdgeTarget toWire(const TargetRecord &target)
+{
+    wire::EdgeTarget result;
+    result.id = static_cast<std::int64_t>(target.id);
+    result.name = target.name;
+    result.serviceName = target.service;
+    result.ip = static_cast<std::int32_t>(target.address.ip);
+    result.port = static_cast<std::int16_t>(target.address.port);
+    result.dataCentre = target.dataCentre;
+    result.slots = target.slots;
+    result.draining = target.state == TargetState::Draining;
+    result.warmup = target.warmup;
+    result.startedAt = target.startedAt;
+    result.revision = target.revision;
+    return result;
+}
+
+TargetRecord fromWire(const wire::EdgeTarget &target)
+{
+    TargetRecord result;
+    result.id = static_cast<std::uint64_t>(target.id);
+    result.name = target.name;
+    result.service = target.serviceName;
+    result.address = toAddress(target.ip, target.port);
+    result.dataCentre = target.dataCentre;
+    result.slots = std::max(target.slots, 1);
+    result.state = target.draining ? TargetState::Draining : TargetState::Ready;
+    result.warmup = target.warmup;
+    result.startedAt = target.startedAt;
+    result.revision = target.revision;
+    return result;
+}
+
+/// Splits changes into parts by the estimated size of what they hold.
+struct PartWriter {
+    const StoreChanges &changes;
+    std::vector<wire::EdgeChanges> parts;
+    std::size_t bytes = 0;
+
+    wire::EdgeChanges &room(std::size_t wanted)
+    {
+        if (parts.empty() || bytes + wanted > changesPerDatagram) {
+            wire::EdgeChanges part;
+            part.configBase = changes.configBase;
+            part.configRevision = changes.config.revision;
+            part.configVersion = changes.config.version;
+            part.idleLimit = changes.config.idleLimit;
+            part.configKnown = changes.known.config;
+            part.targetsBase = changes.base.targets;
+            part.targetsRevision = changes.known.targets;
+            part.part = static_cast<std::int32_t>(parts.size());
+            parts.push_back(std::move(part));
+            bytes = 0;
+        }
+        bytes += wanted;
+        return parts.back();
+    }
+};
+
+std::size_t sizeOf(const EdgeRoute &route)
+{
+    constexpr std::size_t fixedBytes = 32;
+    std::size_t bytes = fixedBytes + route.name.size();
+    for (const RouteShare &it : route.shares) {
+        bytes += it.service.size() + sizeof it.weight + 4;
+    }
+    return bytes;
+}
+
+std::size_t sizeOf(const TargetRecord &target)
+{
+    constexpr std::size_t fixedBytes = 64;
+    return fixedBytes + target.name.size() + target.service.size() + target.dataCentre.size();
+}
+
+void add(StoreChanges &changes, const wire::EdgeChanges &part)
+{
+    for (const wire::EdgeRoute &it : part.routes) {
+        if (std::optional<EdgeRoute> route = fromWire(it)) {
+            changes.config.routes.push_back(std::move(*route));
+        }
+    }
+    for (const wire::EdgeEndpoint &it : part.removedRoutes) {
+        changes.removedRoutes.push_back(toAddress(it.ip, it.port));
+    }
+    for (const wire::EdgeTarget &it : part.targets) {
+        changes.targets.push_back(fromWire(it));
+    }
+    for (const wire::EdgeRemoval &it : part.removedTargets) {
+        changes.removedTargets.push_back({static_cast<std::uint64_t>(it.id), it.revision});
+    }
+}
+
+} // namespace
+
+std::vector<wire::EdgeChanges> toWire(const StoreChanges &changes)
+{
+    PartWriter writer{changes, {}, 0};
+    writer.room(0);
+    constexpr std::size_t addressBytes = 10;
+    constexpr std::size_t removalBytes = 22;
+    for (const EdgeRoute &it : changes.config.routes) {
+        writer.room(sizeOf(it)).routes.push_back(toWire(it));
+    }
+    for (const Address &it : changes.removedRoutes) {
+        wire::EdgeEndpoint endpoint;
+        endpoint.ip = static_cast<std::int32_t>(it.ip);
+        endpoint.port = static_cast<std::int16_t>(it.port);
+        writer.room(addressBytes).removedRoutes.push_back(endpoint);
+    }
+    for (const TargetRecord &it : changes.targets) {
+        writer.room(sizeOf(it)).targets.push_back(toWire(it));
+    }
+    for (const TargetRemoval &it : changes.removedTargets) {
+        wire::EdgeRemoval removal;
+        removal.id = static_cast<std::int64_t>(it.id);
+        removal.revision = it.revision;
+        writer.room(removalBytes).removedTargets.push_back(removal);
+    }
+    for (wire::EdgeChanges &it : writer.parts) {
+        it.parts = static_cast<std::int32_t>(writer.parts.size());
+    }
+    return std::move(writer.parts);
+}
+
+std::optional<StoreChanges> addPart(PartialChanges &partial, const wire::EdgeChanges &part)
+{
+    constexpr std::int32_t mostParts = 10'000;
+    if (part.parts < 1 || part.parts > mostParts || part.part < 0 || part.part >= part.parts) {
+        return std::nullopt;
+    }
+    const KnownRevisions known{part.configKnown, part.targetsRevision};
+    StoreChanges &changes = partial.changes;
+    const bool same = known == partial.known && part.parts == partial.parts && changes.configBase == part.configBase && changes.base.targets == part.targetsBase;
+    if (!same) {
+        partial = {};
+        partial.known = known;
+        partial.parts = part.parts;
+        changes.known = known;
+        changes.base = {part.configBase, part.targetsBase};
+        changes.configBase = part.configBase;
+        changes.config.revision = part.configRevision;
+        changes.config.version = part.configVersion;
+        changes.config.idleLimit = part.idleLimit;
+    }
+    if (!partial.received.insert(part.part).second) {
+        return std::nullopt;
+    }
+    add(changes, part);
+    if (static_cast<std::int32_t>(partial.received.size()) < partial.parts) {
+        return std::nullopt;
+    }
+    std::optional<StoreChanges> result(std::move(changes));
+    partial = {};
+    return result;
+}
+
+wire::EdgeFlowEnds toWire(const FlowKey &key)
+{
+    wire::EdgeFlowEnds ends;
+    ends.callerIp = static_cast<std::int32_t>(key.caller.ip);
+    ends.callerPort = static_cast<std::int16_t>(key.caller.port);
+    ends.serviceIp = static_cast<std::int32_t>(key.service.ip);
+    ends.servicePort = static_cast<std::int16_t>(key.service.port);
+    return ends;
+}
+
+FlowKey fromWire(const wire::EdgeFlowEnds &ends)
+{
+    return {toAddress(ends.callerIp, ends.callerPort), toAddress(ends.serviceIp, ends.servicePort)};
+}
+
+} // namespace pimentofold
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -2,245 +2,261 @@
 
 #include <algorithm>
 #include <cmath>
-#include <span>
 
 namespace pimentofold {
 
 namespace {
 
-constexpr std::array<std::string_view, 9> eventNames{
-    "flow_placed", "flow_offered_again", "flow_opened", "flow_ended", "packet_held", "no_route", "no_target", "unknown_token", "flow_refused"};
-
 constexpr Time sweepInterval = second;
 
-int loadOf(const EdgeTarget &target)
+void learnAnswerTime(EdgeForwarder &forwarder, Time sample)
 {
-    return target.flows + target.peerFlows;
+    const auto value = static_cast<double>(sample);
+    if (forwarder.answerTime == 0) {
+        forwarder.answerTime = value;
+        forwarder.answerDeviation = value / 2;
+        return;
+    }
+    // The gains of TCP's estimate of round-trip times (RFC 6298).
+    forwarder.answerDeviation += (std::abs(value - forwarder.answerTime) - forwarder.answerDeviation) / 4;
+    forwarder.answerTime += (value - forwarder.answerTime) / 8;
 }
 
-void note(ForwardOutput &out, ForwardEvent event, const FlowKey &key, const EdgeTarget *target, const EdgeFlow *flow, Time now)
+/// @return the dispatcher of a flow, 0 when it is this node
+Id dispatcherOf(const EdgeForwarder &forwarder, const FlowKey &key)
 {
-    ForwardNote it;
-    it.event = event;
-    it.flow = key;
-    if (target != nullptr) {
-        it.target = target->record.id;
-        it.token = target->token;
-        it.load = loadOf(*target);
+    const EdgeRoute *route = findRoute(forwarder.table, key.service);
+    const auto table = route == nullptr ? forwarder.dispatchers.end() : forwarder.dispatchers.find(route->shares.front().service);
+    if (table == forwarder.dispatchers.end()) {
+        return 0;
     }
-    if (flow != nullptr) {
-        it.offers = static_cast<int>(flow->offers);
-        it.elapsed = now - flow->startedAt;
-    }
-    out.notes.push_back(it);
+    const std::optional<InstanceKey> found = dispatcherFor(table->second, std::hash<FlowKey>{}(key));
+    return !found || found->instance == forwarder.self.instance ? 0 : found->instance;
+}
+
+OpeningFlow toOpening(const FlowKey &key, const EdgeFlow &flow)
+{
+    OpeningFlow opening;
+    opening.key = key;
+    opening.opening = flow.opening;
+    opening.attempt = flow.attempts;
+    opening.openAge = flow.openAge;
+    return opening;
 }
 
-void forwardTo(const EdgeTarget &target, std::string_view bytes, ForwardOutput &out)
+void refuse(const FlowKey &key, ForwardOutput &out)
 {
-    out.packets.push_back({target.record.address, target.record.id, target.token, std::string(bytes)});
+    out.resets.push_back({key, 0});
+    appendNote(out, ForwardEvent::Refused, key, nullptr, 0, 0);
 }
 
-void uncount(EdgeForwarder &forwarder, EdgeFlow &flow)
+/// Offers a flow through its dispatcher, or places it here.
+void offer(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
-    if (!flow.counted) {
+    ++flow.attempts;
+    flow.offeredAt = now;
+    forwarder.checks.emplace(now + answerWait(forwarder), key);
+    if (flow.dispatcher != 0) {
+        out.openings.push_back({flow.dispatcher, flow.attempts, flow.opening});
+        appendNote(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
+        out.notes.back().node = flow.dispatcher;
         return;
     }
-    flow.counted = false;
-    if (EdgeTarget *target = findTarget(forwarder.table, flow.target)) {
-        target->flows = std::max(target->flows - 1, 0);
+    const OpeningFlow opening = toOpening(key, flow);
+    const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, opening, now, out);
+    if (result == PlaceResult::NoTarget && flow.attempts == 1) {
+        flow.stage = FlowStage::Ended;
+        refuse(key, out);
+    } else if (result == PlaceResult::Waiting) {
+        noteHeld(forwarder, key, now);
     }
 }
 
-void assign(EdgeForwarder &forwarder, EdgeFlow &flow, EdgeTarget &target)
+void noteMiss(EdgeForwarder &forwarder, Id dispatcher, Time now)
 {
-    if (flow.counted && flow.target == target.record.id) {
-        return;
+    DispatcherMisses &it = forwarder.misses[dispatcher];
+    if (++it.misses >= forwarder.settings.mostDispatcherMisses && now >= it.avoidUntil) {
+        it.avoidUntil = now + forwarder.settings.avoidTime;
+        updateDispatchers(forwarder, now);
     }
-    uncount(forwarder, flow);
-    flow.target = target.record.id;
-    flow.counted = true;
-    ++target.flows;
 }
 
-void learnAnswerTime(EdgeForwarder &forwarder, Time sample)
+void offerAgain(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
-    const auto value = static_cast<double>(sample);
-    if (forwarder.answerTime == 0) {
-        forwarder.answerTime = value;
-        forwarder.answerDeviation = value / 2;
-        return;
+    if (flow.dispatcher != 0 && flow.attempts >= 2) {
+        // Neither the dispatcher's first target nor its second one has answered, so the fault may be its own.
+        noteMiss(forwarder, flow.dispatcher, now);
+        flow.dispatcher = 0;
     }
-    // The gains of TCP's estimate of round-trip times (RFC 6298).
-    forwarder.answerDeviation += (std::abs(value - forwarder.answerTime) - forwarder.answerDeviation) / 4;
-    forwarder.answerTime += (value - forwarder.answerTime) / 8;
+    offer(forwarder, key, flow, now, out);
 }
 
-/// Offers a flow to the next target.
-void offer(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
+void handleCopy(EdgeForwarder &forwarder, const FlowPacket &packet, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
-    const std::span<const std::uint64_t> tried(flow.offered.data(), flow.offers);
-    EdgeTarget *target = choosePlacement(forwarder.table, forwarder.settings.placement, route, tried, forwarder.settings.dataCentre, now, forwarder.random);
-    if (target == nullptr) {
-        note(out, ForwardEvent::NoTarget, key, nullptr, &flow, now);
+    flow.packetAt = now;
+    if (flow.stage == FlowStage::Opening) {
+        if (now - flow.offeredAt >= answerWait(forwarder)) {
+            flow.openAge = packet.openAge;
+            offerAgain(forwarder, packet.flow, flow, now, out);
+        }
         return;
     }
-    if (flow.offers < mostOffers) {
-        flow.offered[flow.offers++] = target->record.id;
+    // A copy that was overtaken by the rest of the flow.
+    if (const EdgeTarget *target = findTarget(forwarder.table, flow.target)) {
+        out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
     }
-    assign(forwarder, flow, *target);
-    target->usedAt = now;
-    flow.offeredAt = now;
-    if (isSuspected(*target, forwarder.settings.placement)) {
-        // One flow at a time shows whether the target is back.
-        target->trialAt = now + forwarder.settings.placement.mostTrialWait;
-    }
-    forwarder.checks.emplace(now + answerWait(forwarder), key);
-    forwardTo(*target, flow.opening, out);
-    note(out, flow.offers > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, key, target, &flow, now);
 }
 
-/// Counts that the target of the last offer gave no sign, and offers the flow to another one.
-void offerAgain(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
+void endFlow(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
-    if (EdgeTarget *silent = findTarget(forwarder.table, flow.target)) {
-        noteUnanswered(*silent, forwarder.settings.placement, now);
+    if (flow.stage == FlowStage::Ended) {
+        return;
     }
-    if (const EdgeRoute *route = findRoute(forwarder.table, key.service)) {
-        offer(forwarder, key, flow, *route, now, out);
+    flow.stage = FlowStage::Ended;
+    const EdgeTarget *target = findTarget(forwarder.table, flow.target);
+    appendNote(out, ForwardEvent::Ended, key, target, flow.attempts, now - flow.startedAt);
+    if (flow.dispatcher != 0) {
+        out.ended.push_back({flow.dispatcher, key, flow.target});
     }
+    endPlacedFlow(forwarder.dispatcher, forwarder.table, key, flow.target, now, out);
 }
 
 void handleOpening(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
 {
-    const EdgeRoute *route = findRoute(forwarder.table, packet.flow.service);
-    if (route == nullptr) {
-        note(out, ForwardEvent::NoRoute, packet.flow, nullptr, nullptr, now);
+    if (findRoute(forwarder.table, packet.flow.service) == nullptr) {
+        appendNote(out, ForwardEvent::NoRoute, packet.flow, nullptr, 0, 0);
         return;
     }
     const auto known = forwarder.flows.find(packet.flow);
-    if (known != forwarder.flows.end() && known->second.stage == FlowStage::Opening) {
-        EdgeFlow &flow = known->second;
-        flow.packetAt = now;
-        if (now - flow.offeredAt >= answerWait(forwarder)) {
-            offerAgain(forwarder, packet.flow, flow, now, out);
-        }
-        return;
-    }
     if (known != forwarder.flows.end()) {
-        if (packet.acknowledged > 0) {
-            // A copy that was overtaken by the rest of the flow.
-            if (const EdgeTarget *target = findTarget(forwarder.table, known->second.target)) {
-                forwardTo(*target, packet.bytes, out);
-            }
+        if (packet.openAge > 0 || known->second.stage == FlowStage::Opening) {
+            handleCopy(forwarder, packet, known->second, now, out);
             return;
         }
-        uncount(forwarder, known->second);
+        endFlow(forwarder, packet.flow, known->second, now, out);
         forwarder.flows.erase(known);
     }
-    if (forwarder.flows.size() >= forwarder.settings.mostFlows) {
-        tickForwarder(forwarder, now, out);
-    }
     EdgeFlow flow;
     flow.startedAt = now;
     flow.packetAt = now;
+    flow.openAge = packet.openAge;
     flow.opening = packet.bytes;
+    flow.dispatcher = dispatcherOf(forwarder, packet.flow);
     if (forwarder.flows.size() >= forwarder.settings.mostFlows) {
-        offer(forwarder, packet.flow, flow, *route, now, out);
-        uncount(forwarder, flow);
+        flow.dispatcher = 0;
+        flow.attempts = 1;
+        placeFlow(forwarder.dispatcher, forwarder.table, toOpening(packet.flow, flow), now, out);
         return;
     }
-    const auto it = forwarder.flows.emplace(packet.flow, std::move(flow)).first;
-    offer(forwarder, packet.flow, it->second, *route, now, out);
-    if (it->second.offers == 0) {
-        forwarder.flows.erase(it);
-        out.resets.push_back({packet.flow, 0});
-        note(out, ForwardEvent::Refused, packet.flow, nullptr, nullptr, now);
-    }
+    EdgeFlow &kept = forwarder.flows.emplace(packet.flow, std::move(flow)).first->second;
+    offer(forwarder, packet.flow, kept, now, out);
 }
 
 void openFlow(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, EdgeTarget &target, Time now, ForwardOutput &out)
 {
-    if (flow.target == target.record.id) {
+    if (flow.attempts == 1) {
         learnAnswerTime(forwarder, now - flow.offeredAt);
     }
     flow.stage = FlowStage::Open;
+    flow.target = target.record.id;
     flow.opening.clear();
     flow.opening.shrink_to_fit();
-    assign(forwarder, flow, target);
     noteAnswered(target, now);
-    note(out, ForwardEvent::Opened, key, &target, &flow, now);
+    if (flow.dispatcher != 0) {
+        forwarder.misses.erase(flow.dispatcher);
+    }
+    appendNote(out, ForwardEvent::Opened, key, &target, flow.attempts, now - flow.startedAt);
 }
 
-void handleLater(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
+/// @return the target of a packet after the opening one, nullptr when it is unknown
+EdgeTarget *targetOf(EdgeForwarder &forwarder, const FlowPacket &packet, const EdgeFlow *flow)
 {
-    const auto known = forwarder.flows.find(packet.flow);
-    EdgeFlow *flow = known == forwarder.flows.end() ? nullptr : &known->second;
-    EdgeTarget *target = nullptr;
     if (flow != nullptr && flow->stage != FlowStage::Opening) {
-        target = findTarget(forwarder.table, flow->target);
+        if (EdgeTarget *target = findTarget(forwarder.table, flow->target)) {
+            return target;
+        }
     }
-    if (target == nullptr && packet.token != 0) {
-        target = findByToken(forwarder.table, packet.token, findRoute(forwarder.table, packet.flow.service));
+    return packet.token == 0 ? nullptr : findByToken(forwarder.table, packet.token, findRoute(forwarder.table, packet.flow.service));
+}
+
+/// Remembers a flow that was opened through another node.
+EdgeFlow *adoptFlow(EdgeForwarder &forwarder, const FlowKey &key, const EdgeTarget &target, Time now)
+{
+    if (forwarder.flows.size() >= forwarder.settings.mostFlows) {
+        return nullptr;
     }
+    EdgeFlow flow;
+    flow.stage = FlowStage::Open;
+    flow.startedAt = now;
+    flow.target = target.record.id;
+    flow.dispatcher = dispatcherOf(forwarder, key);
+    return &forwarder.flows.emplace(key, std::move(flow)).first->second;
+}
+
+void handleLater(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
+{
+    const auto known = forwarder.flows.find(packet.flow);
+    EdgeFlow *flow = known == forwarder.flows.end() ? nullptr : &known->second;
+    EdgeTarget *target = targetOf(forwarder, packet, flow);
     if (target == nullptr) {
-        note(out, ForwardEvent::UnknownToken, packet.flow, nullptr, flow, now);
+        appendNote(out, ForwardEvent::UnknownToken, packet.flow, nullptr, 0, 0);
         out.notes.back().token = packet.token;
         return;
     }
-    if (flow == nullptr && forwarder.flows.size() < forwarder.settings.mostFlows) {
-        EdgeFlow adopted;
-        adopted.startedAt = now;
-        adopted.stage = FlowStage::Open;
-        adopted.target = target->record.id;
-        flow = &forwarder.flows.emplace(packet.flow, std::move(adopted)).first->second;
+    if (flow == nullptr) {
+        flow = adoptFlow(forwarder, packet.flow, *target, now);
     }
     if (flow != nullptr) {
         flow->packetAt = now;
         if (flow->stage == FlowStage::Opening) {
             openFlow(forwarder, packet.flow, *flow, *target, now, out);
         }
-        if ((packet.finishes || packet.resets) && flow->stage == FlowStage::Open) {
-            flow->stage = FlowStage::Ended;
-            uncount(forwarder, *flow);
-            note(out, ForwardEvent::Ended, packet.flow, target, flow, now);
+        if (packet.finishes || packet.resets) {
+            endFlow(forwarder, packet.flow, *flow, now, out);
         }
     }
-    forwardTo(*target, packet.bytes, out);
+    out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
 }
 
 void sweep(EdgeForwarder &forwarder, Time now)
 {
-    const ForwardSettings &settings = forwarder.settings;
     for (auto it = forwarder.flows.begin(); it != forwarder.flows.end();) {
-        EdgeFlow &flow = it->second;
+        const EdgeFlow &flow = it->second;
         const Time idle = now - flow.packetAt;
-        if (idle >= settings.silentLimit) {
-            uncount(forwarder, flow);
-        }
-        const bool done = flow.stage == FlowStage::Ended && idle >= settings.endedRetention;
-        it = done || idle >= settings.idleLimit ? forwarder.flows.erase(it) : std::next(it);
+        const bool done = flow.stage == FlowStage::Ended && idle >= forwarder.settings.endedRetention;
+        it = done || idle >= forwarder.settings.idleLimit ? forwarder.flows.erase(it) : std::next(it);
     }
     forgetGoneTargets(forwarder.table, now);
 }
 
-} // namespace
-
-std::string_view name(ForwardEvent event)
+void runChecks(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
-    return eventNames.at(static_cast<std::size_t>(event));
+    while (!forwarder.checks.empty() && forwarder.checks.begin()->first <= now) {
+        const FlowKey key = forwarder.checks.begin()->second;
+        forwarder.checks.erase(forwarder.checks.begin());
+        const auto it = forwarder.flows.find(key);
+        if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening || it->second.attempts >= forwarder.settings.mostAttempts) {
+            continue;
+        }
+        if (now - it->second.offeredAt >= forwarder.settings.leastAnswerWait) {
+            offerAgain(forwarder, key, it->second, now, out);
+        }
+    }
 }
 
+} // namespace
+
 bool canPlace(const EdgeForwarder &forwarder)
 {
-    return forwarder.table.config.revision > 0 && !forwarder.table.targets.empty();
+    return forwarder.table.configRevision > 0 && !forwarder.table.targets.empty();
 }
 
 void handlePacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
 {
     if (!canPlace(forwarder)) {
-        if (forwarder.held.size() < forwarder.settings.mostHeld) {
-            forwarder.held.push_back({std::string(packet.bytes), now});
-            note(out, ForwardEvent::Held, packet.flow, nullptr, nullptr, now);
+        if (forwarder.early.size() < forwarder.settings.mostEarly) {
+            forwarder.early.push_back({std::string(packet.bytes), now});
+            appendNote(out, ForwardEvent::Early, packet.flow, nullptr, 0, 0);
         }
         return;
     }
@@ -251,18 +267,67 @@
     }
 }
 
-void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
+void placeForPeer(EdgeForwarder &forwarder, const OpeningFlow &flow, Time now, ForwardOutput &out)
 {
-    while (!forwarder.checks.empty() && forwarder.checks.begin()->first <= now) {
-        const FlowKey key = forwarder.checks.begin()->second;
-        forwarder.checks.erase(forwarder.checks.begin());
-        const auto it = forwarder.flows.find(key);
-        if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening || it->second.offers >= mostOffers) {
+    if (canPlace(forwarder)) {
+        placeFlow(forwarder.dispatcher, forwarder.table, flow, now, out);
+    }
+}
+
+void noteHeld(EdgeForwarder &forwarder, const FlowKey &flow, Time now)
+{
+    const auto it = forwarder.flows.find(flow);
+    if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
+        return;
+    }
+    // The dispatcher has offered the flow to no target yet, so this attempt counts as none.
+    it->second.attempts = std::max(it->second.attempts - 1, 0);
+    it->second.offeredAt = now + forwarder.settings.heldWait - answerWait(forwarder);
+    forwarder.checks.emplace(now + forwarder.settings.heldWait, flow);
+}
+
+void endForPeer(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out)
+{
+    endPlacedFlow(forwarder.dispatcher, forwarder.table, flow, target, now, out);
+}
+
+void updateDispatchers(EdgeForwarder &forwarder, Time now)
+{
+    std::vector<InstanceKey> members;
+    forwarder.rolesUntil = never;
+    for (const InstanceKey &it : forwarder.members) {
+        const auto missed = forwarder.misses.find(it.instance);
+        if (missed != forwarder.misses.end() && missed->second.avoidUntil > now) {
+            forwarder.rolesUntil = std::min(forwarder.rolesUntil, missed->second.avoidUntil);
             continue;
         }
-        if (now - it->second.offeredAt >= forwarder.settings.leastAnswerWait) {
-            offerAgain(forwarder, key, it->second, now, out);
+        members.push_back(it);
+    }
+    forwarder.dispatchers.clear();
+    for (const auto &[service, ids] : forwarder.table.services) {
+        std::vector<TargetEntry> entries;
+        int slots = 0;
+        for (const std::uint64_t id : ids) {
+            const EdgeTarget &target = *findTarget(forwarder.table, id);
+            const bool serving = takesNewFlows(target, now);
+            entries.push_back({static_cast<Id>(id), target.record.slots, serving});
+            slots += serving ? target.record.slots : 0;
         }
+        const int count = std::max((slots + forwarder.settings.slotsPerDispatcher - 1) / forwarder.settings.slotsPerDispatcher, 1);
+        const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatchers(idOf(service), entries, members, count);
+        for (const std::uint64_t id : ids) {
+            const std::optional<InstanceKey> owner = ownerOfTarget(static_cast<Id>(id), table.dispatchers);
+            findTarget(forwarder.table, id)->owned = !owner || owner->instance == forwarder.self.instance;
+        }
+    }
+}
+
+void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
+{
+    runChecks(forwarder, now, out);
+    tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
+    if (now >= forwarder.rolesUntil) {
+        updateDispatchers(forwarder, now);
     }
     if (now >= forwarder.nextSweepAt) {
         forwarder.nextSweepAt = now + sweepInterval;
@@ -273,15 +338,15 @@
 Time nextTick(const EdgeForwarder &forwarder)
 {
     const Time check = forwarder.checks.empty() ? never : forwarder.checks.begin()->first;
-    return std::min(check, forwarder.nextSweepAt);
+    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher)});
 }
 
-std::vector<HeldPacket> takeHeld(EdgeForwarder &forwarder, Time now)
+std::vector<EarlyPacket> takeEarly(EdgeForwarder &forwarder, Time now)
 {
-    std::vector<HeldPacket> held;
-    held.swap(forwarder.held);
-    std::erase_if(held, [&](const HeldPacket &it) { return now - it.at > forwarder.settings.heldLimit; });
-    return held;
+    std::vector<EarlyPacket> early;
+    early.swap(forwarder.early);
+    std::erase_if(early, [&](const EarlyPacket &it) { return now - it.at > forwarder.settings.earlyLimit; });
+    return early;
 }
 
 Time answerWait(const EdgeForwarder &forwarder)
--- a/src/libpimentofold/membership.cpp
+++ b/src/libpimentofold/membership.cpp
@@ -18,10 +18,6 @@
 constexpr std::size_t leaveMessages = 8;
 /// Probes on behalf of others that are open at a time.
 constexpr std::size_t maxForwarded = 64;
-/// Interval of digests while the members differ from those of the peers.
-constexpr Time catchUpInterval = 200 * millisecond;
-/// The same when a digest brought nothing or was lost.
-constexpr Time catchUpRetry = second;
 /// Budget that is left to answer others before own digests are sent, in bytes.
 constexpr double answerReserve = 1'500;
 /// Seeds that a member without peers tries at a time.
@@ -71,7 +67,7 @@
     message.__set_digest(digestOf(state, message.sequence, state.catchingUp));
     state.updateBudget -= static_cast<double>(message.digest.size());
     state.digestSequence = message.sequence;
-    state.nextDigestAt = now + (state.catchingUp ? catchUpRetry : state.options.digestInterval);
+    state.nextDigestAt = now + (state.catchingUp ? state.options.catchUpRetry : state.options.digestInterval);
 }
 
 void sendPing(MembershipState &state, const Member &to, std::int64_t sequence, Time now, MembershipOutput &out)
@@ -231,7 +227,7 @@
         return;
     }
     const bool lonely = otherLive(state).empty();
-    state.nextReconnectAt = now + (lonely ? state.options.probeInterval : state.options.reconnectInterval);
+    state.nextReconnectAt = now + (lonely ? state.options.joinInterval : state.options.reconnectInterval);
     std::vector<std::pair<std::string, Id>> lost = lostAddresses(state);
     for (std::size_t n = 0; n < (lonely ? lonelySeeds : 1) && !lost.empty(); ++n) {
         std::swap(lost.back(), lost[below(state.random, lost.size())]);
@@ -374,7 +370,7 @@
 {
     if (message.digest == differingMark) {
         state.catchingUp = true;
-        state.nextDigestAt = std::min(state.nextDigestAt, now + (news ? catchUpInterval : catchUpRetry));
+        state.nextDigestAt = std::min(state.nextDigestAt, now + (news ? state.options.catchUpInterval : state.options.catchUpRetry));
     } else if (message.sequence == state.digestSequence && !message.__isset.about) {
         advanceUpdates(state);
         state.catchingUp = false;
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -10,6 +10,7 @@
 /// Order of preference; a later group is used only when the earlier ones are empty.
 enum class Group {
     Preferred,
+    Foreign, ///< owned by another dispatcher, which counts its flows
     Suspected,
     Tried,
     Leaving, ///< a draining target still accepts flows for a while after its entry changed
@@ -20,16 +21,19 @@
 /// within the drain bounds of every installation.
 constexpr Time leavingUse = second;
 
-Group groupOf(const EdgeTarget &target, const PlacementSettings &settings, std::span<const std::uint64_t> tried, Time now)
+Group groupOf(const EdgeTarget &target, const PlacementSettings &settings, const PlacementQuery &query, Time now)
 {
     if (!takesNewFlows(target, now)) {
         const bool mayUse = target.listed && target.drainingAt != never && now - target.drainingAt < leavingUse;
         return mayUse ? Group::Leaving : Group::None;
     }
-    if (std::ranges::find(tried, target.record.id) != tried.end()) {
+    if (std::ranges::find(query.tried, target.record.id) != query.tried.end()) {
         return Group::Tried;
     }
-    return isSuspected(target, settings) && now < target.trialAt ? Group::Suspected : Group::Preferred;
+    if (isSuspected(target, settings) && now < target.trialAt) {
+        return Group::Suspected;
+    }
+    return query.ownTargets && !target.owned ? Group::Foreign : Group::Preferred;
 }
 
 double costOf(const EdgeTarget &target, const PlacementSettings &settings, std::string_view dataCentre, Time now)
@@ -38,7 +42,7 @@
     // A target on trial isn't kept from it by its unanswered packets.
     const double doubt = isSuspected(target, settings) ? 0 : settings.unansweredCost * target.unanswered;
     const double distance = target.record.dataCentre == dataCentre ? 0 : settings.otherDataCentreCost;
-    return ((target.flows + target.peerFlows + 1) * factor + doubt + distance) / std::max(target.record.slots, 1);
+    return ((target.flows + 1) * factor + doubt + distance) / std::max(target.record.slots, 1);
 }
 
 const std::string &drawService(const EdgeRoute &route, Random &random)
@@ -59,15 +63,9 @@
 
 } // namespace
 
-EdgeTarget *choosePlacement(TargetTable &table,
-                            const PlacementSettings &settings,
-                            const EdgeRoute &route,
-                            std::span<const std::uint64_t> tried,
-                            std::string_view dataCentre,
-                            Time now,
-                            Random &random)
+EdgeTarget *choosePlacement(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
 {
-    const auto ids = table.services.find(drawService(route, random));
+    const auto ids = table.services.find(drawService(query.route, random));
     if (ids == table.services.end()) {
         return nullptr;
     }
@@ -76,11 +74,11 @@
     double bestCost = std::numeric_limits<double>::max();
     for (const std::uint64_t id : ids->second) {
         EdgeTarget &target = *findTarget(table, id);
-        const Group group = groupOf(target, settings, tried, now);
+        const Group group = groupOf(target, settings, query, now);
         if (group == Group::None || group > bestGroup) {
             continue;
         }
-        const double cost = costOf(target, settings, dataCentre, now);
+        const double cost = costOf(target, settings, query.dataCentre, now);
         const bool better = group < bestGroup || cost < bestCost || (cost == bestCost && target.usedAt < best->usedAt);
         if (better) {
             best = &target;
--- /dev/null
+++ b/src/libpimentofold/storeshare.cpp
@@ -0,0 +1,173 @@
+#include <pimentofold/storeshare.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace pimentofold {
+
+namespace {
+
+/// Removes what a complete list doesn't hold.
+void removeMissing(TargetTable &table, const StoreChanges &changes, Time now)
+{
+    std::unordered_set<std::uint64_t> present;
+    for (const TargetRecord &it : changes.targets) {
+        present.insert(it.id);
+    }
+    std::vector<std::uint64_t> missing;
+    for (const auto &[id, target] : table.targets) {
+        if (target.listed && !present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : missing) {
+        removeTarget(table, id, changes.known.targets, now);
+    }
+}
+
+bool applyTargets(StoreShare &share, TargetTable &table, const StoreChanges &changes, Time now)
+{
+    if (changes.known.targets <= share.known.targets) {
+        return true;
+    }
+    if (changes.base.targets > share.known.targets) {
+        return false;
+    }
+    for (const TargetRecord &it : changes.targets) {
+        applyTarget(table, it, now);
+    }
+    for (const TargetRemoval &it : changes.removedTargets) {
+        removeTarget(table, it.id, it.revision, now);
+    }
+    if (changes.base.targets == 0) {
+        removeMissing(table, changes, now);
+    }
+    share.known.targets = changes.known.targets;
+    return true;
+}
+
+bool applyRoutes(StoreShare &share, TargetTable &table, const StoreChanges &changes)
+{
+    if (changes.known.config <= share.known.config) {
+        return true;
+    }
+    const bool newer = changes.config.revision > table.configRevision;
+    if (newer && changes.configBase == 0) {
+        applyConfig(table, changes.config);
+    } else if (newer && !applyConfigChange(table, changes.configBase, changes.config, changes.removedRoutes)) {
+        return false;
+    }
+    share.known.config = changes.known.config;
+    return true;
+}
+
+} // namespace
+
+std::uint64_t followRank(Id node)
+{
+    constexpr std::uint64_t purpose = 0x666f6c6c6f77; // keeps this order apart from those for other uses
+    return mix(purpose, static_cast<std::uint64_t>(node));
+}
+
+bool shouldFollow(const StoreShare &share, int rank, Time now)
+{
+    if (now < share.restUntil) {
+        return false;
+    }
+    bool healthyFollower = false;
+    std::size_t unhealthyBefore = 0;
+    for (const auto &[id, it] : share.followers) {
+        if (now - it.heardAt > share.settings.silenceLimit) {
+            continue;
+        }
+        const bool goesFirst = followRank(id) < followRank(share.self);
+        if (it.healthy && (goesFirst || !share.healthy)) {
+            return false;
+        }
+        healthyFollower = healthyFollower || it.healthy;
+        unhealthyBefore += !it.healthy && goesFirst ? 1 : 0;
+    }
+    if (share.following) {
+        return true;
+    }
+    if (healthyFollower || unhealthyBefore >= share.settings.mostUnhealthy) {
+        return false;
+    }
+    if (share.confirmedAt == 0) {
+        return now - share.startedAt >= share.settings.startWait;
+    }
+    const Time wait = share.settings.silenceLimit + share.settings.rankStep * std::min(rank, share.settings.mostRankSteps);
+    return now - share.confirmedAt >= wait;
+}
+
+void noteOwnHealth(StoreShare &share, bool healthy, Time now)
+{
+    if (share.healthy && !healthy) {
+        share.unhealthySince = now;
+    }
+    share.healthy = healthy;
+    if (share.following && healthy) {
+        share.confirmedAt = now;
+    }
+    if (share.following && !healthy && now - share.unhealthySince >= share.settings.unhealthyLimit) {
+        share.restUntil = now + share.settings.restTime;
+    }
+}
+
+bool takeBeat(StoreShare &share, const StoreBeat &beat, Time now)
+{
+    std::erase_if(share.followers, [&](const auto &it) { return now - it.second.heardAt > share.settings.beatMemory; });
+    share.followers[beat.sender] = {beat.healthy, now};
+    const bool missing = beat.known.config > share.known.config || beat.known.targets > share.known.targets;
+    if (!missing && beat.healthy) {
+        share.confirmedAt = std::max(share.confirmedAt, now - beat.age);
+    }
+    return missing;
+}
+
+bool isBeatDue(const StoreShare &share, Time now)
+{
+    return share.following && (now - share.beatAt >= share.settings.beatInterval || share.known != share.beatKnown);
+}
+
+StoreChanges changesSince(const TargetTable &table, const KnownRevisions &base, std::int64_t configBase, const KnownRevisions &known, Time now)
+{
+    StoreChanges changes;
+    changes.base = base;
+    changes.known = known;
+    changes.configBase = configBase;
+    if (base.targets < table.forgottenRevision) {
+        changes.base.targets = 0;
+    }
+    changes.config.revision = table.configRevision;
+    changes.config.version = table.configVersion;
+    changes.config.idleLimit = table.idleLimit;
+    for (const auto &[key, entry] : table.routes) {
+        if (entry.revision <= configBase) {
+            continue;
+        }
+        if (!entry.removed) {
+            changes.config.routes.push_back(entry.route);
+        } else if (configBase > 0) {
+            changes.removedRoutes.push_back(entry.route.address);
+        }
+    }
+    for (const auto &[id, target] : table.targets) {
+        if (target.listed && target.record.revision > changes.base.targets) {
+            changes.targets.push_back(target.record);
+            changes.targets.back().warmup = std::max<Time>(target.warmUntil - now, 0);
+        } else if (!target.listed && target.removedRevision > changes.base.targets && changes.base.targets > 0) {
+            changes.removedTargets.push_back({id, target.removedRevision});
+        }
+    }
+    return changes;
+}
+
+bool applyChanges(StoreShare &share, TargetTable &table, const StoreChanges &changes, Time now)
+{
+    const bool targets = applyTargets(share, table, changes, now);
+    const bool routes = applyRoutes(share, table, changes);
+    return targets && routes;
+}
+
+} // namespace pimentofold
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -1,6 +1,7 @@
 #include <pimentofold/targettable.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace pimentofold {
 
@@ -45,6 +46,7 @@
     fresh.record = target.record;
     fresh.token = target.token;
     fresh.listedAt = now;
+    fresh.owned = target.owned;
     target = fresh;
 }
 
@@ -64,6 +66,23 @@
     }
 }
 
+/// An unchanged route keeps its revision, so that peers aren't sent it again.
+void putRoute(TargetTable &table, const EdgeRoute &route, std::int64_t revision)
+{
+    RouteEntry &entry = table.routes[routeKey(route.address)];
+    if (entry.revision != 0 && !entry.removed && entry.route == route) {
+        return;
+    }
+    entry = {route, revision, false};
+}
+
+void takeHead(TargetTable &table, const EdgeConfig &config)
+{
+    table.configRevision = config.revision;
+    table.configVersion = config.version;
+    table.idleLimit = config.idleLimit;
+}
+
 bool leadsTo(const EdgeRoute &route, const std::string &service)
 {
     return std::ranges::any_of(route.shares, [&](const RouteShare &it) { return it.service == service; });
@@ -73,14 +92,40 @@
 
 bool applyConfig(TargetTable &table, const EdgeConfig &config)
 {
-    if (config.revision <= table.config.revision) {
+    if (config.revision <= table.configRevision) {
         return false;
     }
-    table.config = config;
-    table.routes.clear();
+    std::unordered_set<std::uint64_t> kept;
     for (const EdgeRoute &it : config.routes) {
-        table.routes.insert_or_assign(routeKey(it.address), it);
+        kept.insert(routeKey(it.address));
+        putRoute(table, it, config.revision);
+    }
+    for (auto &[key, entry] : table.routes) {
+        if (!entry.removed && !kept.contains(key)) {
+            entry.removed = true;
+            entry.revision = config.revision;
+        }
+    }
+    takeHead(table, config);
+    return true;
+}
+
+bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed)
+{
+    if (change.revision <= table.configRevision || base > table.configRevision) {
+        return false;
+    }
+    for (const EdgeRoute &it : change.routes) {
+        putRoute(table, it, change.revision);
+    }
+    for (const Address &it : removed) {
+        const auto entry = table.routes.find(routeKey(it));
+        if (entry != table.routes.end() && !entry->second.removed) {
+            entry->second.removed = true;
+            entry->second.revision = change.revision;
+        }
     }
+    takeHead(table, change);
     return true;
 }
 
@@ -129,6 +174,7 @@
         if (target.listed || target.flows > 0 || now - target.removedAt < goneTargetRetention) {
             return false;
         }
+        table.forgottenRevision = std::max(table.forgottenRevision, target.removedRevision);
         eraseToken(table, target);
         eraseFromService(table, target);
         return true;
@@ -138,7 +184,7 @@
 const EdgeRoute *findRoute(const TargetTable &table, const Address &address)
 {
     const auto it = table.routes.find(routeKey(address));
-    return it == table.routes.end() ? nullptr : &it->second;
+    return it == table.routes.end() || it->second.removed ? nullptr : &it->second.route;
 }
 
 EdgeTarget *findTarget(TargetTable &table, std::uint64_t id)
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -1,7 +1,6 @@
 #include <pimentofold-edge/edge.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <random>
 #include <utility>
 
@@ -19,41 +18,56 @@
 constexpr Time stopCheckInterval = 100 * millisecond;
 // Left of the time that the platform gives, so that the process ends by itself.
 constexpr Time stopReserve = second;
-constexpr Time targetPace = second;
+constexpr Time shareTickInterval = 50 * millisecond;
+// Changes that all members fetch from one node may load its link with this much, about a second of a small one.
+constexpr std::size_t mostSharedBytes = 1'000'000;
 
-} // namespace
-
-Edge::Follower::Follower(platform::StoreKind storeKind, const Address &store, std::function<void()> onTimer)
-    : kind(storeKind)
-    , connection(store)
-    , timer(std::move(onTimer))
+std::uint64_t seedOf()
 {
+    std::random_device device;
+    return static_cast<std::uint64_t>(device()) << 32U | device();
 }
 
+} // namespace
+
 Edge::Edge(const EdgeSettings &settings)
     : m_settings(settings)
     , m_packets(
           settings.packets, [this](std::string_view bytes, const Address &) { onPacket(bytes); }, platform::mostPacketBytes + platform::targetPrefixBytes)
     , m_readiness(settings.readiness, [this](const HttpRequest &) { return ready(); })
-    , m_config(platform::StoreKind::Config, settings.store, [this] { runFollower(m_config); })
-    , m_targets(platform::StoreKind::Targets, settings.store, [this] { runFollower(m_targets); })
+    , m_peers(
+          settings,
+          seedOf(),
+          m_log,
+          [this](const wire::EdgeMessage &message, const Address &from) { onPeerMessage(message, from); },
+          [this] { onMembers(); })
+    , m_store(settings.store, m_forwarder.table, m_forwarder.dispatcher.random, m_log, [this] { onStoreChange(); })
     , m_tick([this] { onTick(); })
+    , m_shareTick([this] { onShareTick(); })
     , m_stopTimer([this] { onStopTick(); })
 {
     m_log.node = settings.node;
-    m_forwarder.random.state = std::random_device{}();
-    m_forwarder.settings.dataCentre = settings.dataCentre;
-    m_targets.follow.settings.pace = targetPace;
-    logEvent(m_log, "started", {{"data_centre", settings.dataCentre}, {"packets", toString(settings.packets)}, {"store", toString(settings.store)}});
-    runFollower(m_config);
-    runFollower(m_targets);
+    m_forwarder.dispatcher.random.state = seedOf();
+    m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
+    m_forwarder.self = m_peers.self();
+    m_share.self = m_forwarder.self.instance;
+    m_share.startedAt = monotonicNow();
+    logEvent(m_log,
+             "started",
+             {{"data_centre", settings.dataCentre}, {"packets", toString(settings.packets)}, {"store", toString(settings.store)}, {"seeds", settings.seeds.size()}});
+    onMembers();
+    onShareTick();
+    m_shareTick.start(shareTickInterval, shareTickInterval);
     scheduleTick();
 }
 
 HttpResponse Edge::ready() const
 {
     HttpResponse response;
-    response.status = m_stopAt == never && canPlace(m_forwarder) && m_listed ? 200 : 503;
+    const bool isReady = m_stopAt == never && canPlace(m_forwarder);
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+    response.status = isReady ? statusOk : statusUnavailable;
     return response;
 }
 
@@ -84,6 +98,25 @@
     for (const FlowReset &it : out.resets) {
         m_packets.send(platform::encodeReset(it), {it.flow.caller.ip, m_settings.packets.port});
     }
+    for (const RelayedOpening &it : out.openings) {
+        wire::EdgeMessage message = newMessage(wire::EdgeKind::Place);
+        message.__set_packet(it.bytes);
+        message.__set_attempt(it.attempt);
+        m_peers.send(message, it.dispatcher);
+    }
+    for (const HeldNotice &it : out.held) {
+        if (it.origin != 0) {
+            wire::EdgeMessage message = newMessage(wire::EdgeKind::Held);
+            message.__set_flow(toWire(it.flow));
+            m_peers.send(message, it.origin);
+        }
+    }
+    for (const EndNotice &it : out.ended) {
+        wire::EdgeMessage message = newMessage(wire::EdgeKind::Ended);
+        message.__set_flow(toWire(it.flow));
+        message.__set_target(static_cast<std::int64_t>(it.target));
+        m_peers.send(message, it.dispatcher);
+    }
     for (const ForwardNote &it : out.notes) {
         logNote(m_log, it);
     }
@@ -107,102 +140,228 @@
     }
 }
 
-void Edge::runFollower(Follower &follower)
+wire::EdgeMessage Edge::newMessage(wire::EdgeKind::type kind) const
+{
+    wire::EdgeMessage message;
+    message.kind = kind;
+    message.sender = m_share.self;
+    return message;
+}
+
+void Edge::onPeerMessage(const wire::EdgeMessage &message, const Address &from)
 {
     const Time now = monotonicNow();
-    const std::optional<StoreCall> call = nextCall(follower.follow, now);
-    if (!call) {
-        if (!follower.follow.busy) {
-            follower.timer.start(std::max<Time>(follower.follow.nextAt - now, 0));
+    switch (message.kind) {
+    case wire::EdgeKind::Beat:
+        onBeat(message, from, now);
+        break;
+    case wire::EdgeKind::Fetch:
+        onFetch(message, from, now);
+        break;
+    case wire::EdgeKind::Changes:
+        onChanges(message, now);
+        break;
+    case wire::EdgeKind::Place:
+        onPlace(message, now);
+        break;
+    case wire::EdgeKind::Held:
+        if (message.__isset.flow) {
+            noteHeld(m_forwarder, fromWire(message.flow), now);
         }
+        break;
+    case wire::EdgeKind::Ended:
+        if (message.__isset.flow) {
+            ForwardOutput out;
+            endForPeer(m_forwarder, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+            send(out);
+        }
+        break;
+    default:
+        break;
+    }
+    scheduleTick();
+}
+
+void Edge::onPlace(const wire::EdgeMessage &message, Time now)
+{
+    const std::optional<FlowPacket> packet = platform::decodePacket(message.packet);
+    if (!packet || !packet->opens) {
         return;
     }
-    const std::string target =
-        call->watch ? platform::watchTarget(follower.kind, call->revision, call->wait) : platform::listTarget(follower.kind, call->after);
-    follower.connection.start("GET", target, "", call->timeout, [this, &follower](const HttpResult &result) { onAnswer(follower, result); });
+    OpeningFlow flow;
+    flow.key = packet->flow;
+    flow.opening = message.packet;
+    flow.origin = message.sender;
+    flow.attempt = std::max(message.attempt, 1);
+    flow.openAge = packet->openAge;
+    ForwardOutput out;
+    placeForPeer(m_forwarder, flow, now, out);
+    send(out);
 }
 
-void Edge::onAnswer(Follower &follower, const HttpResult &result)
+void Edge::onMembers()
 {
-    const Time now = monotonicNow();
-    CallResult call;
-    std::optional<platform::StoreAnswer> answer;
-    if (result.status == platform::statusHistoryGone) {
-        call.outcome = CallOutcome::HistoryGone;
-    } else if (result.status == 200) {
-        answer = platform::decodeStoreAnswer(follower.kind, result.body);
-    }
-    if (answer) {
-        call = {CallOutcome::Answered, answer->revision, answer->hasMore, answer->last, !answer->objects.empty()};
-        for (const platform::StoreObject &it : answer->objects) {
-            applyObject(follower, it, now);
-        }
-    } else {
-        logEvent(m_log,
-                 "store_call_failed",
-                 {{"kind", static_cast<int>(follower.kind)}, {"status", result.status}, {"error", result.error}, {"failures", follower.follow.failures}});
+    m_forwarder.members = m_peers.members();
+    updateDispatchers(m_forwarder, monotonicNow());
+}
+
+void Edge::onBeat(const wire::EdgeMessage &message, const Address &from, Time now)
+{
+    if (message.__isset.changes) {
+        onChanges(message, now);
     }
-    if (finishCall(follower.follow, call, now, m_forwarder.random)) {
-        finishList(follower, now);
+    const StoreBeat beat{message.sender, message.healthy, {message.configKnown, message.targetsKnown}, message.age};
+    const bool missing = takeBeat(m_share, beat, now);
+    if (missing && message.large) {
+        m_store.readConfigOnce(m_share.known);
+    } else if (missing && now >= m_share.fetchAt) {
+        fetch(from, now);
     }
-    releaseHeld();
-    runFollower(follower);
 }
 
-void Edge::applyObject(Follower &follower, const platform::StoreObject &object, Time now)
+void Edge::fetch(const Address &from, Time now)
 {
-    TargetTable &table = m_forwarder.table;
-    if (const auto *config = std::get_if<EdgeConfig>(&object)) {
-        if (applyConfig(table, *config)) {
-            logEvent(m_log, "config_applied", {{"version", config->version}, {"revision", config->revision}, {"routes", config->routes.size()}});
-        }
-    } else if (const auto *record = std::get_if<TargetRecord>(&object)) {
-        follower.follow.seen.insert(record->id);
-        if (applyTarget(table, *record, now)) {
-            logEvent(m_log,
-                     "target_changed",
-                     {{"target", record->name},
-                      {"service", record->service},
-                      {"address", toString(record->address)},
-                      {"state", name(record->state)},
-                      {"revision", record->revision}});
-        }
-    } else if (const auto *gone = std::get_if<platform::DeletedObject>(&object)) {
-        if (gone->id != 0 && removeTarget(table, gone->id, gone->revision, now)) {
-            logEvent(m_log, "target_removed", {{"target", gone->name}, {"revision", gone->revision}});
-        }
-    } else if (const auto *unreadable = std::get_if<platform::UnreadableObject>(&object)) {
-        logEvent(m_log, "object_unreadable", {{"name", unreadable->name}, {"revision", unreadable->revision}, {"problem", unreadable->problem}});
+    m_share.fetchAt = now + m_share.settings.fetchRetry;
+    wire::EdgeMessage message = newMessage(wire::EdgeKind::Fetch);
+    message.configRevision = m_forwarder.table.configRevision;
+    message.configKnown = m_share.known.config;
+    message.targetsKnown = m_share.known.targets;
+    m_peers.send(message, from);
+}
+
+void Edge::onFetch(const wire::EdgeMessage &message, const Address &from, Time now)
+{
+    if (!canPlace(m_forwarder)) {
+        return;
+    }
+    const KnownRevisions base{message.configKnown, message.targetsKnown};
+    const StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_share.known, now);
+    for (const wire::EdgeChanges &it : toWire(changes)) {
+        wire::EdgeMessage answer = newMessage(wire::EdgeKind::Changes);
+        answer.__set_changes(it);
+        m_peers.send(answer, from);
     }
 }
 
-void Edge::finishList(Follower &follower, Time now)
+void Edge::onChanges(const wire::EdgeMessage &message, Time now)
 {
-    if (follower.kind != platform::StoreKind::Targets) {
+    const std::optional<StoreChanges> changes = addPart(m_partial[message.sender], message.changes);
+    if (!changes) {
         return;
     }
-    m_listed = true;
-    std::vector<std::uint64_t> missing;
-    for (const auto &[id, target] : m_forwarder.table.targets) {
-        if (target.listed && !follower.follow.seen.contains(id)) {
-            missing.push_back(id);
+    const std::int64_t configBefore = m_forwarder.table.configRevision;
+    const KnownRevisions before = m_share.known;
+    if (!applyChanges(m_share, m_forwarder.table, *changes, now) || m_share.known == before) {
+        return;
+    }
+    if (m_forwarder.table.configRevision != configBefore) {
+        logEvent(m_log,
+                 "config_applied",
+                 {{"source", "peer"},
+                  {"version", m_forwarder.table.configVersion},
+                  {"revision", m_forwarder.table.configRevision},
+                  {"changed", changes->config.routes.size()},
+                  {"removed", changes->removedRoutes.size()}});
+    }
+    if (!changes->targets.empty() || !changes->removedTargets.empty()) {
+        logEvent(m_log,
+                 "targets_applied",
+                 {{"source", "peer"}, {"changed", changes->targets.size()}, {"removed", changes->removedTargets.size()}, {"revision", m_share.known.targets}});
+    }
+    afterChange();
+}
+
+void Edge::onShareTick()
+{
+    const Time now = monotonicNow();
+    m_peers.tick(now);
+    tickShare(now);
+}
+
+void Edge::tickShare(Time now)
+{
+    if (m_store.isFollowing()) {
+        noteOwnHealth(m_share, m_store.isHealthy(), now);
+    }
+    const bool follow = shouldFollow(m_share, m_peers.rankBy(followRank), now);
+    if (follow != m_share.following) {
+        m_share.following = follow;
+        logEvent(m_log,
+                 follow ? "store_follow_started" : "store_follow_ended",
+                 {{"known_config", m_share.known.config}, {"known_targets", m_share.known.targets}, {"confirmed_us", now - m_share.confirmedAt}, {"calls", m_store.calls()}});
+        if (follow) {
+            m_share.healthy = true;
+            m_share.unhealthySince = now;
+            m_store.start(m_share.known);
+        } else {
+            m_store.stop();
         }
     }
-    for (const std::uint64_t id : missing) {
-        removeTarget(m_forwarder.table, id, follower.follow.revision, now);
+    if (m_share.known.targets == 0 || m_share.known.config == 0) {
+        fetchFromSeeds(now);
+    }
+    if (isBeatDue(m_share, now)) {
+        sendBeat(now);
     }
-    logEvent(m_log, "targets_listed", {{"targets", follower.follow.seen.size()}, {"missing", missing.size()}, {"revision", follower.follow.revision}});
-    follower.follow.seen.clear();
 }
 
-void Edge::releaseHeld()
+void Edge::fetchFromSeeds(Time now)
 {
-    if (!canPlace(m_forwarder) || m_forwarder.held.empty()) {
+    if (m_settings.seeds.empty() || now < m_share.fetchAt) {
         return;
     }
+    const Address &seed = m_settings.seeds[m_nextSeed++ % m_settings.seeds.size()];
+    if (seed != m_settings.peers) {
+        fetch(seed, now);
+    }
+}
+
+void Edge::sendBeat(Time now)
+{
+    m_share.beatAt = now;
+    wire::EdgeMessage message = newMessage(wire::EdgeKind::Beat);
+    message.healthy = m_share.healthy;
+    message.configKnown = m_share.known.config;
+    message.targetsKnown = m_share.known.targets;
+    message.configRevision = m_forwarder.table.configRevision;
+    message.age = m_share.confirmedAt == 0 ? 0 : now - m_share.confirmedAt;
+    const bool changed = m_share.known != m_share.beatKnown && m_share.beatKnown.config > 0 && m_share.beatKnown.targets > 0;
+    if (changed) {
+        const StoreChanges changes = changesSince(m_forwarder.table, m_share.beatKnown, m_beatConfig, m_share.known, now);
+        std::vector<wire::EdgeChanges> parts = toWire(changes);
+        if (parts.size() == 1) {
+            message.__set_changes(parts.front());
+        }
+        message.large = parts.size() * changesPerDatagram * m_forwarder.members.size() > mostSharedBytes;
+    }
+    m_share.beatKnown = m_share.known;
+    m_beatConfig = m_forwarder.table.configRevision;
+    m_peers.broadcast(message);
+}
+
+void Edge::onStoreChange()
+{
+    const Time now = monotonicNow();
+    const KnownRevisions known = m_store.known();
+    m_share.known.config = std::max(m_share.known.config, known.config);
+    m_share.known.targets = std::max(m_share.known.targets, known.targets);
+    if (m_store.isFollowing()) {
+        noteOwnHealth(m_share, m_store.isHealthy(), now);
+    }
+    afterChange();
+    if (isBeatDue(m_share, now)) {
+        sendBeat(now);
+    }
+}
+
+void Edge::afterChange()
+{
     const Time now = monotonicNow();
-    for (const HeldPacket &it : takeHeld(m_forwarder, now)) {
-        handle(it.bytes, now);
+    updateDispatchers(m_forwarder, now);
+    if (canPlace(m_forwarder) && !m_forwarder.early.empty()) {
+        for (const EarlyPacket &it : takeEarly(m_forwarder, now)) {
+            handle(it.bytes, now);
+        }
     }
     scheduleTick();
 }
@@ -211,6 +370,7 @@
 {
     m_stopAt = monotonicNow();
     logEvent(m_log, "stopping", {{"flows", m_forwarder.flows.size()}});
+    m_peers.leave(m_stopAt);
     m_stopTimer.start(stopCheckInterval, stopCheckInterval);
 }
 
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -1,20 +1,20 @@
 #pragma once
 
-#include <functional>
+#include <map>
 #include <memory>
-#include <optional>
-#include <set>
 
 #include <libnet/loop.h>
 #include <libnet/streamhttp.h>
 #include <libnet/udpsocket.h>
+#include <pimentofold-edge/peerlink.h>
+#include <pimentofold-edge/storelink.h>
+#include <pimentofold/edgecodec.h>
 #include <pimentofold/edgeforward.h>
 #include <pimentofold/edgesettings.h>
 #include <pimentofold/eventlog.h>
-#include <pimentofold/storefollow.h>
-#include <platform/storecalls.h>
+#include <pimentofold/storeshare.h>
 
-/// The process of an edge node: sockets, timers and the store's calls around the library.
+/// The process of an edge node: sockets and timers around the library.
 namespace pimentofold {
 
 class Edge
@@ -26,41 +26,47 @@
     void stop();
 
 private:
-    struct Follower {
-        platform::StoreKind kind;
-        StoreFollow follow;
-        HttpConnection connection;
-        Timer timer;
-
-        Follower(platform::StoreKind storeKind, const Address &store, std::function<void()> onTimer);
-    };
-
     void onPacket(std::string_view bytes);
     void handle(std::string_view bytes, Time now);
     void send(const ForwardOutput &out);
     void onTick();
     void scheduleTick();
-    void runFollower(Follower &follower);
-    void onAnswer(Follower &follower, const HttpResult &result);
-    void applyObject(Follower &follower, const platform::StoreObject &object, Time now);
-    void finishList(Follower &follower, Time now);
-    void releaseHeld();
+
+    void onPeerMessage(const wire::EdgeMessage &message, const Address &from);
+    void onMembers();
+    void onBeat(const wire::EdgeMessage &message, const Address &from, Time now);
+    void onFetch(const wire::EdgeMessage &message, const Address &from, Time now);
+    void onChanges(const wire::EdgeMessage &message, Time now);
+    void onPlace(const wire::EdgeMessage &message, Time now);
+    wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
+    void fetch(const Address &from, Time now);
+
+    void onShareTick();
+    void tickShare(Time now);
+    void fetchFromSeeds(Time now);
+    void sendBeat(Time now);
+    void onStoreChange();
+    void afterChange();
     HttpResponse ready() const;
     void onStopTick();
 
     EdgeSettings m_settings;
     EventLog m_log;
     EdgeForwarder m_forwarder;
+    StoreShare m_share;
+    std::map<Id, PartialChanges> m_partial;
     UdpSocket m_packets;
     HttpResponderServer m_readiness;
-    Follower m_config;
-    Follower m_targets;
+    PeerLink m_peers;
+    StoreLink m_store;
     Timer m_tick;
     Time m_tickAt = never;
+    Timer m_shareTick;
     Timer m_stopTimer;
     Time m_stopAt = never;
     Time m_packetAt = 0;
-    bool m_listed = false;
+    std::int64_t m_beatConfig = 0; ///< revision of the configuration at the last own beat
+    std::size_t m_nextSeed = 0;
 };
 
 } // namespace pimentofold
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -27,8 +27,9 @@
              {{"flow", flowName(note.flow)},
               {"target", hex(note.target)},
               {"token", hex(note.token)},
-              {"offers", note.offers},
+              {"attempts", note.attempts},
               {"load", note.load},
+              {"node", hex(static_cast<std::uint64_t>(note.node))},
               {"elapsed_us", note.elapsed}});
 }
 
--- /dev/null
+++ b/src/pimentofold-edge/peerlink.cpp
@@ -0,0 +1,208 @@
+#include <pimentofold-edge/peerlink.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include <pimentofold/settings.h>
+
+namespace pimentofold {
+
+namespace {
+
+// The first byte of a datagram tells what follows.
+constexpr char membershipTag = 'M';
+constexpr char edgeTag = 'E';
+
+/// Nodes are few and close to each other, and callers wait for a node that starts.
+MembershipOptions edgeMembership()
+{
+    MembershipOptions options;
+    options.probeInterval = 500 * millisecond;
+    options.probeTimeout = 150 * millisecond;
+    options.joinInterval = 60 * millisecond;
+    options.catchUpInterval = 60 * millisecond;
+    options.catchUpRetry = 200 * millisecond;
+    options.suspicion = 1500 * millisecond;
+    options.updateBytesPerSecond = 2'000;
+    options.reconnectInterval = 2 * second;
+    options.deadRetention = 2 * minute;
+    return options;
+}
+
+Member selfMember(const EdgeSettings &settings)
+{
+    Member self;
+    self.name = settings.node;
+    self.address = toString(settings.peers);
+    self.balancerAddress = self.address;
+    self.dataCentre = settings.dataCentre;
+    self.key.instance = idOf(settings.node);
+    self.key.incarnation = wallNow() * (millisecond / microsecond);
+    return self;
+}
+
+std::string tagged(char tag, std::string_view bytes)
+{
+    std::string datagram(1, tag);
+    datagram += bytes;
+    return datagram;
+}
+
+std::string_view stateName(wire::MemberState::type state)
+{
+    switch (state) {
+    case wire::MemberState::Alive:
+        return "alive";
+    case wire::MemberState::Suspect:
+        return "suspect";
+    case wire::MemberState::Leaving:
+        return "leaving";
+    default:
+        return "dead";
+    }
+}
+
+} // namespace
+
+PeerLink::PeerLink(const EdgeSettings &settings,
+                   std::uint64_t randomSeed,
+                   EventLog &log,
+                   std::function<void(const wire::EdgeMessage &, const Address &)> onMessage,
+                   std::function<void()> onMembers)
+    : m_log(log)
+    , m_onMessage(std::move(onMessage))
+    , m_onMembers(std::move(onMembers))
+    , m_socket(settings.peers, [this](std::string_view bytes, const Address &from) { onDatagram(bytes, from); })
+{
+    m_membership.options = edgeMembership();
+    std::vector<std::string> seeds;
+    for (const Address &it : settings.seeds) {
+        seeds.push_back(toString(it));
+    }
+    startMembership(m_membership, selfMember(settings), seeds, randomSeed, monotonicNow());
+}
+
+void PeerLink::tick(Time now)
+{
+    MembershipOutput output;
+    tickMembership(m_membership, now, output);
+    takeOutput(std::move(output));
+}
+
+void PeerLink::leave(Time now)
+{
+    MembershipOutput output;
+    leaveMembership(m_membership, now, output);
+    takeOutput(std::move(output));
+}
+
+void PeerLink::send(const wire::EdgeMessage &message, const Address &to)
+{
+    m_socket.send(tagged(edgeTag, m_codec.encode(message)), to);
+}
+
+void PeerLink::send(const wire::EdgeMessage &message, Id to)
+{
+    const auto it = m_addresses.find(to);
+    if (it != m_addresses.end()) {
+        send(message, it->second);
+    }
+}
+
+void PeerLink::broadcast(const wire::EdgeMessage &message)
+{
+    const std::string datagram = tagged(edgeTag, m_codec.encode(message));
+    for (const auto &[id, address] : m_addresses) {
+        m_socket.send(datagram, address);
+    }
+}
+
+void PeerLink::addSeeds(const std::vector<Address> &seeds)
+{
+    for (const Address &it : seeds) {
+        addSeed(m_membership, toString(it));
+    }
+}
+
+InstanceKey PeerLink::self() const
+{
+    return m_membership.self.key;
+}
+
+std::vector<InstanceKey> PeerLink::members() const
+{
+    std::vector<InstanceKey> keys;
+    for (const Member &it : liveMembers(m_membership)) {
+        keys.push_back(it.key);
+    }
+    return keys;
+}
+
+int PeerLink::rankBy(const std::function<std::uint64_t(Id)> &order) const
+{
+    const std::uint64_t own = order(m_membership.self.key.instance);
+    return static_cast<int>(std::ranges::count_if(m_addresses, [&](const auto &it) { return order(it.first) < own; }));
+}
+
+void PeerLink::onDatagram(std::string_view bytes, const Address &from)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    const std::string_view body = bytes.substr(1);
+    try {
+        if (bytes.front() == membershipTag) {
+            onMembership(body, from, monotonicNow());
+        } else if (bytes.front() == edgeTag) {
+            wire::EdgeMessage message;
+            m_codec.decode(body, message);
+            m_onMessage(message, from);
+        }
+    } catch (const DecodeError &error) {
+        logEvent(m_log, "peer_message_unreadable", {{"from", toString(from)}, {"bytes", bytes.size()}, {"problem", error.what()}});
+    }
+}
+
+void PeerLink::onMembership(std::string_view bytes, const Address &from, Time now)
+{
+    wire::PeerMessage message;
+    m_codec.decode(bytes, message);
+    for (const wire::MemberUpdate &it : message.members) {
+        if (it.key.instance == m_membership.self.key.instance && it.key.incarnation > m_membership.self.key.incarnation) {
+            // The time of day has stepped back since the process before this one started.
+            setIncarnation(m_membership, it.key.incarnation + 1, now);
+        }
+    }
+    MembershipOutput output;
+    handleMembership(m_membership, message, toString(from), now, output);
+    takeOutput(std::move(output));
+}
+
+void PeerLink::takeOutput(MembershipOutput &&output)
+{
+    for (const MemberMessage &it : output.messages) {
+        m_socket.send(tagged(membershipTag, m_codec.encode(it.message)), parseAddress(it.address));
+    }
+    for (const MemberChange &it : output.changes) {
+        logEvent(m_log,
+                 "member_changed",
+                 {{"member", it.member.name}, {"address", it.member.address}, {"state", stateName(it.member.state)}, {"members", liveCount(m_membership)}});
+    }
+    if (!output.changes.empty()) {
+        refresh();
+        m_onMembers();
+    }
+}
+
+void PeerLink::refresh()
+{
+    m_addresses.clear();
+    for (const Member &it : liveMembers(m_membership)) {
+        if (it.key.instance != m_membership.self.key.instance && isAddress(it.address)) {
+            m_addresses[it.key.instance] = parseAddress(it.address);
+        }
+    }
+}
+
+} // namespace pimentofold
--- /dev/null
+++ b/src/pimentofold-edge/peerlink.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <libnet/loop.h>
+#include <libnet/udpsocket.h>
+#include <pimentofold/codec.h>
+#include <pimentofold/edgecodec.h>
+#include <pimentofold/edgesettings.h>
+#include <pimentofold/eventlog.h>
+#include <pimentofold/membership.h>
+
+#include "edge_types.h"
+
+/// Datagrams between edge nodes and the membership that rests on them.
+namespace pimentofold {
+
+class PeerLink
+{
+public:
+    /// @param onMessage called with each message of another node
+    /// @param onMembers called when a node joins, leaves or is lost
+    PeerLink(const EdgeSettings &settings,
+             std::uint64_t randomSeed,
+             EventLog &log,
+             std::function<void(const wire::EdgeMessage &message, const Address &from)> onMessage,
+             std::function<void()> onMembers);
+
+    /// Sends probes and ends suspicions; to be called about every 50 ms.
+    void tick(Time now);
+    /// Announces the planned stop.
+    void leave(Time now);
+
+    void send(const wire::EdgeMessage &message, const Address &to);
+    /// Sends to a member; does nothing when it isn't known.
+    void send(const wire::EdgeMessage &message, Id to);
+    /// Sends to all other live members.
+    void broadcast(const wire::EdgeMessage &message);
+    /// Adds addresses that may lead to further nodes.
+    void addSeeds(const std::vector<Address> &seeds);
+
+    InstanceKey self() const;
+    /// @return live members with this one
+    std::vector<InstanceKey> members() const;
+    /// @return number of live members that come before this one in an order
+    int rankBy(const std::function<std::uint64_t(Id)> &order) const;
+
+private:
+    void onDatagram(std::string_view bytes, const Address &from);
+    void onMembership(std::string_view bytes, const Address &from, Time now);
+    void takeOutput(MembershipOutput &&output);
+    void refresh();
+
+    EventLog &m_log;
+    std::function<void(const wire::EdgeMessage &, const Address &)> m_onMessage;
+    std::function<void()> m_onMembers;
+    Codec m_codec;
+    MembershipState m_membership;
+    std::map<Id, Address> m_addresses; ///< of other live members
+    UdpSocket m_socket;
+};
+
+} // namespace pimentofold
--- a/src/platform/packetcodec.cpp
+++ b/src/platform/packetcodec.cpp
@@ -1,5 +1,8 @@
 #include <platform/packetcodec.h>
 
+#include <algorithm>
+#include <array>
+
 namespace pimentofold::platform {
 
 namespace {
@@ -15,6 +18,9 @@
 constexpr std::size_t sequenceAt = 26;
 constexpr std::size_t acknowledgementAt = 30;
 
+// A caller repeats an opening packet after these times.
+constexpr std::array<Time, 3> openAges{0, 200 * millisecond, 600 * millisecond};
+
 constexpr unsigned finFlag = 1;
 constexpr unsigned synFlag = 2;
 constexpr unsigned ackFlag = 8;
@@ -60,6 +66,10 @@
     packet.flow.service = {readNumber(bytes, destinationAt, 4), static_cast<std::uint16_t>(readNumber(bytes, destinationPortAt, 2))};
     packet.token = readNumber(bytes, echoAt, 4);
     packet.acknowledged = readNumber(bytes, acknowledgementAt, 4);
+    if (packet.opens) {
+        // Here the field counts the copies.
+        packet.openAge = openAges[std::min<std::size_t>(packet.acknowledged, openAges.size() - 1)];
+    }
     packet.dataBytes = static_cast<std::uint16_t>(length);
     packet.bytes = bytes;
     return packet;
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -55,8 +55,8 @@
     return object.contains(field) ? integerOf(object, field, least, most) : fallback;
 }
 
-/// @return the number whose hexadecimal digits stand behind the last '-' of a target's name
-std::uint64_t idOfName(const std::string &name)
+/// @return the number whose hexadecimal digits stand behind the last '-' of a target's name; nothing when there is none
+std::optional<std::uint64_t> idOfName(const std::string &name)
 {
     const auto dash = name.rfind('-');
     const std::string digits = dash == std::string::npos ? name : name.substr(dash + 1);
@@ -64,7 +64,7 @@
     constexpr int hexadecimal = 16;
     const auto result = std::from_chars(digits.data(), digits.data() + digits.size(), id, hexadecimal);
     if (digits.empty() || result.ec != std::errc() || result.ptr != digits.data() + digits.size() || id == 0) {
-        throw FieldError{"name without a number"};
+        return std::nullopt;
     }
     return id;
 }
@@ -157,7 +157,11 @@
 TargetRecord decodeTarget(const json &spec, const std::string &objectName, std::int64_t revision)
 {
     TargetRecord record;
-    record.id = idOfName(objectName);
+    const std::optional<std::uint64_t> id = idOfName(objectName);
+    if (!id) {
+        throw FieldError{"name without a number"};
+    }
+    record.id = *id;
     record.name = objectName;
     record.revision = revision;
     record.service = textOf(spec, "service");
@@ -185,7 +189,7 @@
         objectName = textOf(meta, "name");
         revision = integerOf(meta, "revision", 0, INT64_MAX);
         if (deleted) {
-            return DeletedObject{kind == StoreKind::Targets ? idOfName(objectName) : 0, objectName, revision};
+            return DeletedObject{kind == StoreKind::Targets ? idOfName(objectName).value_or(0) : 0, objectName, revision};
         }
         const json &spec = fieldOf(object, "spec");
         if (!spec.is_object()) {
@@ -196,7 +200,7 @@
         }
         return decodeTarget(spec, objectName, revision);
     } catch (const FieldError &error) {
-        return UnreadableObject{objectName, revision, error.problem};
+        return UnreadableObject{kind == StoreKind::Targets ? idOfName(objectName).value_or(0) : 0, objectName, revision, error.problem};
     }
 }
 
--- a/src/platform/storecalls.h
+++ b/src/platform/storecalls.h
@@ -28,6 +28,7 @@
 
 /// An entry whose bytes or fields are not those of a configuration or a target.
 struct UnreadableObject {
+    std::uint64_t id = 0; ///< of the target that the name stands for; 0 when it stands for none
     std::string name;
     std::int64_t revision = 0;
     std::string problem;
