Make differences only from known history; keep a roster of nodes in the store; bound waiting flows

One placement an end now, until one finds no room. - The seeds start last after a loss of all nodes, so nodes found each other 0.3 s late. The follower keeps a roster of addresses in the store; a node that starts alone reads it. After a common start the oldest nodes dispatch, so that each node that joins doesn't take over. - Flows that moved to another node were offered again; the new node tells the dispatcher.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -8,7 +8,9 @@
   Changes = 3,   // answers a Fetch, in one or more parts
   Place = 4,     // a caller's opening packet for the service's dispatcher
   Held = 5,      // the dispatcher keeps the opening packet until a target has room
-  Ended = 6      // a flow that the dispatcher placed has ended
+  Ended = 6,     // a flow that the dispatcher placed has ended
+  Opened = 7,    // a flow that the dispatcher placed has gone on through a node that didn't ask for it
+  Settled = 8    // the flow needs no further offer
 }
 
 struct EdgeShare {
@@ -86,6 +88,6 @@
   13: bool large = false          // Beat: the changes are so many that receivers had better read the store themselves
   8: optional binary packet       // Place
   9: i32 attempt = 0              // Place: from 1
-  10: optional EdgeFlowEnds flow  // Held, Ended
-  11: i64 target = 0              // Ended: where the flow was; 0 when the sender doesn't know
+  10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled
+  11: i64 target = 0              // Ended, Opened: where the flow was; 0 when the sender doesn't know
 }
--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -30,7 +30,7 @@
     /// its queue than here, where a more urgent one can still go first and the first free target serves it.
     double flowsPerSlot = 2;
     Time waitLimit = 1300 * millisecond; ///< a caller gives up an opening flow soon after
-    std::size_t mostWaiting = 2'000;
+    std::size_t mostWaiting = 500;
     Time flowMemory = 3 * second; ///< a flow whose end isn't told is taken as ended after this time
     std::size_t mostFlows = 50'000;
 };
@@ -41,6 +41,8 @@
     std::size_t offers = 0;
     std::uint64_t target = 0;
     bool counted = false; ///< as load of `target`
+    bool waited = false; ///< for room
+    bool opened = false; ///< another node than the one that asked has told that the caller went on
     Time placedAt = 0;
 };
 
@@ -120,8 +122,14 @@
     FlowKey flow;
 };
 
-/// Tells the dispatcher that a flow has ended.
-struct EndNotice {
+/// Tells the node of the caller that a flow needs no further offer.
+struct SettledNotice {
+    Id origin = 0;
+    FlowKey flow;
+};
+
+/// Tells the dispatcher that a flow has ended, or has gone on through a node that didn't ask for it.
+struct FlowNotice {
     Id dispatcher = 0;
     FlowKey flow;
     std::uint64_t target = 0;
@@ -133,7 +141,9 @@
     std::vector<FlowReset> resets;
     std::vector<RelayedOpening> openings;
     std::vector<HeldNotice> held;
-    std::vector<EndNotice> ended;
+    std::vector<SettledNotice> settled;
+    std::vector<FlowNotice> opened;
+    std::vector<FlowNotice> ended;
     std::vector<ForwardNote> notes;
 };
 
@@ -142,7 +152,7 @@
     DispatchSettings settings;
     Random random;
     std::unordered_map<FlowKey, PlacedFlow> flows;
-    std::vector<WaitingFlow> waiting;
+    std::unordered_map<FlowKey, WaitingFlow> waiting;
     double serviceTime = 0; ///< smoothed time from placement to end, in microseconds
     Time nextSweepAt = 0;
 };
@@ -151,6 +161,7 @@
 enum class PlaceResult {
     Placed,
     Waiting,
+    Settled, ///< the flow needs no further offer: it is open, or its caller has probably given up while it waited
     NoRoute,
     NoTarget,
 };
@@ -158,6 +169,9 @@
 /// Places a flow, again with a further target when it was placed before, or lets it wait.
 PlaceResult placeFlow(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, Time now, ForwardOutput &out);
 
+/// Takes that the caller of a flow went on with it through another node than the one that asked.
+void openPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now);
+
 /// Takes the end of a flow and gives the room to one that waits.
 /// @param target where the flow was; 0 when that isn't known
 void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now, ForwardOutput &out);
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -104,9 +104,20 @@
 /// Takes a dispatcher's notice that it keeps a flow until a target has room.
 void noteHeld(EdgeForwarder &forwarder, const FlowKey &flow, Time now);
 
+/// Takes a dispatcher's notice that a flow needs no further offer.
+void noteSettled(EdgeForwarder &forwarder, const FlowKey &flow);
+
+/// Takes another node's notice that a flow which this node placed has gone on through it.
+void openForPeer(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now);
+
 /// Takes another node's notice that a flow which this node placed has ended.
 void endForPeer(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out);
 
+/// The nodes among which dispatchers are chosen: those that started well before the newest one, so that a node that has
+/// just joined doesn't take over a service whose loads it doesn't know. When all have started together the oldest ones,
+/// so that few changes of roles follow while the others join. Nodes with the same members get the same result.
+std::vector<InstanceKey> settledMembers(const std::vector<InstanceKey> &members);
+
 /// Derives dispatchers and owned targets again. To be called after each change of members or targets.
 void updateDispatchers(EdgeForwarder &forwarder, Time now);
 
--- a/src/include/pimentofold/membership.h
+++ b/src/include/pimentofold/membership.h
@@ -146,6 +146,9 @@
 /// Adds an address to contact, for example of the platform's instance list. Known ones are ignored.
 void addSeed(MembershipState &state, const std::string &address);
 
+/// Contacts all seeds that no live member has, at once; otherwise they are tried one after the other.
+void contactSeeds(MembershipState &state, Time now, MembershipOutput &out);
+
 /// Takes over the incarnation of a restarted balancer of this instance; lower ones are ignored.
 void setIncarnation(MembershipState &state, std::int64_t incarnation, Time now);
 
--- a/src/include/pimentofold/storeshare.h
+++ b/src/include/pimentofold/storeshare.h
@@ -29,7 +29,7 @@
     Time rankStep = 150 * millisecond; ///< further wait for each rank
     int mostRankSteps = 6;
     /// A node that starts asks its peers first and calls the store when none has answered by then.
-    Time startWait = 40 * millisecond;
+    Time startWait = 25 * millisecond;
     Time fetchRetry = 60 * millisecond; ///< a request for changes is repeated after this time
     Time beatMemory = 3 * second; ///< a follower that hasn't sent a beat for this long is forgotten
     std::size_t mostUnhealthy = 3; ///< nodes that try at a time to reach a store that doesn't answer
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -60,7 +60,10 @@
     std::int64_t configVersion = 0; ///< the operator's own number
     Time idleLimit = 0; ///< of the configuration in force
     std::unordered_map<std::uint64_t, RouteEntry> routes; ///< by address
-    std::int64_t forgottenRevision = 0; ///< highest revision of a removed target that is no longer remembered
+    /// Removals of targets and routes up to these revisions aren't remembered, so that no difference can be made from
+    /// older states.
+    std::int64_t targetHistory = 0;
+    std::int64_t configHistory = 0;
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< ids
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< ids by service, in order
@@ -86,6 +89,9 @@
 /// @return false when the target is unknown, has no entry, or has a newer one
 bool removeTarget(TargetTable &table, std::uint64_t id, std::int64_t revision, Time now);
 
+/// Takes over that all targets up to a revision are known, for a table that knew none before.
+void startTargetHistory(TargetTable &table, std::int64_t revision);
+
 /// Forgets targets that have been gone for long and have no flows.
 void forgetGoneTargets(TargetTable &table, Time now);
 
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -23,6 +23,8 @@
 constexpr Time sweepInterval = second;
 /// While flows wait, targets may gain room without a notice.
 constexpr Time waitingInterval = 20 * millisecond;
+/// The caller of a flow that waited longer may have given up, so that a missing answer says nothing about the target.
+constexpr Time longWait = 100 * millisecond;
 
 void uncount(TargetTable &table, PlacedFlow &flow)
 {
@@ -59,17 +61,12 @@
     appendNote(out, placed.offers > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, flow.key, &target, static_cast<int>(placed.offers), 0);
 }
 
-bool isWaiting(const Dispatcher &dispatcher, const FlowKey &key)
-{
-    return std::ranges::any_of(dispatcher.waiting, [&](const WaitingFlow &it) { return it.flow.key == key; });
-}
-
 PlaceResult letWait(Dispatcher &dispatcher, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
 {
     if (dispatcher.waiting.size() >= dispatcher.settings.mostWaiting) {
         return PlaceResult::NoTarget;
     }
-    dispatcher.waiting.push_back({flow, route.urgency, route.aim, now});
+    dispatcher.waiting.insert_or_assign(flow.key, WaitingFlow{flow, route.urgency, route.aim, now});
     dispatcher.nextSweepAt = std::min(dispatcher.nextSweepAt, now + waitingInterval);
     out.held.push_back({flow.origin, flow.key});
     appendNote(out, ForwardEvent::Waiting, flow.key, nullptr, flow.attempt, 0);
@@ -85,7 +82,8 @@
 }
 
 /// Order in which waiting flows get room: those that can still be answered in time, the most urgent and then the
-/// oldest first; then the late ones, the oldest first.
+/// oldest first; then the late ones, those with the fewest copies first, since their callers are the least likely to have
+/// given up.
 bool goesBefore(const WaitingFlow &a, const WaitingFlow &b, Time now, Time serviceTime)
 {
     const auto isLate = [&](const WaitingFlow &it) { return it.aim > 0 && it.flow.openAge + (now - it.since) + serviceTime > it.aim; };
@@ -97,28 +95,47 @@
     if (!lateA && a.urgency != b.urgency) {
         return a.urgency < b.urgency;
     }
+    if (lateA && a.flow.openAge != b.flow.openAge) {
+        return a.flow.openAge < b.flow.openAge;
+    }
     return a.since < b.since;
 }
 
+/// Places waiting flows in order until one finds no room.
 void placeWaiting(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
 {
     const auto serviceTime = static_cast<Time>(dispatcher.serviceTime);
-    std::ranges::sort(dispatcher.waiting, [&](const WaitingFlow &a, const WaitingFlow &b) { return goesBefore(a, b, now, serviceTime); });
-    std::vector<WaitingFlow> left;
-    for (WaitingFlow &it : dispatcher.waiting) {
-        const EdgeRoute *route = findRoute(table, it.flow.key.service);
-        if (route == nullptr || now - it.since > dispatcher.settings.waitLimit) {
-            appendNote(out, ForwardEvent::GivenUp, it.flow.key, nullptr, it.flow.attempt, now - it.since);
+    while (!dispatcher.waiting.empty()) {
+        const auto next = std::ranges::min_element(
+            dispatcher.waiting, [&](const auto &a, const auto &b) { return goesBefore(a.second, b.second, now, serviceTime); });
+        const EdgeRoute *route = findRoute(table, next->first.service);
+        if (route == nullptr) {
+            dispatcher.waiting.erase(next);
             continue;
         }
-        EdgeTarget *target = choose(dispatcher, table, it.flow, nullptr, *route, now);
+        EdgeTarget *target = choose(dispatcher, table, next->second.flow, nullptr, *route, now);
         if (target == nullptr || !hasRoom(*target, dispatcher.settings)) {
-            left.push_back(std::move(it));
-            continue;
+            return;
         }
-        sendTo(dispatcher, table, it.flow, dispatcher.flows[it.flow.key], *target, now, out);
+        const OpeningFlow flow = std::move(next->second.flow);
+        const Time since = next->second.since;
+        dispatcher.waiting.erase(next);
+        PlacedFlow &placed = dispatcher.flows[flow.key];
+        placed = {};
+        placed.waited = now - since > longWait;
+        sendTo(dispatcher, table, flow, placed, *target, now, out);
     }
-    dispatcher.waiting = std::move(left);
+}
+
+void giveUpWaiting(Dispatcher &dispatcher, Time now, ForwardOutput &out)
+{
+    std::erase_if(dispatcher.waiting, [&](const auto &it) {
+        const bool over = now - it.second.since > dispatcher.settings.waitLimit;
+        if (over) {
+            appendNote(out, ForwardEvent::GivenUp, it.first, nullptr, it.second.flow.attempt, now - it.second.since);
+        }
+        return over;
+    });
 }
 
 void learnServiceTime(Dispatcher &dispatcher, Time sample)
@@ -157,7 +174,7 @@
         appendNote(out, ForwardEvent::NoRoute, flow.key, nullptr, flow.attempt, 0);
         return PlaceResult::NoRoute;
     }
-    if (isWaiting(dispatcher, flow.key)) {
+    if (dispatcher.waiting.contains(flow.key)) {
         out.held.push_back({flow.origin, flow.key});
         return PlaceResult::Waiting;
     }
@@ -172,6 +189,13 @@
         uncount(table, *placed);
         *placed = {};
     }
+    if (placed != nullptr && placed->offers > 0 && (placed->opened || placed->waited)) {
+        if (!placed->opened) {
+            uncount(table, *placed);
+        }
+        out.settled.push_back({flow.origin, flow.key});
+        return PlaceResult::Settled;
+    }
     if (placed != nullptr && placed->offers > 0) {
         if (EdgeTarget *silent = findTarget(table, placed->target)) {
             noteUnanswered(*silent, dispatcher.settings.placement, now);
@@ -197,21 +221,33 @@
     return PlaceResult::Placed;
 }
 
+void openPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now)
+{
+    if (EdgeTarget *answered = findTarget(table, target)) {
+        noteAnswered(*answered, now);
+    }
+    const auto it = dispatcher.flows.find(key);
+    if (it != dispatcher.flows.end()) {
+        it->second.opened = true;
+    }
+}
+
 void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now, ForwardOutput &out)
 {
     if (EdgeTarget *answered = findTarget(table, target)) {
         noteAnswered(*answered, now);
     }
+    dispatcher.waiting.erase(key);
     const auto it = dispatcher.flows.find(key);
     if (it == dispatcher.flows.end()) {
         return;
     }
-    learnServiceTime(dispatcher, now - it->second.placedAt);
+    if (target != 0) {
+        learnServiceTime(dispatcher, now - it->second.placedAt);
+    }
     uncount(table, it->second);
     dispatcher.flows.erase(it);
-    if (!dispatcher.waiting.empty()) {
-        placeWaiting(dispatcher, table, now, out);
-    }
+    placeWaiting(dispatcher, table, now, out);
 }
 
 void tickDispatcher(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
@@ -227,9 +263,8 @@
         uncount(table, it->second);
         it = dispatcher.flows.erase(it);
     }
-    if (!dispatcher.waiting.empty()) {
-        placeWaiting(dispatcher, table, now, out);
-    }
+    giveUpWaiting(dispatcher, now, out);
+    placeWaiting(dispatcher, table, now, out);
     dispatcher.nextSweepAt = now + (dispatcher.waiting.empty() ? sweepInterval : waitingInterval);
 }
 
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -69,6 +69,8 @@
         refuse(key, out);
     } else if (result == PlaceResult::Waiting) {
         noteHeld(forwarder, key, now);
+    } else if (result == PlaceResult::Settled) {
+        flow.attempts = forwarder.settings.mostAttempts;
     }
 }
 
@@ -86,6 +88,7 @@
     if (flow.dispatcher != 0 && flow.attempts >= 2) {
         // Neither the dispatcher's first target nor its second one has answered, so the fault may be its own.
         noteMiss(forwarder, flow.dispatcher, now);
+        out.ended.push_back({flow.dispatcher, key, 0});
         flow.dispatcher = 0;
     }
     offer(forwarder, key, flow, now, out);
@@ -180,7 +183,7 @@
 }
 
 /// Remembers a flow that was opened through another node.
-EdgeFlow *adoptFlow(EdgeForwarder &forwarder, const FlowKey &key, const EdgeTarget &target, Time now)
+EdgeFlow *adoptFlow(EdgeForwarder &forwarder, const FlowKey &key, const EdgeTarget &target, Time now, ForwardOutput &out)
 {
     if (forwarder.flows.size() >= forwarder.settings.mostFlows) {
         return nullptr;
@@ -190,6 +193,11 @@
     flow.startedAt = now;
     flow.target = target.record.id;
     flow.dispatcher = dispatcherOf(forwarder, key);
+    if (flow.dispatcher != 0) {
+        out.opened.push_back({flow.dispatcher, key, flow.target});
+    } else {
+        openPlacedFlow(forwarder.dispatcher, forwarder.table, key, flow.target, now);
+    }
     return &forwarder.flows.emplace(key, std::move(flow)).first->second;
 }
 
@@ -204,7 +212,7 @@
         return;
     }
     if (flow == nullptr) {
-        flow = adoptFlow(forwarder, packet.flow, *target, now);
+        flow = adoptFlow(forwarder, packet.flow, *target, now, out);
     }
     if (flow != nullptr) {
         flow->packetAt = now;
@@ -235,7 +243,12 @@
         const FlowKey key = forwarder.checks.begin()->second;
         forwarder.checks.erase(forwarder.checks.begin());
         const auto it = forwarder.flows.find(key);
-        if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening || it->second.attempts >= forwarder.settings.mostAttempts) {
+        if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
+            continue;
+        }
+        if (it->second.attempts >= forwarder.settings.mostAttempts) {
+            // The caller may try again with a copy; until then the flow is no load.
+            endPlacedFlow(forwarder.dispatcher, forwarder.table, key, 0, now, out);
             continue;
         }
         if (now - it->second.offeredAt >= forwarder.settings.leastAnswerWait) {
@@ -286,11 +299,44 @@
     forwarder.checks.emplace(now + forwarder.settings.heldWait, flow);
 }
 
+void noteSettled(EdgeForwarder &forwarder, const FlowKey &flow)
+{
+    const auto it = forwarder.flows.find(flow);
+    if (it != forwarder.flows.end() && it->second.stage == FlowStage::Opening) {
+        it->second.attempts = forwarder.settings.mostAttempts;
+    }
+}
+
+void openForPeer(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now)
+{
+    openPlacedFlow(forwarder.dispatcher, forwarder.table, flow, target, now);
+}
+
 void endForPeer(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out)
 {
     endPlacedFlow(forwarder.dispatcher, forwarder.table, flow, target, now, out);
 }
 
+std::vector<InstanceKey> settledMembers(const std::vector<InstanceKey> &members)
+{
+    constexpr Time settlingTime = 3 * second;
+    constexpr std::size_t oldestShare = 8; // one in so many
+    std::vector<InstanceKey> byAge = members;
+    std::ranges::sort(byAge, [](const InstanceKey &a, const InstanceKey &b) {
+        return a.incarnation != b.incarnation ? a.incarnation < b.incarnation : a.instance < b.instance;
+    });
+    if (byAge.empty()) {
+        return byAge;
+    }
+    const std::int64_t limit = byAge.back().incarnation - settlingTime;
+    auto settled = static_cast<std::size_t>(std::ranges::count_if(byAge, [&](const InstanceKey &it) { return it.incarnation < limit; }));
+    if (settled == 0) {
+        settled = (byAge.size() + oldestShare - 1) / oldestShare;
+    }
+    byAge.resize(settled);
+    return byAge;
+}
+
 void updateDispatchers(EdgeForwarder &forwarder, Time now)
 {
     std::vector<InstanceKey> members;
@@ -303,6 +349,7 @@
         }
         members.push_back(it);
     }
+    const std::vector<InstanceKey> settled = settledMembers(members);
     forwarder.dispatchers.clear();
     for (const auto &[service, ids] : forwarder.table.services) {
         std::vector<TargetEntry> entries;
@@ -314,7 +361,7 @@
             slots += serving ? target.record.slots : 0;
         }
         const int count = std::max((slots + forwarder.settings.slotsPerDispatcher - 1) / forwarder.settings.slotsPerDispatcher, 1);
-        const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatchers(idOf(service), entries, members, count);
+        const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatchers(idOf(service), entries, settled, count);
         for (const std::uint64_t id : ids) {
             const std::optional<InstanceKey> owner = ownerOfTarget(static_cast<Id>(id), table.dispatchers);
             findTarget(forwarder.table, id)->owned = !owner || owner->instance == forwarder.self.instance;
--- a/src/libpimentofold/membership.cpp
+++ b/src/libpimentofold/membership.cpp
@@ -404,6 +404,15 @@
     }
 }
 
+void contactSeeds(MembershipState &state, Time now, MembershipOutput &out)
+{
+    for (const auto &[address, instance] : lostAddresses(state)) {
+        if (instance == 0) {
+            contact(state, address, instance, now, out);
+        }
+    }
+}
+
 void setIncarnation(MembershipState &state, std::int64_t incarnation, Time now)
 {
     if (incarnation > state.self.key.incarnation) {
--- a/src/libpimentofold/storeshare.cpp
+++ b/src/libpimentofold/storeshare.cpp
@@ -41,6 +41,7 @@
     }
     if (changes.base.targets == 0) {
         removeMissing(table, changes, now);
+        startTargetHistory(table, changes.known.targets);
     }
     share.known.targets = changes.known.targets;
     return true;
@@ -135,20 +136,20 @@
     StoreChanges changes;
     changes.base = base;
     changes.known = known;
-    changes.configBase = configBase;
-    if (base.targets < table.forgottenRevision) {
+    changes.configBase = configBase < table.configHistory ? 0 : configBase;
+    if (base.targets < table.targetHistory) {
         changes.base.targets = 0;
     }
     changes.config.revision = table.configRevision;
     changes.config.version = table.configVersion;
     changes.config.idleLimit = table.idleLimit;
     for (const auto &[key, entry] : table.routes) {
-        if (entry.revision <= configBase) {
+        if (entry.revision <= changes.configBase) {
             continue;
         }
         if (!entry.removed) {
             changes.config.routes.push_back(entry.route);
-        } else if (configBase > 0) {
+        } else if (changes.configBase > 0) {
             changes.removedRoutes.push_back(entry.route.address);
         }
     }
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -95,6 +95,9 @@
     if (config.revision <= table.configRevision) {
         return false;
     }
+    if (table.configRevision == 0) {
+        table.configHistory = config.revision;
+    }
     std::unordered_set<std::uint64_t> kept;
     for (const EdgeRoute &it : config.routes) {
         kept.insert(routeKey(it.address));
@@ -167,6 +170,13 @@
     return true;
 }
 
+void startTargetHistory(TargetTable &table, std::int64_t revision)
+{
+    if (table.targetHistory == 0) {
+        table.targetHistory = revision;
+    }
+}
+
 void forgetGoneTargets(TargetTable &table, Time now)
 {
     std::erase_if(table.targets, [&](const auto &entry) {
@@ -174,7 +184,7 @@
         if (target.listed || target.flows > 0 || now - target.removedAt < goneTargetRetention) {
             return false;
         }
-        table.forgottenRevision = std::max(table.forgottenRevision, target.removedRevision);
+        table.targetHistory = std::max(table.targetHistory, target.removedRevision);
         eraseToken(table, target);
         eraseFromService(table, target);
         return true;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -22,7 +22,17 @@
 // Changes that all members fetch from one node may load its link with this much, about a second of a small one.
 constexpr std::size_t mostSharedBytes = 1'000'000;
 
-std::uint64_t seedOf()
+std::string seedText(const std::vector<Address> &seeds)
+{
+    std::string text;
+    for (const Address &it : seeds) {
+        text += text.empty() ? "" : ",";
+        text += toString(it);
+    }
+    return text;
+}
+
+std::uint64_t randomSeed()
 {
     std::random_device device;
     return static_cast<std::uint64_t>(device()) << 32U | device();
@@ -37,27 +47,28 @@
     , m_readiness(settings.readiness, [this](const HttpRequest &) { return ready(); })
     , m_peers(
           settings,
-          seedOf(),
+          randomSeed(),
           m_log,
           [this](const wire::EdgeMessage &message, const Address &from) { onPeerMessage(message, from); },
           [this] { onMembers(); })
     , m_store(settings.store, m_forwarder.table, m_forwarder.dispatcher.random, m_log, [this] { onStoreChange(); })
+    , m_roster(settings.store, m_log, [this](const std::vector<Address> &nodes) { m_peers.contact(nodes, monotonicNow()); })
     , m_tick([this] { onTick(); })
     , m_shareTick([this] { onShareTick(); })
     , m_stopTimer([this] { onStopTick(); })
 {
     m_log.node = settings.node;
-    m_forwarder.dispatcher.random.state = seedOf();
+    m_forwarder.dispatcher.random.state = randomSeed();
     m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
     m_forwarder.self = m_peers.self();
     m_share.self = m_forwarder.self.instance;
     m_share.startedAt = monotonicNow();
     logEvent(m_log,
              "started",
-             {{"data_centre", settings.dataCentre}, {"packets", toString(settings.packets)}, {"store", toString(settings.store)}, {"seeds", settings.seeds.size()}});
+             {{"data_centre", settings.dataCentre}, {"packets", toString(settings.packets)}, {"store", toString(settings.store)}, {"seeds", seedText(settings.seeds)}});
     onMembers();
     onShareTick();
-    m_shareTick.start(shareTickInterval, shareTickInterval);
+    m_shareTick.start(m_share.settings.startWait, shareTickInterval);
     scheduleTick();
 }
 
@@ -105,23 +116,33 @@
         m_peers.send(message, it.dispatcher);
     }
     for (const HeldNotice &it : out.held) {
-        if (it.origin != 0) {
-            wire::EdgeMessage message = newMessage(wire::EdgeKind::Held);
-            message.__set_flow(toWire(it.flow));
-            m_peers.send(message, it.origin);
-        }
+        sendNotice(wire::EdgeKind::Held, it.origin, it.flow, 0);
     }
-    for (const EndNotice &it : out.ended) {
-        wire::EdgeMessage message = newMessage(wire::EdgeKind::Ended);
-        message.__set_flow(toWire(it.flow));
-        message.__set_target(static_cast<std::int64_t>(it.target));
-        m_peers.send(message, it.dispatcher);
+    for (const SettledNotice &it : out.settled) {
+        sendNotice(wire::EdgeKind::Settled, it.origin, it.flow, 0);
+    }
+    for (const FlowNotice &it : out.opened) {
+        sendNotice(wire::EdgeKind::Opened, it.dispatcher, it.flow, it.target);
+    }
+    for (const FlowNotice &it : out.ended) {
+        sendNotice(wire::EdgeKind::Ended, it.dispatcher, it.flow, it.target);
     }
     for (const ForwardNote &it : out.notes) {
         logNote(m_log, it);
     }
 }
 
+void Edge::sendNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target)
+{
+    if (to == 0) {
+        return;
+    }
+    wire::EdgeMessage message = newMessage(kind);
+    message.__set_flow(toWire(flow));
+    message.__set_target(static_cast<std::int64_t>(target));
+    m_peers.send(message, to);
+}
+
 void Edge::onTick()
 {
     m_tickAt = never;
@@ -165,16 +186,10 @@
         onPlace(message, now);
         break;
     case wire::EdgeKind::Held:
-        if (message.__isset.flow) {
-            noteHeld(m_forwarder, fromWire(message.flow), now);
-        }
-        break;
+    case wire::EdgeKind::Settled:
+    case wire::EdgeKind::Opened:
     case wire::EdgeKind::Ended:
-        if (message.__isset.flow) {
-            ForwardOutput out;
-            endForPeer(m_forwarder, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
-            send(out);
-        }
+        onNotice(message, now);
         break;
     default:
         break;
@@ -182,6 +197,26 @@
     scheduleTick();
 }
 
+void Edge::onNotice(const wire::EdgeMessage &message, Time now)
+{
+    if (!message.__isset.flow) {
+        return;
+    }
+    const FlowKey flow = fromWire(message.flow);
+    const auto target = static_cast<std::uint64_t>(message.target);
+    if (message.kind == wire::EdgeKind::Held) {
+        noteHeld(m_forwarder, flow, now);
+    } else if (message.kind == wire::EdgeKind::Settled) {
+        noteSettled(m_forwarder, flow);
+    } else if (message.kind == wire::EdgeKind::Opened) {
+        openForPeer(m_forwarder, flow, target, now);
+    } else {
+        ForwardOutput out;
+        endForPeer(m_forwarder, flow, target, now, out);
+        send(out);
+    }
+}
+
 void Edge::onPlace(const wire::EdgeMessage &message, Time now)
 {
     const std::optional<FlowPacket> packet = platform::decodePacket(message.packet);
@@ -293,6 +328,10 @@
             m_share.healthy = true;
             m_share.unhealthySince = now;
             m_store.start(m_share.known);
+            if (!m_rosterAsked && m_forwarder.members.size() == 1) {
+                m_rosterAsked = true;
+                m_roster.read();
+            }
         } else {
             m_store.stop();
         }
@@ -300,6 +339,9 @@
     if (m_share.known.targets == 0 || m_share.known.config == 0) {
         fetchFromSeeds(now);
     }
+    if (follow && m_share.healthy && canPlace(m_forwarder)) {
+        m_roster.keep(m_peers.addresses(), now);
+    }
     if (isBeatDue(m_share, now)) {
         sendBeat(now);
     }
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -7,6 +7,7 @@
 #include <libnet/streamhttp.h>
 #include <libnet/udpsocket.h>
 #include <pimentofold-edge/peerlink.h>
+#include <pimentofold-edge/rosterlink.h>
 #include <pimentofold-edge/storelink.h>
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/edgeforward.h>
@@ -38,6 +39,8 @@
     void onFetch(const wire::EdgeMessage &message, const Address &from, Time now);
     void onChanges(const wire::EdgeMessage &message, Time now);
     void onPlace(const wire::EdgeMessage &message, Time now);
+    void onNotice(const wire::EdgeMessage &message, Time now);
+    void sendNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
     void fetch(const Address &from, Time now);
 
@@ -59,6 +62,8 @@
     HttpResponderServer m_readiness;
     PeerLink m_peers;
     StoreLink m_store;
+    RosterLink m_roster;
+    bool m_rosterAsked = false;
     Timer m_tick;
     Time m_tickAt = never;
     Timer m_shareTick;
--- a/src/pimentofold-edge/peerlink.cpp
+++ b/src/pimentofold-edge/peerlink.cpp
@@ -73,6 +73,7 @@
     : m_log(log)
     , m_onMessage(std::move(onMessage))
     , m_onMembers(std::move(onMembers))
+    , m_address(settings.peers)
     , m_socket(settings.peers, [this](std::string_view bytes, const Address &from) { onDatagram(bytes, from); })
 {
     m_membership.options = edgeMembership();
@@ -118,11 +119,23 @@
     }
 }
 
-void PeerLink::addSeeds(const std::vector<Address> &seeds)
+void PeerLink::contact(const std::vector<Address> &nodes, Time now)
 {
-    for (const Address &it : seeds) {
+    MembershipOutput output;
+    for (const Address &it : nodes) {
         addSeed(m_membership, toString(it));
     }
+    contactSeeds(m_membership, now, output);
+    takeOutput(std::move(output));
+}
+
+std::vector<Address> PeerLink::addresses() const
+{
+    std::vector<Address> result{m_address};
+    for (const auto &[id, address] : m_addresses) {
+        result.push_back(address);
+    }
+    return result;
 }
 
 InstanceKey PeerLink::self() const
--- a/src/pimentofold-edge/peerlink.h
+++ b/src/pimentofold-edge/peerlink.h
@@ -39,8 +39,10 @@
     void send(const wire::EdgeMessage &message, Id to);
     /// Sends to all other live members.
     void broadcast(const wire::EdgeMessage &message);
-    /// Adds addresses that may lead to further nodes.
-    void addSeeds(const std::vector<Address> &seeds);
+    /// Contacts nodes that may be running.
+    void contact(const std::vector<Address> &nodes, Time now);
+    /// @return addresses of the live members with this one
+    std::vector<Address> addresses() const;
 
     InstanceKey self() const;
     /// @return live members with this one
@@ -57,6 +59,7 @@
     EventLog &m_log;
     std::function<void(const wire::EdgeMessage &, const Address &)> m_onMessage;
     std::function<void()> m_onMembers;
+    Address m_address;
     Codec m_codec;
     MembershipState m_membership;
     std::map<Id, Address> m_addresses; ///< of other live members
--- a/src/pimentofold-edge/storelink.cpp
+++ b/src/pimentofold-edge/storelink.cpp
@@ -196,6 +196,7 @@
     if (follower.kind != platform::StoreKind::Targets) {
         return;
     }
+    startTargetHistory(m_table, follower.follow.revision);
     std::vector<std::uint64_t> missing;
     for (const auto &[id, target] : m_table.targets) {
         if (target.listed && !follower.follow.seen.contains(id)) {
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -204,6 +204,10 @@
     }
 }
 
+// One object of a kind of the project's own.
+constexpr const char *rosterPath = "/-/objects/pimentofold-edge";
+constexpr const char *rosterName = "roster";
+
 constexpr const char *kindPath(StoreKind kind)
 {
     return kind == StoreKind::Config ? "/-/objects/config" : "/-/objects/servers";
@@ -228,6 +232,47 @@
 
 } // namespace
 
+std::string rosterTarget()
+{
+    // A stale read costs a tenth.
+    return std::string(rosterPath) + "/" + rosterName + "?allow_stale=1";
+}
+
+std::optional<Roster> decodeRoster(const std::string &body)
+{
+    const json object = json::parse(body, nullptr, false);
+    try {
+        Roster roster;
+        roster.revision = integerOf(fieldOf(object, "meta"), "revision", 1, INT64_MAX);
+        const json &nodes = fieldOf(fieldOf(object, "spec"), "nodes");
+        if (!nodes.is_array()) {
+            return std::nullopt;
+        }
+        for (const json &it : nodes) {
+            if (it.is_string() && isAddress(it.get<std::string>())) {
+                roster.nodes.push_back(parseAddress(it.get<std::string>()));
+            }
+        }
+        return roster;
+    } catch (const FieldError &) {
+        return std::nullopt;
+    }
+}
+
+StoreWrite writeRoster(const Roster &roster)
+{
+    json nodes = json::array();
+    for (const Address &it : roster.nodes) {
+        nodes.push_back(toString(it));
+    }
+    json object{{"meta", {{"name", rosterName}}}, {"spec", {{"nodes", nodes}}}};
+    if (roster.revision == 0) {
+        return {"POST", rosterPath, object.dump()};
+    }
+    object["meta"]["revision"] = roster.revision;
+    return {"PUT", std::string(rosterPath) + "/" + rosterName, object.dump()};
+}
+
 std::string listTarget(StoreKind kind, const std::string &after)
 {
     std::string target = kindPath(kind);
--- a/src/platform/storecalls.h
+++ b/src/platform/storecalls.h
@@ -56,6 +56,32 @@
 /// @return nothing when the body isn't such an answer; single objects that can't be read are part of the result
 std::optional<StoreAnswer> decodeStoreAnswer(StoreKind kind, const std::string &body);
 
+/// Addresses at which the edge nodes reach each other, kept in one object of the project's own kind.
+struct Roster {
+    std::vector<Address> nodes;
+    std::int64_t revision = 0; ///< of the object; 0 when it doesn't exist
+};
+
+/// @return path and query that read the roster; the answer may be some seconds old
+std::string rosterTarget();
+
+/// @return nothing when the body isn't a roster
+std::optional<Roster> decodeRoster(const std::string &body);
+
+/// A call that writes.
+struct StoreWrite {
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/// @return the call that writes the roster if the object still has the roster's revision
+StoreWrite writeRoster(const Roster &roster);
+
+/// Status of an answer when the object doesn't exist.
+constexpr int statusMissing = 404;
+/// Status of an answer when the object has another revision than the write names; the body holds the object.
+constexpr int statusConflict = 409;
 /// Status of an answer when the history from the revision of a watch is gone, so that the kind has to be listed again.
 constexpr int statusHistoryGone = 410;
 
