Test the edge node's modules; hold stop signals until their handlers are there

Cause of testsuite/balancer-process's one failure (status 130): 'started' was logged before the handlers of SIGTERM and SIGINT were installed, so both signals that the test sends to the halted process met the default action, and the lower one, SIGINT, ended it. Programs now keep both pending from their first line until StopSignals exists. The new case in libnet_test ends the test program without that.

The tests of the edge node run without the kit: configuration and entries that step back, reused ids, lapsed entries, offers without an answer, lost dispatchers, waiting flows, differences from a follower without history, entries by other writers, datagrams and answers cut or changed at random.

--- a/src/libnet/libnet_test.cpp
+++ b/src/libnet/libnet_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <memory>
 #include <string>
 #include <vector>
@@ -7,6 +8,7 @@
 #include <libnet/framedconnection.h>
 #include <libnet/httpclient.h>
 #include <libnet/httpserver.h>
+#include <libnet/streamhttp.h>
 #include <libnet/udpsocket.h>
 
 using namespace pimentofold;
@@ -30,6 +32,18 @@
 } // namespace
 
 // Guards against datagrams lost between queueing and sending and against oversized ones being truncated.
+// Guards against a program that is ended by the system when it is asked to stop before its handlers are there, which
+// testsuite/balancer-process saw once as exit status 130.
+TEST_CASE("a stop signal during the start waits for its handler")
+{
+    holdStopSignals();
+    REQUIRE(raise(SIGTERM) == 0);
+    int stops = 0;
+    const StopSignals signals([&stops] { ++stops; });
+    runUntil([&] { return stops > 0; });
+    CHECK(stops == 1);
+}
+
 TEST_CASE("UDP sockets deliver batches and drop oversized datagrams")
 {
     std::vector<std::string> received;
@@ -113,3 +127,54 @@
     runUntil([&] { return !refused.error.empty(); });
     CHECK(refused.status == 0);
 }
+
+// Guards against calls that hang, lose part of an answer or mix two answers when the server is slow, cuts the
+// connection or closes a kept one.
+TEST_CASE("HTTP over the own loop: answers, kept connections, time limits and cuts")
+{
+    int requests = 0;
+    auto server = std::make_unique<HttpResponderServer>(Address{0x7f000001, 21'977}, [&](const HttpRequest &request) {
+        ++requests;
+        HttpResponse response;
+        response.body = request.method + " " + request.path + " " + request.body + std::string(100'000, 'x');
+        return response;
+    });
+    HttpConnection connection({0x7f000001, 21'977});
+    const auto call = [&](const std::string &method, const std::string &body) {
+        HttpResult result;
+        bool done = false;
+        connection.start(method, "/a/b?c=d", body, 5 * second, [&](const HttpResult &it) {
+            result = it;
+            done = true;
+        });
+        CHECK(connection.isBusy());
+        runUntil([&] { return done; });
+        CHECK_FALSE(connection.isBusy());
+        return result;
+    };
+    HttpResult result = call("GET", "");
+    CHECK(result.status == 200);
+    CHECK(result.body == "GET /a/b " + std::string(100'000, 'x'));
+    result = call("PUT", "{}");
+    CHECK(result.body == "PUT /a/b {}" + std::string(100'000, 'x'));
+    CHECK(requests == 2);
+    server.reset();
+    result = call("GET", "");
+    CHECK(result.status == 0);
+    CHECK(result.error != "");
+}
+
+TEST_CASE("HTTP over the own loop: a server that doesn't answer costs the time limit")
+{
+    const Listener silent({0x7f000001, 21'978}, [](int) {});
+    HttpConnection connection({0x7f000001, 21'978});
+    HttpResult result;
+    bool done = false;
+    connection.start("GET", "/", "", 50 * millisecond, [&](const HttpResult &it) {
+        result = it;
+        done = true;
+    });
+    runUntil([&] { return done; });
+    CHECK(result.status == 0);
+    CHECK(result.error == "timeout");
+}
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -74,6 +74,25 @@
     }
 }
 
+namespace {
+
+sigset_t stopSignalSet()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+void holdStopSignals()
+{
+    const sigset_t signals = stopSignalSet();
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void StopSignals::handle(struct ev_loop *, ev_signal *watcher, int)
 {
     auto *self = static_cast<StopSignals *>(watcher->data);
@@ -94,6 +113,8 @@
     m_interrupt.data = this;
     ev_signal_start(EV_DEFAULT, &m_terminate);
     ev_signal_start(EV_DEFAULT, &m_interrupt);
+    const sigset_t signals = stopSignalSet();
+    sigprocmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
 StopSignals::~StopSignals()
--- a/src/libnet/loop.h
+++ b/src/libnet/loop.h
@@ -50,6 +50,10 @@
     std::function<void(int)> m_callback;
 };
 
+/// Keeps SIGTERM and SIGINT pending until StopSignals exists, so that a signal during the start of a program is handled
+/// like a later one. To be called before anything tells that the program runs.
+void holdStopSignals();
+
 /// Calls @p onStop at the first SIGTERM or SIGINT; a second one ends the process at once with status 1.
 class StopSignals
 {
--- /dev/null
+++ b/src/libpimentofold/storefollow_test.cpp
@@ -0,0 +1,52 @@
+#include <doctest/doctest.h>
+
+#include <pimentofold/storefollow.h>
+
+using namespace pimentofold;
+
+// Guards against changes that are missed between a list and its watches, or when the store's history has a gap.
+TEST_CASE("a kind is listed page by page and then watched")
+{
+    StoreFollow follow;
+    Random random{1};
+    std::optional<StoreCall> call = nextCall(follow, 0);
+    REQUIRE(call);
+    CHECK_FALSE(call->watch);
+    CHECK_FALSE(nextCall(follow, 0));
+    CHECK_FALSE(finishCall(follow, {CallOutcome::Answered, 100, true, "b", false}, 1, random));
+    call = nextCall(follow, 1);
+    REQUIRE(call);
+    CHECK(call->after == "b");
+    // The store has moved on since the first page; the watch begins at the first page.
+    CHECK(finishCall(follow, {CallOutcome::Answered, 105, false, "z", false}, 2, random));
+    call = nextCall(follow, 2);
+    REQUIRE(call);
+    CHECK(call->watch);
+    CHECK(call->revision == 100);
+    CHECK(call->timeout > call->wait);
+    CHECK_FALSE(finishCall(follow, {CallOutcome::Answered, 110, false, "", true}, 3, random));
+    CHECK(follow.revision == 110);
+    call = nextCall(follow, 3);
+    REQUIRE(call);
+    finishCall(follow, {CallOutcome::HistoryGone, 0, false, "", false}, 4, random);
+    call = nextCall(follow, 4);
+    REQUIRE(call);
+    CHECK_FALSE(call->watch);
+    CHECK(call->after.empty());
+}
+
+TEST_CASE("failed calls wait, longer each time, within bounds")
+{
+    StoreFollow follow;
+    Random random{1};
+    Time now = 0;
+    for (int n = 0; n < 50; ++n) {
+        REQUIRE(nextCall(follow, now));
+        finishCall(follow, {}, now, random);
+        CHECK(follow.nextAt - now <= follow.settings.mostBackOff);
+        now = std::max(follow.nextAt, now);
+    }
+    REQUIRE(nextCall(follow, now));
+    finishCall(follow, {CallOutcome::Answered, 5, false, "", false}, now, random);
+    CHECK(follow.failures == 0);
+}
--- /dev/null
+++ b/src/libpimentofold/storeshare_test.cpp
@@ -0,0 +1,212 @@
+#include <doctest/doctest.h>
+
+#include <pimentofold/edgecodec.h>
+#include <pimentofold/storeshare.h>
+
+#include <libpimentofold/edgetestdata.h>
+
+using namespace pimentofold;
+using namespace pimentofold::testdata;
+
+namespace {
+
+struct Node {
+    StoreShare share;
+    TargetTable table;
+};
+
+/// Sends changes through their wire form.
+std::optional<StoreChanges> transfer(const StoreChanges &changes)
+{
+    PartialChanges partial;
+    std::optional<StoreChanges> result;
+    for (const wire::EdgeChanges &it : toWire(changes)) {
+        CHECK_FALSE(result);
+        result = addPart(partial, it);
+    }
+    return result;
+}
+
+bool pull(Node &to, const Node &from, Time now)
+{
+    const StoreChanges changes = changesSince(from.table, to.share.known, to.table.configRevision, from.share.known, now);
+    const std::optional<StoreChanges> received = transfer(changes);
+    REQUIRE(received);
+    return applyChanges(to.share, to.table, *received, now);
+}
+
+void know(Node &node, std::int64_t revision)
+{
+    node.share.known = {revision, revision};
+}
+
+} // namespace
+
+TEST_CASE("a node gets from a peer what it misses")
+{
+    Node follower;
+    std::vector<EdgeRoute> routes;
+    for (std::uint16_t port = 1; port <= 200; ++port) {
+        routes.push_back(makeRoute({0xc6120003, port}, "idle"));
+    }
+    routes.push_back(makeRoute(shopAddress, "shop"));
+    applyConfig(follower.table, makeConfig(10, routes));
+    applyTarget(follower.table, makeTarget(1, 11), 0);
+    applyTarget(follower.table, makeTarget(2, 12), 0);
+    startTargetHistory(follower.table, 12);
+    know(follower, 12);
+    Node node;
+    CHECK(pull(node, follower, 0));
+    CHECK(node.share.known == follower.share.known);
+    CHECK(findRoute(node.table, shopAddress) != nullptr);
+    CHECK(node.table.targets.size() == 2);
+
+    // Only the difference is sent.
+    routes.pop_back();
+    applyConfig(follower.table, makeConfig(13, routes));
+    removeTarget(follower.table, 1, 14, second);
+    applyTarget(follower.table, makeTarget(3, 15), second);
+    know(follower, 15);
+    const StoreChanges changes = changesSince(follower.table, node.share.known, node.table.configRevision, follower.share.known, second);
+    CHECK(changes.config.routes.empty());
+    CHECK(changes.removedRoutes.size() == 1);
+    CHECK(changes.targets.size() == 1);
+    CHECK(toWire(changes).size() == 1);
+    CHECK(pull(node, follower, second));
+    CHECK(findRoute(node.table, shopAddress) == nullptr);
+    CHECK_FALSE(findTarget(node.table, 1)->listed);
+    CHECK(findTarget(node.table, 3)->listed);
+}
+
+// Guards against removed routes and targets that stay in use when the follower has restarted: its history begins at its
+// start, so that it can't tell what was removed before. On zbinden-grat trouble-3 this broke CONFIG.
+TEST_CASE("a restarted follower sends everything to nodes with older knowledge")
+{
+    Node old;
+    applyConfig(old.table, makeConfig(10, {makeRoute(shopAddress, "shop"), makeRoute(otherAddress, "other")}));
+    applyTarget(old.table, makeTarget(1, 11), 0);
+    applyTarget(old.table, makeTarget(2, 12), 0);
+    startTargetHistory(old.table, 12);
+    know(old, 12);
+    Node restarted;
+    applyConfig(restarted.table, makeConfig(20, {makeRoute(shopAddress, "shop")}));
+    applyTarget(restarted.table, makeTarget(2, 12), 0);
+    startTargetHistory(restarted.table, 21);
+    know(restarted, 21);
+    CHECK(pull(old, restarted, second));
+    CHECK(findRoute(old.table, otherAddress) == nullptr);
+    CHECK_FALSE(findTarget(old.table, 1)->listed);
+    CHECK(findTarget(old.table, 2)->listed);
+}
+
+// Guards against knowledge that steps back or skips changes.
+TEST_CASE("older changes and changes with a gap before them aren't taken over")
+{
+    Node follower;
+    applyConfig(follower.table, makeConfig(10, {makeRoute(shopAddress, "shop")}));
+    applyTarget(follower.table, makeTarget(1, 11), 0);
+    startTargetHistory(follower.table, 11);
+    know(follower, 11);
+    const StoreChanges first = changesSince(follower.table, {}, 0, follower.share.known, 0);
+    applyTarget(follower.table, makeTarget(2, 15), 0);
+    know(follower, 15);
+    const StoreChanges gap = changesSince(follower.table, {12, 12}, 10, follower.share.known, 0);
+    Node node;
+    CHECK(applyChanges(node.share, node.table, first, 0));
+    CHECK_FALSE(applyChanges(node.share, node.table, gap, 0));
+    CHECK(node.share.known.targets == 11);
+    CHECK(pull(node, follower, 0));
+    CHECK(applyChanges(node.share, node.table, first, 0));
+    CHECK(node.share.known.targets == 15);
+    CHECK(findTarget(node.table, 2)->listed);
+}
+
+// Guards against parts of different messages that are put together.
+TEST_CASE("parts of changes: in any order, twice, mixed, out of range")
+{
+    StoreChanges changes;
+    changes.known = {20, 20};
+    changes.config = makeConfig(20, {});
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        changes.config.routes.push_back(makeRoute({0xc6120003, port}, "idle"));
+    }
+    const std::vector<wire::EdgeChanges> parts = toWire(changes);
+    REQUIRE(parts.size() > 2);
+    PartialChanges partial;
+    for (std::size_t n = parts.size() - 1; n > 0; --n) {
+        CHECK_FALSE(addPart(partial, parts[n]));
+        CHECK_FALSE(addPart(partial, parts[n]));
+    }
+    const std::optional<StoreChanges> whole = addPart(partial, parts[0]);
+    REQUIRE(whole);
+    CHECK(whole->config.routes.size() == 100);
+
+    CHECK_FALSE(addPart(partial, parts[0]));
+    wire::EdgeChanges newer = parts[1];
+    newer.targetsRevision = 21;
+    CHECK_FALSE(addPart(partial, newer));
+    CHECK(partial.received.size() == 1);
+    wire::EdgeChanges bad = parts[0];
+    bad.part = 1'000'000;
+    CHECK_FALSE(addPart(partial, bad));
+    bad.parts = -1;
+    CHECK_FALSE(addPart(partial, bad));
+}
+
+// Guards against fleets in which nobody follows the store, or everybody does.
+TEST_CASE("who follows the store")
+{
+    struct Row {
+        std::string name;
+        Time confirmedAt; ///< 0: never
+        int rank;
+        std::vector<std::pair<bool, bool>> followers; ///< healthy, ranks before this node
+        bool following;
+        bool expected;
+    };
+    const Time now = 100 * second;
+    const Row rows[] = {
+        {"a node that starts alone", 0, 0, {}, false, true},
+        {"a node that starts beside a follower", 0, 0, {{true, false}}, false, false},
+        {"the beats go on", now - 100 * millisecond, 0, {{true, false}}, false, false},
+        {"the beats have stopped, first in rank", now - second, 0, {}, false, true},
+        {"the beats have stopped, later in rank", now - second, 5, {}, false, false},
+        {"the beats have stopped for long, later in rank", now - 3 * second, 50, {}, false, true},
+        {"of two followers the one that ranks lower ends", now, 1, {{true, true}}, true, false},
+        {"of two followers the one that ranks higher goes on", now, 0, {{true, false}}, true, true},
+        {"another one can't reach the store", now - 3 * second, 1, {{false, true}}, false, true},
+        {"many can't reach the store", now - 3 * second, 3, {{false, true}, {false, true}, {false, true}}, false, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        StoreShare share;
+        // Ids whose ranks lie before and after that of this node.
+        std::vector<Id> before;
+        std::vector<Id> after;
+        share.self = 1000;
+        for (Id id = 1; before.size() < 3 || after.size() < 3; ++id) {
+            (followRank(id) < followRank(share.self) ? before : after).push_back(id);
+        }
+        share.startedAt = now - second;
+        share.confirmedAt = row.confirmedAt;
+        share.following = row.following;
+        std::size_t n = 0;
+        for (const auto &[healthy, first] : row.followers) {
+            share.followers[(first ? before : after)[n++]] = {healthy, now - 100 * millisecond};
+        }
+        CHECK(shouldFollow(share, row.rank, now) == row.expected);
+    }
+}
+
+TEST_CASE("a follower that can't reach the store lets others try")
+{
+    StoreShare share;
+    share.following = true;
+    noteOwnHealth(share, true, second);
+    CHECK(share.confirmedAt == second);
+    noteOwnHealth(share, false, 2 * second);
+    CHECK(shouldFollow(share, 0, 2 * second));
+    noteOwnHealth(share, false, 2 * second + share.settings.unhealthyLimit);
+    CHECK_FALSE(shouldFollow(share, 0, 4 * second));
+    CHECK(share.confirmedAt == second);
+}
--- /dev/null
+++ b/src/libpimentofold/targettable_test.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <libpimentofold/edgetestdata.h>
+
+using namespace pimentofold;
+using namespace pimentofold::testdata;
+
+// Guards against an older configuration that replaces a newer one.
+TEST_CASE("configurations only move forward")
+{
+    TargetTable table;
+    CHECK(applyConfig(table, makeConfig(5, {makeRoute(shopAddress, "shop")})));
+    CHECK_FALSE(applyConfig(table, makeConfig(4, {})));
+    CHECK_FALSE(applyConfig(table, makeConfig(5, {})));
+    REQUIRE(findRoute(table, shopAddress) != nullptr);
+    CHECK(applyConfig(table, makeConfig(6, {makeRoute(otherAddress, "other")})));
+    CHECK(findRoute(table, shopAddress) == nullptr);
+    REQUIRE(findRoute(table, otherAddress) != nullptr);
+    // A difference from a version that isn't in force would skip changes.
+    CHECK_FALSE(applyConfigChange(table, 7, makeConfig(8, {}), {}));
+    CHECK(applyConfigChange(table, 6, makeConfig(8, {makeRoute(shopAddress, "shop")}), {otherAddress}));
+    CHECK(findRoute(table, shopAddress) != nullptr);
+    CHECK(findRoute(table, otherAddress) == nullptr);
+    CHECK(table.configRevision == 8);
+}
+
+// Guards against entries that come late or twice, and targets that use an id or an address again.
+TEST_CASE("entries of targets")
+{
+    TargetTable table;
+    CHECK(applyTarget(table, makeTarget(1, 5), 0));
+    CHECK_FALSE(applyTarget(table, makeTarget(1, 5), 0));
+    CHECK_FALSE(applyTarget(table, makeTarget(1, 4), 0));
+    TargetRecord draining = makeTarget(1, 6);
+    draining.state = TargetState::Draining;
+    CHECK(applyTarget(table, draining, second));
+    CHECK_FALSE(takesNewFlows(*findTarget(table, 1), second));
+    CHECK(findTarget(table, 1)->drainingAt == second);
+    CHECK_FALSE(removeTarget(table, 1, 5, 2 * second));
+    CHECK(removeTarget(table, 1, 7, 2 * second));
+    CHECK_FALSE(applyTarget(table, makeTarget(1, 7), 2 * second));
+    CHECK_FALSE(takesNewFlows(*findTarget(table, 1), 2 * second));
+
+    SUBCASE("a new incarnation starts without the observations of the old one")
+    {
+        findTarget(table, 1)->unanswered = 5;
+        TargetRecord reborn = makeTarget(1, 8);
+        reborn.startedAt = 2;
+        CHECK(applyTarget(table, reborn, 3 * second));
+        CHECK(findTarget(table, 1)->unanswered == 0);
+        CHECK(takesNewFlows(*findTarget(table, 1), 3 * second));
+    }
+    SUBCASE("a target that changes its service is found there only")
+    {
+        CHECK(applyTarget(table, makeTarget(1, 8, "other"), 3 * second));
+        CHECK_FALSE(table.services.contains("shop"));
+        CHECK(table.services.at("other") == std::vector<std::uint64_t>{1});
+    }
+    SUBCASE("a target that is gone for long is forgotten, with its token")
+    {
+        const FlowToken token = tokenOf(1);
+        CHECK(findByToken(table, token, nullptr) != nullptr);
+        forgetGoneTargets(table, 2 * second + goneTargetRetention);
+        CHECK(findByToken(table, token, nullptr) == nullptr);
+        CHECK(table.services.empty());
+        CHECK(table.targetHistory == 7);
+    }
+}
+
+// Guards against a service that loses targets whose entries only lapsed while the store was away.
+TEST_CASE("a target whose entry lapses stays in use for a while if it answers")
+{
+    TargetTable table;
+    applyTarget(table, makeTarget(1, 5), 0);
+    applyTarget(table, makeTarget(2, 6), 0);
+    findTarget(table, 1)->answeredAt = 10 * second;
+    removeTarget(table, 1, 7, 10 * second);
+    removeTarget(table, 2, 8, 10 * second);
+    CHECK(takesNewFlows(*findTarget(table, 1), 11 * second));
+    CHECK_FALSE(takesNewFlows(*findTarget(table, 2), 11 * second));
+    CHECK_FALSE(takesNewFlows(*findTarget(table, 1), 10 * second + lapsedEntryHold));
+}
+
+// Guards against packets of one service at a target of another one when two ids have the same token.
+TEST_CASE("of two targets with the same token the one of the route's service is found")
+{
+    TargetTable table;
+    applyTarget(table, makeTarget(1, 5, "shop"), 0);
+    applyTarget(table, makeTarget(2, 6, "other"), 0);
+    const FlowToken token = tokenOf(1);
+    table.tokens.emplace(token, 2);
+    const EdgeRoute shop = makeRoute(shopAddress, "shop");
+    const EdgeRoute other = makeRoute(otherAddress, "other");
+    CHECK(findByToken(table, token, &shop)->record.id == 1);
+    CHECK(findByToken(table, token, &other)->record.id == 2);
+}
--- a/src/libstandin/program.cpp
+++ b/src/libstandin/program.cpp
@@ -4,6 +4,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <libnet/loop.h>
 #include <pimentofold/eventlog.h>
 
 namespace pimentofold {
@@ -31,6 +32,7 @@
 int runProgram(int argc, char **argv, const Program &program)
 {
     try {
+        holdStopSignals();
         setUpLogging();
         return parseAndServe(argc, argv, program);
     } catch (const TCLAP::ExitException &exit) {
--- a/src/pimentofold-agent/main.cpp
+++ b/src/pimentofold-agent/main.cpp
@@ -20,6 +20,7 @@
         if (check.getValue()) {
             return 0;
         }
+        holdStopSignals();
         setUpLogging();
         Agent agent(settings);
         const StopSignals stop([&] { agent.stop(); });
--- a/src/pimentofold-balancer/main.cpp
+++ b/src/pimentofold-balancer/main.cpp
@@ -15,6 +15,7 @@
 
 int serve(const BalancerSettings &settings)
 {
+    holdStopSignals();
     setUpLogging();
     Balancer balancer(settings);
     const StopSignals signals([&balancer] { balancer.stop(); });
--- a/src/pimentofold-edge/main.cpp
+++ b/src/pimentofold-edge/main.cpp
@@ -46,6 +46,7 @@
         if (check.getValue()) {
             return 0;
         }
+        holdStopSignals();
         setUpLogging();
         Edge edge(settings);
         const StopSignals stop([&] { edge.stop(); });
--- /dev/null
+++ b/src/platform/platform_test.cpp
@@ -0,0 +1,239 @@
+#include <doctest/doctest.h>
+
+#include <pimentofold/random.h>
+#include <pimentofold/settings.h>
+#include <platform/packetcodec.h>
+#include <platform/settingslines.h>
+#include <platform/storecalls.h>
+
+using namespace pimentofold;
+using namespace pimentofold::platform;
+
+namespace {
+
+std::string bytesOf(std::initializer_list<int> numbers)
+{
+    std::string bytes;
+    for (const int it : numbers) {
+        bytes += static_cast<char>(it);
+    }
+    return bytes;
+}
+
+// From 100.64.0.7:40001 to 198.18.0.1:443.
+const std::string opening = bytesOf({0x02, 0,    0,    0,    0,    0,    0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x9c,
+                                     0x41, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00});
+
+const std::string target = R"({"meta":{"name":"i-7f3a91c2","revision":41},"spec":{"service":"huvo11a","address":"10.128.0.9:8080",)"
+                           R"("zone":"attica-a","version":"v1","slots":3,"state":"ready","cold_remaining_ms":250,"seq":4,"born":1700}})";
+
+const std::string config =
+    R"({"meta":{"name":"main","revision":9},"spec":{"version":7,"routes":[)"
+    R"({"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe","aim_ms":200,"priority":2,)"
+    R"("backends":[{"service":"x","weight":90},{"service":"y","weight":10},{"service":"z","weight":0}],"max_attempts":2},)"
+    R"({"name":"b","host":"198.18.0.2","path_prefix":"/80/","type":"unsafe","service":"x"}],"limits":{"idle_timeout_ms":15000}}})";
+
+std::string list(const std::string &items)
+{
+    return R"({"items":[)" + items + R"(],"has_more":false,"store_revision":50})";
+}
+
+const std::string settingsText =
+    "node=n1\nzone=attica-a\nzones.attica-a=gr\nzones.attica-b=gr\nlisten.packets=10.1.0.10:8172\nlisten.readiness=10.1.0.10:8167\n"
+    "port_range=7720,7735\nseeds=10.1.0.10:8166,10.2.0.40:8166\nplatform.address=10.200.1.7:8169\nbounds.drain_ms=2500\nbounds.grace_s=6\n"
+    "something.new=x\n";
+
+} // namespace
+
+TEST_CASE("packets of callers")
+{
+    const std::optional<FlowPacket> packet = decodePacket(opening);
+    REQUIRE(packet);
+    CHECK(packet->opens);
+    CHECK(toString(packet->flow.caller) == "100.64.0.7:40001");
+    CHECK(toString(packet->flow.service) == "198.18.0.1:443");
+    CHECK(packet->token == 0);
+    CHECK(packet->openAge == 0);
+    std::string copy = opening;
+    copy[33] = 2;
+    CHECK(decodePacket(copy)->openAge == 600 * millisecond);
+
+    std::string forwarded = encodeForwarded({{}, 0x7f3a91c2, 0xdeadbeef, opening});
+    CHECK(forwarded.substr(0, 8) == bytesOf({0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2}));
+    // Nothing but the token may differ.
+    CHECK(forwarded.substr(8 + 18, 4) == bytesOf({0xde, 0xad, 0xbe, 0xef}));
+    forwarded.replace(8 + 18, 4, std::string(4, '\0'));
+    CHECK(forwarded.substr(8) == opening);
+
+    const std::string reset = bytesOf({0x10, 0,    0,    0,    0, 0, 0x9c, 0x41, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x01,
+                                       0xbb, 0x00, 0x00, 0x00, 0, 0, 0,    0,    0,    0,    0,    0,    0,    0,    0,    0,    0});
+    CHECK(encodeReset({packet->flow, 0}) == reset);
+}
+
+// Guards against datagrams that end the process or are forwarded though they are no packets of a caller.
+TEST_CASE("datagrams that are no packets")
+{
+    std::string answer = opening;
+    answer[0] = 0x0a;
+    std::string wrongLength = opening;
+    wrongLength[5] = 1;
+    const std::string rows[] = {"", "x", opening.substr(0, 33), opening + "x", wrongLength, std::string(2000, '\0'), answer};
+    for (const std::string &row : rows) {
+        CHECK_FALSE(decodePacket(row));
+    }
+    Random random{20'261'204};
+    for (int n = 0; n < 20'000; ++n) {
+        std::string bytes(below(random, 1300), '\0');
+        for (char &it : bytes) {
+            it = static_cast<char>(next(random));
+        }
+        const std::optional<FlowPacket> packet = decodePacket(bytes);
+        if (packet) {
+            CHECK(packet->dataBytes == bytes.size() - packetHeaderBytes);
+        }
+    }
+}
+
+TEST_CASE("entries of the store")
+{
+    std::optional<StoreAnswer> answer = decodeStoreAnswer(StoreKind::Targets, list(target));
+    REQUIRE(answer);
+    CHECK(answer->revision == 50);
+    CHECK(answer->last == "i-7f3a91c2");
+    const auto &record = std::get<TargetRecord>(answer->objects.at(0));
+    CHECK(record.id == 0x7f3a91c2);
+    CHECK(record.slots == 3);
+    CHECK(record.warmup == 250 * millisecond);
+    CHECK(record.startedAt == 1700);
+    CHECK(record.revision == 41);
+    CHECK(record.state == TargetState::Ready);
+
+    answer = decodeStoreAnswer(StoreKind::Config, list(config));
+    REQUIRE(answer);
+    const auto &read = std::get<EdgeConfig>(answer->objects.at(0));
+    CHECK(read.version == 7);
+    CHECK(read.revision == 9);
+    CHECK(read.idleLimit == 15 * second);
+    REQUIRE(read.routes.size() == 2);
+    CHECK(toString(read.routes[0].address) == "198.18.0.1:8443");
+    CHECK(read.routes[0].shares == std::vector<RouteShare>{{"x", 90}, {"y", 10}});
+    CHECK(read.routes[0].aim == 200 * millisecond);
+    CHECK(read.routes[1].kind == WorkKind::Unsafe);
+
+    answer = decodeStoreAnswer(StoreKind::Targets, R"({"events":[{"deleted":true,"object":)" + target + R"(}],"store_revision":60})");
+    REQUIRE(answer);
+    CHECK(std::get<DeletedObject>(answer->objects.at(0)).id == 0x7f3a91c2);
+}
+
+// Guards against entries by other writers that are used as targets, or that keep the readable ones from being used.
+TEST_CASE("entries that can't be read leave the others as they are")
+{
+    const auto changed = [](const std::string &from, const std::string &to) {
+        std::string text = target;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    const std::string rows[] = {
+        "17",
+        "null",
+        R"({"meta":{"name":"i-1","revision":4}})",
+        R"({"meta":{"name":"i-1","revision":4},"spec":"text"})",
+        R"({"meta":{"name":7,"revision":4},"spec":{}})",
+        changed("\"ready\"", "\"sleeping\""),
+        changed("\"slots\":3", "\"slots\":\"3\""),
+        changed("\"slots\":3", "\"slots\":0"),
+        changed("\"slots\":3", "\"slots\":3.5"),
+        changed("\"slots\":3", "\"slots\":99999999999999999999"),
+        changed("10.128.0.9:8080", "here"),
+        changed("10.128.0.9:8080", "10.128.0.9:99999"),
+        changed("i-7f3a91c2", "i-nothex"),
+        changed("i-7f3a91c2", "i-"),
+        changed("i-7f3a91c2", "i-7f3a91c27f3a91c27f3a91c2"),
+        changed("\"service\":\"huvo11a\",", ""),
+        changed("\"born\":1700", "\"born\":-1"),
+    };
+    for (const std::string &row : rows) {
+        CAPTURE(row);
+        std::string good = target;
+        good.replace(good.find("i-7f3a91c2"), 10, "i-00000001");
+        const std::optional<StoreAnswer> answer = decodeStoreAnswer(StoreKind::Targets, list(row + "," + good));
+        REQUIRE(answer);
+        REQUIRE(answer->objects.size() == 2);
+        CHECK(std::holds_alternative<UnreadableObject>(answer->objects[0]));
+        CHECK(std::get<TargetRecord>(answer->objects[1]).id == 1);
+    }
+}
+
+// Guards against answers of any kind that end the process; each is cut or changed at random.
+TEST_CASE("answers that are cut or changed")
+{
+    const std::string whole[] = {list(target), list(config), R"({"events":[{"deleted":false,"object":)" + target + R"(}],"store_revision":60})"};
+    Random random{7};
+    for (const std::string &text : whole) {
+        for (std::size_t n = 0; n < text.size(); ++n) {
+            CHECK_FALSE(decodeStoreAnswer(StoreKind::Targets, text.substr(0, n)));
+        }
+        for (int n = 0; n < 5'000; ++n) {
+            std::string mutated = text;
+            for (int k = 0; k < 3; ++k) {
+                mutated[below(random, mutated.size())] = static_cast<char>(next(random));
+            }
+            decodeStoreAnswer(StoreKind::Targets, mutated);
+            decodeStoreAnswer(StoreKind::Config, mutated);
+            decodeRoster(mutated);
+        }
+    }
+}
+
+TEST_CASE("calls to the store")
+{
+    CHECK(listTarget(StoreKind::Targets, "") == "/-/objects/servers");
+    CHECK(listTarget(StoreKind::Targets, "i-1 &") == "/-/objects/servers?after=i-1%20%26");
+    CHECK(watchTarget(StoreKind::Config, 530, 2 * second) == "/-/objects/config?watch=530&wait_ms=2000");
+    const Roster roster{{{0x0a010006, 7500}}, 0};
+    CHECK(writeRoster(roster).method == "POST");
+    const StoreWrite write = writeRoster({roster.nodes, 12});
+    CHECK(write.method == "PUT");
+    const std::optional<Roster> read = decodeRoster(write.body);
+    REQUIRE(read);
+    CHECK(read->nodes == roster.nodes);
+    CHECK(read->revision == 12);
+}
+
+TEST_CASE("settings of the platform")
+{
+    const EdgeSettings settings = parseSettingsLines(settingsText, "f");
+    CHECK(settings.node == "n1");
+    CHECK(settings.dataCentres == std::vector<std::string>{"attica-a", "attica-b"});
+    CHECK(toString(settings.peers) == "10.1.0.10:7720");
+    CHECK(toString(settings.metrics) == "10.1.0.10:7721");
+    REQUIRE(settings.seeds.size() == 2);
+    CHECK(toString(settings.seeds[1]) == "10.2.0.40:7720");
+    CHECK(settings.drainLimit == 2500 * millisecond);
+    CHECK(settings.stopLimit == 6 * second);
+
+    struct Row {
+        std::string from;
+        std::string to;
+        std::string field;
+    };
+    const Row rows[] = {
+        {"node=n1\n", "", "node"},
+        {"listen.packets=10.1.0.10:8172", "listen.packets=here", "listen.packets"},
+        {"port_range=7720,7735", "port_range=x", "port_range"},
+        {"port_range=7720,7735", "port_range=", "port_range"},
+        {"seeds=10.1.0.10:8166", "seeds=10.1.0:8166", "seeds"},
+        {"bounds.drain_ms=2500", "bounds.drain_ms=soon", "bounds.drain_ms"},
+        {"bounds.grace_s=6", "bounds.grace_s=-1", "bounds.grace_s"},
+    };
+    for (const Row &row : rows) {
+        std::string text = settingsText;
+        text.replace(text.find(row.from), row.from.size(), row.to);
+        try {
+            parseSettingsLines(text, "f");
+            FAIL("no error for " << row.field);
+        } catch (const SettingsError &error) {
+            CHECK(error.field == row.field);
+        }
+    }
+}
