--- a/src/include/pimentofold/storefollow.h
+++ b/src/include/pimentofold/storefollow.h
@@ -20,8 +20,10 @@
 struct FollowSettings {
     /// Longest wait of a watch. A connection that has gone silent is noticed after it, so it is well below the time in
     /// which a change has to be in force.
-    Time watchWait = 2 * second;
-    Time answerLimit = 800 * millisecond; ///< an answer takes no longer than this beyond the wait
+    Time watchWait = second;
+    /// An answer takes no longer than this beyond the wait; twice as long after each failure, for a store that is slow.
+    Time answerLimit = 500 * millisecond;
+    int mostDoublings = 2;
     Time pace = 0; ///< least time from an answer to the next call, so that several changes come with one call
     Time leastBackOff = 100 * millisecond; ///< upper bound of the first wait after a failure
     Time mostBackOff = 800 * millisecond;
@@ -62,6 +64,7 @@
     std::int64_t revision = 0; ///< all changes up to it are known
     std::set<std::uint64_t> seen; ///< ids on the pages so far
     int failures = 0; ///< in a row
+    bool probe = true; ///< the next watch doesn't wait, so that it shows soon whether the store answers
     Time nextAt = 0;
     Time currentAt = 0; ///< when the last answer was asked for; what is known was complete then
     Time startedAt = 0;
--- a/src/include/pimentofold/storeshare.h
+++ b/src/include/pimentofold/storeshare.h
@@ -26,7 +26,7 @@
     /// The first in rank follows the store when no healthy beat has come for this long; it is a part of the time in
     /// which a change has to be in force.
     Time silenceLimit = 700 * millisecond;
-    Time rankStep = 150 * millisecond; ///< further wait for each rank
+    Time rankStep = 150 * millisecond; ///< further wait for each rank, also after a follower has told that it gets no answers
     int mostRankSteps = 6;
     /// A node that starts asks its peers first and calls the store when none has answered by then.
     Time startWait = 25 * millisecond;
@@ -85,6 +85,7 @@
     bool healthy = true; ///< the own calls to the store are answered
     Time unhealthySince = 0;
     Time restUntil = 0;
+    Time troubleAt = never; ///< when a follower first told that the store doesn't answer it, unless another one has told the contrary since
     Time confirmedAt = 0; ///< the store's state was as known here at that time; 0: never
     Time beatAt = 0; ///< last own beat
     KnownRevisions beatKnown; ///< revisions at the last own beat
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -123,6 +123,22 @@
     ev_signal_stop(EV_DEFAULT, &m_interrupt);
 }
 
+ReloadSignal::ReloadSignal(std::function<void()> onReload)
+    : m_onReload(std::move(onReload))
+{
+    ev_signal_init(
+        &m_watcher, [](struct ev_loop *, ev_signal *watcher, int) { static_cast<ReloadSignal *>(watcher->data)->m_onReload(); }, SIGHUP);
+    m_watcher.data = this;
+    ev_signal_start(EV_DEFAULT, &m_watcher);
+    ev_unref(EV_DEFAULT);
+}
+
+ReloadSignal::~ReloadSignal()
+{
+    ev_ref(EV_DEFAULT);
+    ev_signal_stop(EV_DEFAULT, &m_watcher);
+}
+
 void runLoop()
 {
     ev_run(EV_DEFAULT, 0);
--- a/src/libnet/loop.h
+++ b/src/libnet/loop.h
@@ -72,6 +72,20 @@
     int m_seen = 0;
 };
 
+/// Calls @p onReload at each SIGHUP.
+class ReloadSignal
+{
+public:
+    explicit ReloadSignal(std::function<void()> onReload);
+    ~ReloadSignal();
+    ReloadSignal(const ReloadSignal &) = delete;
+    ReloadSignal &operator=(const ReloadSignal &) = delete;
+
+private:
+    ev_signal m_watcher{};
+    std::function<void()> m_onReload;
+};
+
 /// Runs the default loop until stopLoop().
 void runLoop();
 void stopLoop();
--- a/src/libpimentofold/storefollow.cpp
+++ b/src/libpimentofold/storefollow.cpp
@@ -45,8 +45,8 @@
     call.watch = !follow.listing;
     call.after = follow.after;
     call.revision = follow.revision;
-    call.wait = call.watch ? follow.settings.watchWait : 0;
-    call.timeout = call.wait + follow.settings.answerLimit;
+    call.wait = call.watch && !follow.probe ? follow.settings.watchWait : 0;
+    call.timeout = call.wait + (follow.settings.answerLimit << std::min(follow.failures, follow.settings.mostDoublings));
     return call;
 }
 
@@ -60,10 +60,12 @@
     }
     if (result.outcome == CallOutcome::Failed) {
         ++follow.failures;
+        follow.probe = true;
         follow.nextAt = now + backOff(random, follow.failures, follow.settings.leastBackOff, follow.settings.mostBackOff);
         return false;
     }
     follow.failures = 0;
+    follow.probe = false;
     if (follow.listing) {
         const bool complete = finishPage(follow, result);
         follow.nextAt = now;
--- a/src/libpimentofold/storefollow_test.cpp
+++ b/src/libpimentofold/storefollow_test.cpp
@@ -23,6 +23,7 @@
     REQUIRE(call);
     CHECK(call->watch);
     CHECK(call->revision == 100);
+    CHECK(call->wait > 0);
     CHECK(call->timeout > call->wait);
     CHECK_FALSE(finishCall(follow, {CallOutcome::Answered, 110, false, "", true}, 3, random));
     CHECK(follow.revision == 110);
@@ -46,7 +47,30 @@
         CHECK(follow.nextAt - now <= follow.settings.mostBackOff);
         now = std::max(follow.nextAt, now);
     }
-    REQUIRE(nextCall(follow, now));
+    std::optional<StoreCall> call = nextCall(follow, now);
+    REQUIRE(call);
+    CHECK(call->timeout > follow.settings.answerLimit);
     finishCall(follow, {CallOutcome::Answered, 5, false, "", false}, now, random);
     CHECK(follow.failures == 0);
 }
+
+// Guards against a store that is cut off and noticed only after the wait of a watch, by several nodes one after the
+// other: on lexipaig-edge-grown, fresh-cca3, a change took 5.6 s for that.
+TEST_CASE("the first watch, and the one after a failure, doesn't wait")
+{
+    StoreFollow follow;
+    Random random{1};
+    skipTo(follow, 100, 0);
+    std::optional<StoreCall> call = nextCall(follow, 0);
+    REQUIRE(call);
+    CHECK(call->watch);
+    CHECK(call->wait == 0);
+    finishCall(follow, {CallOutcome::Answered, 100, false, "", false}, 1, random);
+    call = nextCall(follow, 1);
+    REQUIRE(call);
+    CHECK(call->wait == follow.settings.watchWait);
+    finishCall(follow, {}, 2, random);
+    call = nextCall(follow, follow.nextAt);
+    REQUIRE(call);
+    CHECK(call->wait == 0);
+}
--- a/src/libpimentofold/storeshare.cpp
+++ b/src/libpimentofold/storeshare.cpp
@@ -98,7 +98,11 @@
         return now - share.startedAt >= share.settings.startWait;
     }
     const Time wait = share.settings.silenceLimit + share.settings.rankStep * std::min(rank, share.settings.mostRankSteps);
-    return now - share.confirmedAt >= wait;
+    if (now - share.confirmedAt >= wait) {
+        return true;
+    }
+    const int position = std::max(rank - static_cast<int>(unhealthyBefore), 0);
+    return share.troubleAt != never && now - share.troubleAt >= share.settings.rankStep * position;
 }
 
 void noteOwnHealth(StoreShare &share, bool healthy, Time now)
@@ -119,6 +123,7 @@
 {
     std::erase_if(share.followers, [&](const auto &it) { return now - it.second.heardAt > share.settings.beatMemory; });
     share.followers[beat.sender] = {beat.healthy, now};
+    share.troubleAt = beat.healthy ? never : std::min(share.troubleAt, now);
     const bool missing = beat.known.config > share.known.config || beat.known.targets > share.known.targets;
     if (!missing && beat.healthy) {
         share.confirmedAt = std::max(share.confirmedAt, now - beat.age);
--- a/src/libpimentofold/storeshare_test.cpp
+++ b/src/libpimentofold/storeshare_test.cpp
@@ -198,6 +198,23 @@
     }
 }
 
+// Guards against waiting for the silence of a follower that has told that the store doesn't answer it.
+TEST_CASE("after a follower's notice the next in rank follows at once")
+{
+    StoreShare share;
+    share.self = 1000;
+    Id first = 1;
+    while (followRank(first) > followRank(share.self)) {
+        ++first;
+    }
+    takeBeat(share, {first, true, {}, 0}, 10 * second);
+    CHECK_FALSE(shouldFollow(share, 1, 10 * second));
+    takeBeat(share, {first, false, {}, 0}, 10 * second + 300 * millisecond);
+    CHECK(shouldFollow(share, 1, 10 * second + 300 * millisecond));
+    CHECK_FALSE(shouldFollow(share, 2, 10 * second + 300 * millisecond));
+    CHECK(shouldFollow(share, 2, 10 * second + 300 * millisecond + share.settings.rankStep));
+}
+
 TEST_CASE("a follower that can't reach the store lets others try")
 {
     StoreShare share;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -408,6 +408,21 @@
     scheduleTick();
 }
 
+void Edge::reload(const EdgeSettings &settings)
+{
+    const bool movedAddress = settings.packets != m_settings.packets || settings.readiness != m_settings.readiness || settings.peers != m_settings.peers
+        || settings.store != m_settings.store;
+    logEvent(m_log, "reloaded", {{"seeds", seedText(settings.seeds)}, {"needs_restart", static_cast<int>(movedAddress)}});
+    m_settings.seeds = settings.seeds;
+    m_settings.stopLimit = settings.stopLimit;
+    m_peers.contact(settings.seeds, monotonicNow());
+}
+
+void Edge::refuseReload(const std::string &problem)
+{
+    logEvent(m_log, "reload_refused", {{"problem", problem}});
+}
+
 void Edge::stop()
 {
     m_stopAt = monotonicNow();
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -23,6 +23,11 @@
 public:
     explicit Edge(const EdgeSettings &settings);
 
+    /// Takes over changed settings. Addresses of this node only change with a restart.
+    void reload(const EdgeSettings &settings);
+    /// Logs that changed settings can't be used; the old ones stay in force.
+    void refuseReload(const std::string &problem);
+
     /// Starts the planned stop: readiness ends at once, forwarding goes on until the fabric sends nothing more.
     void stop();
 
--- a/src/pimentofold-edge/main.cpp
+++ b/src/pimentofold-edge/main.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -27,6 +28,24 @@
     return text.str();
 }
 
+// The platform may change the file without a signal.
+constexpr Time fileInterval = 5 * second;
+
+/// Takes over the settings file if it has changed, or in any case.
+/// @param text the file as it was read last
+void reloadSettings(Edge &edge, const std::string &path, std::string &text, bool always)
+{
+    try {
+        const std::string now = readFile(path);
+        if (always || now != text) {
+            edge.reload(platform::parseSettingsLines(now, path));
+        }
+        text = now;
+    } catch (const SettingsError &error) {
+        edge.refuseReload(error.what());
+    }
+}
+
 std::string defaultPath()
 {
     const char *path = std::getenv(platform::settingsVariable);
@@ -47,9 +66,14 @@
             return 0;
         }
         holdStopSignals();
+        std::signal(SIGHUP, SIG_IGN); // until ReloadSignal exists; the settings are read after this line
         setUpLogging();
         Edge edge(settings);
         const StopSignals stop([&] { edge.stop(); });
+        std::string text = readFile(file.getValue());
+        const ReloadSignal reload([&] { reloadSettings(edge, file.getValue(), text, true); });
+        Timer look([&] { reloadSettings(edge, file.getValue(), text, false); });
+        look.start(fileInterval, fileInterval);
         runLoop();
         return 0;
     } catch (const SettingsError &error) {
--- a/src/pimentofold-edge/storelink.cpp
+++ b/src/pimentofold-edge/storelink.cpp
@@ -9,8 +9,6 @@
 
 // Several changes of targets come with one call. A leaving target still serves for longer than this.
 constexpr Time targetPace = second;
-// A watch that waits in vain costs a call, and one on a connection that has gone silent is noticed only when it ends.
-constexpr Time watchWait = 1500 * millisecond;
 
 constexpr int statusOk = 200;
 
@@ -26,7 +24,6 @@
     , connection(store)
     , timer(std::move(onTimer))
 {
-    follow.settings.watchWait = watchWait;
 }
 
 StoreLink::StoreLink(const Address &store, TargetTable &table, Random &random, EventLog &log, std::function<void()> onChange)
@@ -52,6 +49,7 @@
     for (Follower *it : {&m_config, &m_targets}) {
         it->once = false;
         it->follow.failures = 0;
+        it->follow.probe = true;
         it->follow.nextAt = std::min(it->follow.nextAt, now);
         run(*it);
     }
