Bound the log, never wait for its reader, serve metrics, read own settings

Cause: each event was one write to standard output, which waits for a slow reader and has no bound.

Change: lines are collected and written when the loop is about to wait, as far as the descriptor takes them; what doesn't fit is dropped and counted. Each event name has a budget of lines; held ones are counted.

--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -19,7 +19,6 @@
     Address packets; ///< packets of flows arrive here; packets to callers go to this port
     Address readiness; ///< the fabric asks here whether the node takes packets
     Address peers; ///< for messages between nodes; the port is the same on all nodes
-    Address metrics; ///< port 0: none
     std::vector<Address> seeds; ///< peers' addresses of a few nodes, which may be gone
     Address store; ///< of the platform
     Time statusInterval = 1200 * millisecond; ///< a target writes its entry about this often
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -100,6 +100,8 @@
 
 /// @return the target with that id, nullptr when it is unknown
 EdgeTarget *findTarget(TargetTable &table, std::uint64_t id);
+/// @overload
+const EdgeTarget *findTarget(const TargetTable &table, std::uint64_t id);
 
 /// @param route of the packet with the token; decides between targets with the same token; may be nullptr
 /// @return the target that a token names, also one that is gone; nullptr when the token is unknown
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -203,6 +203,12 @@
     return it == table.targets.end() ? nullptr : &it->second;
 }
 
+const EdgeTarget *findTarget(const TargetTable &table, std::uint64_t id)
+{
+    const auto it = table.targets.find(id);
+    return it == table.targets.end() ? nullptr : &it->second;
+}
+
 EdgeTarget *findByToken(TargetTable &table, FlowToken token, const EdgeRoute *route)
 {
     EdgeTarget *found = nullptr;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -22,6 +22,14 @@
 // Changes that all members fetch from one node may load its link with this much, about a second of a small one.
 constexpr std::size_t mostSharedBytes = 1'000'000;
 
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+double inSeconds(Time duration)
+{
+    return static_cast<double>(duration) / static_cast<double>(second);
+}
+
 std::string seedText(const std::vector<Address> &seeds)
 {
     std::string text;
@@ -40,7 +48,7 @@
 
 } // namespace
 
-Edge::Edge(const EdgeSettings &settings)
+Edge::Edge(const EdgeSettings &settings, const EdgeOptions &options)
     : m_settings(settings)
     , m_packets(
           settings.packets, [this](std::string_view bytes, const Address &) { onPacket(bytes); }, platform::mostPacketBytes + platform::targetPrefixBytes)
@@ -58,6 +66,15 @@
     , m_stopTimer([this] { onStopTick(); })
 {
     m_log.node = settings.node;
+    m_budget.perSecond = options.logEventsPerSecond;
+    m_budget.burst = options.logBurst;
+    m_forwarder.settings = options.forward;
+    m_forwarder.dispatcher.settings = options.dispatch;
+    m_share.settings = options.share;
+    if (options.metricsPort != 0) {
+        m_metricsServer =
+            std::make_unique<HttpResponderServer>(Address{settings.packets.ip, options.metricsPort}, [this](const HttpRequest &) { return metricsPage(); });
+    }
     m_forwarder.dispatcher.random.state = randomSeed();
     m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
     m_forwarder.self = m_peers.self();
@@ -76,12 +93,36 @@
 {
     HttpResponse response;
     const bool isReady = m_stopAt == never && canPlace(m_forwarder);
-    constexpr int statusOk = 200;
-    constexpr int statusUnavailable = 503;
     response.status = isReady ? statusOk : statusUnavailable;
     return response;
 }
 
+HttpResponse Edge::metricsPage()
+{
+    const Time now = monotonicNow();
+    const TargetTable &table = m_forwarder.table;
+    setGauge(m_metrics, "ready", ready().status == statusOk ? 1 : 0);
+    setGauge(m_metrics, "config_version", static_cast<double>(table.configVersion));
+    setGauge(m_metrics, "config_revision", static_cast<double>(table.configRevision));
+    setGauge(m_metrics, "store_targets_revision", static_cast<double>(m_share.known.targets));
+    setGauge(m_metrics, "store_confirmed_seconds", m_share.confirmedAt == 0 ? -1 : inSeconds(now - m_share.confirmedAt));
+    setGauge(m_metrics, "store_following", m_share.following ? 1 : 0);
+    setGauge(m_metrics, "members", static_cast<double>(m_forwarder.members.size()));
+    setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
+    setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.waiting.size()));
+    setGauge(m_metrics, "answer_wait_seconds", inSeconds(answerWait(m_forwarder)));
+    setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
+    counter(m_metrics, "store_calls_total") = m_store.calls();
+    counter(m_metrics, "packet_bytes_received_total") = static_cast<std::int64_t>(m_packets.bytesReceived());
+    counter(m_metrics, "packet_bytes_sent_total") = static_cast<std::int64_t>(m_packets.bytesSent());
+    counter(m_metrics, "packet_send_drops_total") = static_cast<std::int64_t>(m_packets.sendDrops());
+    counter(m_metrics, "log_events_held_back_total") = m_budget.held;
+    HttpResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = renderMetrics(m_metrics);
+    return response;
+}
+
 void Edge::onPacket(std::string_view bytes)
 {
     const Time now = monotonicNow();
@@ -94,14 +135,15 @@
 {
     const std::optional<FlowPacket> packet = platform::decodePacket(bytes);
     if (!packet) {
+        count(m_metrics, "packets_unreadable_total");
         return;
     }
     ForwardOutput out;
     handlePacket(m_forwarder, *packet, now, out);
-    send(out);
+    send(out, now);
 }
 
-void Edge::send(const ForwardOutput &out)
+void Edge::send(const ForwardOutput &out, Time now)
 {
     for (const ForwardedPacket &it : out.packets) {
         m_packets.send(platform::encodeForwarded(it), it.to);
@@ -128,7 +170,7 @@
         sendNotice(wire::EdgeKind::Ended, it.dispatcher, it.flow, it.target);
     }
     for (const ForwardNote &it : out.notes) {
-        logNote(m_log, it);
+        recordNote(m_log, m_budget, m_metrics, m_forwarder.table, it, now);
     }
 }
 
@@ -146,9 +188,10 @@
 void Edge::onTick()
 {
     m_tickAt = never;
+    const Time now = monotonicNow();
     ForwardOutput out;
-    tickForwarder(m_forwarder, monotonicNow(), out);
-    send(out);
+    tickForwarder(m_forwarder, now, out);
+    send(out, now);
     scheduleTick();
 }
 
@@ -213,7 +256,7 @@
     } else {
         ForwardOutput out;
         endForPeer(m_forwarder, flow, target, now, out);
-        send(out);
+        send(out, now);
     }
 }
 
@@ -231,7 +274,7 @@
     flow.openAge = packet->openAge;
     ForwardOutput out;
     placeForPeer(m_forwarder, flow, now, out);
-    send(out);
+    send(out, now);
 }
 
 void Edge::onMembers()
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -6,6 +6,8 @@
 #include <libnet/loop.h>
 #include <libnet/streamhttp.h>
 #include <libnet/udpsocket.h>
+#include <libnet/logwriter.h>
+#include <pimentofold-edge/edgeoptions.h>
 #include <pimentofold-edge/peerlink.h>
 #include <pimentofold-edge/rosterlink.h>
 #include <pimentofold-edge/storelink.h>
@@ -13,6 +15,7 @@
 #include <pimentofold/edgeforward.h>
 #include <pimentofold/edgesettings.h>
 #include <pimentofold/eventlog.h>
+#include <pimentofold/metrics.h>
 #include <pimentofold/storeshare.h>
 
 /// The process of an edge node: sockets and timers around the library.
@@ -21,7 +24,7 @@
 class Edge
 {
 public:
-    explicit Edge(const EdgeSettings &settings);
+    Edge(const EdgeSettings &settings, const EdgeOptions &options);
 
     /// Takes over changed settings. Addresses of this node only change with a restart.
     void reload(const EdgeSettings &settings);
@@ -34,7 +37,7 @@
 private:
     void onPacket(std::string_view bytes);
     void handle(std::string_view bytes, Time now);
-    void send(const ForwardOutput &out);
+    void send(const ForwardOutput &out, Time now);
     void onTick();
     void scheduleTick();
 
@@ -56,15 +59,19 @@
     void onStoreChange();
     void afterChange();
     HttpResponse ready() const;
+    HttpResponse metricsPage();
     void onStopTick();
 
     EdgeSettings m_settings;
     EventLog m_log;
+    LogBudget m_budget;
+    Metrics m_metrics;
     EdgeForwarder m_forwarder;
     StoreShare m_share;
     std::map<Id, PartialChanges> m_partial;
     UdpSocket m_packets;
     HttpResponderServer m_readiness;
+    std::unique_ptr<HttpResponderServer> m_metricsServer;
     PeerLink m_peers;
     StoreLink m_store;
     RosterLink m_roster;
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -20,17 +20,32 @@
     return toString(key.caller) + ">" + toString(key.service);
 }
 
-void logNote(EventLog &log, const ForwardNote &note)
+void recordNote(EventLog &log, LogBudget &budget, Metrics &metrics, const TargetTable &table, const ForwardNote &note, Time now)
 {
+    const std::string_view event = name(note.event);
+    count(metrics, std::string(event) + "_total");
+    if (note.event == ForwardEvent::Opened) {
+        recordDuration(metrics, "flow_open_seconds", static_cast<double>(note.elapsed) / static_cast<double>(second));
+    } else if (note.event == ForwardEvent::Ended && note.attempts > 0) {
+        recordDuration(metrics, "flow_seconds", static_cast<double>(note.elapsed) / static_cast<double>(second));
+    }
+    if (!takeLogShare(budget, event, now)) {
+        return;
+    }
+    const EdgeTarget *target = findTarget(table, note.target);
     logEvent(log,
-             name(note.event),
+             event,
              {{"flow", flowName(note.flow)},
-              {"target", hex(note.target)},
+              {"target", target == nullptr ? "none" : target->record.name},
               {"token", hex(note.token)},
               {"attempts", note.attempts},
               {"load", note.load},
+              {"unanswered", target == nullptr ? 0 : target->unanswered},
               {"node", hex(static_cast<std::uint64_t>(note.node))},
-              {"elapsed_us", note.elapsed}});
+              {"elapsed_us", note.elapsed},
+              {"config", table.configVersion},
+              {"target_revision", target == nullptr ? 0 : target->record.revision},
+              {"held_back", takeHeldCount(budget, event)}});
 }
 
 } // namespace pimentofold
--- a/src/pimentofold-edge/main.cpp
+++ b/src/pimentofold-edge/main.cpp
@@ -6,7 +6,9 @@
 
 #include <easylogging++.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
+#include <libnet/logwriter.h>
 #include <pimentofold-edge/edge.h>
 #include <pimentofold/settings.h>
 #include <platform/settingslines.h>
@@ -60,7 +62,9 @@
         TCLAP::CmdLine command("Edge node: forwards the packets of callers' flows to targets that answer directly.", ' ', PIMENTOFOLD_VERSION);
         TCLAP::SwitchArg check("", "check", "check the settings and end", command);
         TCLAP::ValueArg<std::string> file("", "platform-settings", "file that the platform writes", false, defaultPath(), "file", command);
+        TCLAP::ValueArg<std::string> optionsFile("", "settings", "own settings, JSON with comments", false, "", "file", command);
         command.parse(argc, argv);
+        const EdgeOptions options = optionsFile.isSet() ? parseEdgeOptions(readSettings(optionsFile.getValue())) : EdgeOptions();
         const EdgeSettings settings = platform::parseSettingsLines(readFile(file.getValue()), file.getValue());
         if (check.getValue()) {
             return 0;
@@ -68,7 +72,8 @@
         holdStopSignals();
         std::signal(SIGHUP, SIG_IGN); // until ReloadSignal exists; the settings are read after this line
         setUpLogging();
-        Edge edge(settings);
+        LogWriter log(STDOUT_FILENO);
+        Edge edge(settings, options);
         const StopSignals stop([&] { edge.stop(); });
         std::string text = readFile(file.getValue());
         const ReloadSignal reload([&] { reloadSettings(edge, file.getValue(), text, true); });
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -113,7 +113,6 @@
     settings.store = addressOf(lines, "platform.address");
     const std::uint16_t port = peerPort(lines);
     settings.peers = {settings.packets.ip, port};
-    settings.metrics = {settings.packets.ip, static_cast<std::uint16_t>(port + 1)};
     const auto seeds = lines.values.find("seeds");
     if (seeds != lines.values.end()) {
         // The seeds are addresses for operators' calls; the nodes there are reached at their peers' port.
