Add a fault soak of real edge nodes with stand-ins of the platform's protocol

Stand-ins in one asyncio loop (store with faults, targets, callers, fabric) and a driver that pauses, kills, restarts and reloads the nodes, cuts, silences and resets their way to the store, loses and doubles packets, replaces and crashes targets and changes the configuration, from a seed.

--- /dev/null
+++ b/scripts/lib/edgesoak.py
@@ -0,0 +1,376 @@
+"""A randomized soak of real edge nodes: faults from outside, promises checked from what callers and targets see.
+
+The seed fixes the schedule of faults, traffic and changes. Only processes that this run has started are signalled, by id.
+"""
+
+import asyncio
+import json
+import os
+import random
+import resource
+import signal
+import tempfile
+import time
+
+from edgeworld import ACK, SYN, Proxy, Target, World, number, packet
+
+PACKETS, READINESS, PEERS, METRICS = 8172, 8167, 7720, 9464
+BOUNDS = {"drain_s": 3.0, "config_s": 3.0, "touch_s": 4.0, "recovery_s": 12.0}
+LOG_BYTES_PER_SECOND = 400_000  # a node's log budget: about ten event names at 200 lines of 200 bytes
+MEMORY_MB = 56  # the smallest instance
+MOST_FILES = 200
+
+
+class Node:
+    def __init__(self, name, ip, zone, world, folder, binary, settings):
+        self.name, self.ip, self.zone, self.world, self.folder = name, ip, zone, world, folder
+        self.binary, self.settings = binary, settings
+        self.proxy = Proxy((world.store_ip, 8169))
+        self.process = None
+        self.ready = False
+        self.paused = False
+        self.expected_end = False
+        self.log = os.path.join(folder, f"{name}.log")
+        self.log_bytes = 0
+
+    def write_settings(self, seeds):
+        text = (f"node={self.name}\nzone={self.zone}\nlisten.packets={self.ip}:{PACKETS}\nlisten.readiness={self.ip}:{READINESS}\n"
+                f"port_range={PEERS},{PEERS + 15}\nseeds={','.join(f'{ip}:8166' for ip in seeds)}\nplatform.address={self.ip}:8169\n"
+                "bounds.drain_ms=3000\nbounds.config_apply_ms=3000\nbounds.grace_s=6\n")
+        with open(os.path.join(self.folder, f"{self.name}.conf"), "w", encoding="utf-8") as file:
+            file.write(text)
+
+    async def start(self):
+        self.expected_end = False
+        with open(self.log, "ab") as out:
+            self.process = await asyncio.create_subprocess_exec(
+                self.binary, "--settings", self.settings, "--platform-settings", os.path.join(self.folder, f"{self.name}.conf"),
+                stdout=out, stderr=out)
+        asyncio.get_running_loop().create_task(self.watch(self.process))
+
+    async def watch(self, process):
+        status = await process.wait()
+        if process is self.process:
+            self.ready = False
+            self.process = None
+        if not self.expected_end:
+            self.world.judge.fail("EXIT", f"{self.name} ended by itself with status {status}")
+
+    def signal(self, number_):
+        if self.process:
+            self.process.send_signal(number_)
+
+    async def end(self, number_, limit=6.0):
+        if not self.process:
+            return
+        process, self.expected_end = self.process, True
+        process.send_signal(number_)
+        try:
+            await asyncio.wait_for(process.wait(), limit)
+        except asyncio.TimeoutError:
+            if number_ == signal.SIGTERM:
+                self.world.judge.fail("EXIT", f"{self.name} didn't end within {limit} s after SIGTERM")
+            process.kill()
+            await process.wait()
+
+    async def probe(self):
+        """Asks for readiness twice a second, as the fabric does; two misses end it."""
+        misses = 0
+        while True:
+            await asyncio.sleep(0.5)
+            try:
+                async with asyncio.timeout(0.5):
+                    reader, writer = await asyncio.open_connection(self.ip, READINESS)
+                    writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                    line = await reader.readline()
+                    writer.close()
+                misses = 0 if b" 200 " in line else misses + 1
+            except (OSError, TimeoutError):
+                misses += 1
+            if misses == 0:
+                self.ready = True
+            elif misses >= 2:
+                self.ready = False
+
+    def check_budgets(self, seconds):
+        if os.path.exists(self.log):
+            size = os.path.getsize(self.log)
+            if size - self.log_bytes > LOG_BYTES_PER_SECOND * seconds:
+                self.world.judge.fail("LOG", f"{self.name} wrote {size - self.log_bytes} bytes in {seconds} s")
+            self.log_bytes = size
+        if self.process and not self.paused:
+            try:
+                with open(f"/proc/{self.process.pid}/statm", encoding="utf-8") as file:
+                    megabytes = int(file.read().split()[1]) * resource.getpagesize() / 1e6
+                files = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+            except (OSError, IndexError):
+                return
+            if megabytes > MEMORY_MB or files > MOST_FILES:
+                self.world.judge.fail("BUDGET", f"{self.name} uses {megabytes:.0f} MB and {files} descriptors")
+
+
+class Soak:
+    def __init__(self, seed, seconds, size, binary, settings, plant, lane):
+        self.random = random.Random(seed)
+        random.seed(seed)
+        self.seed, self.seconds, self.plant = seed, seconds, plant
+        # Runs side by side use addresses of their own.
+        self.net = 20 + 3 * lane
+        self.world = World(BOUNDS, PACKETS)
+        self.world.store_ip = f"127.{self.net}.0.2"
+        self.folder = tempfile.mkdtemp(prefix="edgesoak-")
+        self.events = []
+        per_zone, self.rate, self.per_service = {"small": (2, 60, 4), "large": (8, 200, 12)}[size]
+        self.nodes = [Node(f"front-{zone}-{i}", f"127.{self.net}.{z + 1}.{i + 1}", zone, self.world, self.folder, binary, settings)
+                      for z, zone in enumerate(("a", "b", "c")) for i in range(per_zone)]
+        self.next_target = 1
+        self.routes = {(number("198.18.0.1"), 443): "shop", (number("198.18.0.2"), 443): "list"}
+        self.version = 1
+        self.next_port = 2000
+        self.ips = [f"127.{self.net + 2}.0.{i + 1}" for i in range(12)]
+        self.start_at = 0.0
+        self.stopping = False
+
+    def note(self, text):
+        self.events.append((round(time.monotonic() - self.start_at, 2), text))
+
+    async def add_target(self, service):
+        n = self.next_target
+        self.next_target += 1
+        target = Target(self.world, f"i-{n * 0x9E3779B1 & 0xFFFFFFFF:08x}", service, self.random.choice("abc"), f"127.{self.net + 1}.{n // 250}.{n % 250 + 1}")
+        self.world.targets[target.name] = target
+        await target.start()
+
+    def live_targets(self, service=None):
+        return [t for t in self.world.targets.values() if t.alive and t.state == "ready" and service in (None, t.service)]
+
+    def change_config(self):
+        self.version += self.random.randint(1, 3)
+        extra = (number("198.18.0.9"), self.random.randint(1000, 1020))
+        if extra in self.routes:
+            del self.routes[extra]
+        else:
+            self.routes[extra] = self.random.choice(("shop", "list"))
+        self.world.write_config(self.version, self.routes)
+
+    # Faults: each takes its time and ends by itself.
+
+    async def pause(self):
+        node = self.random.choice(self.nodes)
+        self.note(f"pause {node.name}")
+        self.world.judge.disturb(2)
+        node.paused = True
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.5, 2))
+        node.signal(signal.SIGCONT)
+        node.paused = False
+
+    async def kill(self):
+        chosen = self.random.sample(self.nodes, self.random.randint(1, max(1, len(self.nodes) // 2)))
+        self.note("kill " + " ".join(node.name for node in chosen))
+        self.world.judge.disturb(1)
+        await asyncio.gather(*(node.end(signal.SIGKILL) for node in chosen))
+        await asyncio.sleep(self.random.uniform(0.1, 0.6))
+        await asyncio.gather(*(node.start() for node in chosen if not node.process))
+
+    async def restart(self):
+        chosen = self.random.sample(self.nodes, 2)
+        self.note("restart " + " ".join(node.name for node in chosen))
+        for node in chosen:
+            await node.end(signal.SIGTERM)
+            if not node.process:
+                await node.start()
+
+    async def reload(self):
+        node = self.random.choice(self.nodes)
+        self.note(f"reload {node.name}")
+        node.write_settings([n.ip for n in self.random.sample(self.nodes, 3)])
+        if self.random.random() < 0.5:
+            node.signal(signal.SIGHUP)
+
+    async def proxy_fault(self):
+        chosen = self.random.sample(self.nodes, self.random.randint(1, len(self.nodes)))
+        mode = self.random.choice(("silent", "reset", "to", "from"))
+        self.note(f"store {mode} for {len(chosen)} nodes")
+        length = self.random.uniform(1, 4)
+        self.world.judge.disturb(length)
+        for node in chosen:
+            node.proxy.mode = mode
+            if mode == "reset":
+                node.proxy.reset_all()
+        await asyncio.sleep(length)
+        for node in chosen:
+            node.proxy.mode = "open"
+
+    async def store_fault(self):
+        kind = self.random.choice(("busy", "silent", "reset", "slow", "lose", "compact"))
+        self.note(f"store {kind}")
+        length = self.random.uniform(1, 3)
+        self.world.judge.disturb(length)
+        store = self.world.store
+        if kind == "compact":
+            store.compact()
+        elif kind == "slow":
+            store.delay = 0.3
+        elif kind == "lose":
+            store.lose = 0.5
+        else:
+            store.mode = kind
+        await asyncio.sleep(length)
+        store.mode, store.delay, store.lose = "up", 0.004, 0.0
+
+    async def link_fault(self):
+        self.note("packets are lost and doubled")
+        self.world.judge.disturb(2)
+        self.world.loss, self.world.double = 0.03, 0.03
+        await asyncio.sleep(2)
+        self.world.loss = self.world.double = 0.0
+
+    async def target_crash(self):
+        for target in self.random.sample(self.live_targets(), 1):
+            self.note(f"target {target.name} crashes")
+            target.stop()
+            await asyncio.sleep(3)
+            self.world.store.delete("servers", target.name)
+            await self.add_target(target.service)
+
+    async def target_release(self):
+        for target in self.random.sample(self.live_targets(), 2):
+            self.note(f"target {target.name} is replaced")
+            await self.add_target(target.service)
+            target.drain()
+            await asyncio.sleep(BOUNDS["drain_s"] + 1.5)
+            target.stop()
+            self.world.store.delete("servers", target.name)
+
+    async def other_writer(self):
+        self.note("an entry by another writer")
+        self.world.store.put("servers", "i-0badc0de", self.random.choice(({"service": 7}, {"state": "odd"}, "text")))
+
+    async def config(self):
+        self.note("configurations change")
+        for _ in range(self.random.randint(1, 4)):
+            self.change_config()
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+
+    async def faults(self):
+        kinds = (self.pause, self.kill, self.restart, self.reload, self.proxy_fault, self.store_fault, self.link_fault, self.target_crash,
+                 self.target_release, self.other_writer, self.config, self.config)
+        tasks = []
+        end = self.start_at + self.seconds
+        while time.monotonic() < end:
+            tasks.append(asyncio.create_task(self.random.choice(kinds)()))
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+        await asyncio.gather(*tasks)
+
+    async def traffic(self):
+        tasks = set()
+        while not self.stopping:
+            self.next_port += 1
+            route = self.random.choice(sorted(self.routes)) if self.random.random() < 0.1 else self.random.choice(sorted(self.routes)[:2])
+            if self.random.random() < 0.05 and self.world.judge.dropped_at:
+                route = self.random.choice(sorted(self.world.judge.dropped_at))
+            task = asyncio.create_task(self.world.request(self.random.choice(self.ips), self.next_port % 60000, route))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(self.random.expovariate(self.rate))
+        await asyncio.gather(*tasks)
+
+    async def budgets(self):
+        while True:
+            await asyncio.sleep(2)
+            for node in self.nodes:
+                node.check_budgets(2)
+
+    async def recover(self):
+        """All processes are killed; a quarter of the requests must be served again soon."""
+        self.note("all nodes are killed")
+        self.world.judge.disturb(3)
+        self.change_config()
+        await asyncio.gather(*(node.end(signal.SIGKILL) for node in self.nodes))
+        await asyncio.sleep(0.5)
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        back = time.monotonic()
+        await asyncio.sleep(7)
+        after = [seconds for start, seconds in self.world.judge.outcomes if start > back + 2]
+        served = sum(seconds is not None for seconds in after)
+        if not after or served < len(after) / 4:
+            self.world.judge.fail("RECOVER", f"{served} of {len(after)} requests served two seconds after the nodes were back")
+
+    async def defect(self):
+        """Does what a faulty node would do, to show that the check sees it."""
+        await asyncio.sleep(self.seconds / 2)
+        world, flow = self.world, (number(self.ips[0]), 1999, *sorted(self.routes)[0])
+        victim = self.random.choice(self.live_targets("shop"))
+        send = lambda target, data: target.receive(target.id.to_bytes(8, "big") + data)
+        opening = packet(SYN, flow[0], flow[1], flow[2], flow[3], 0, 1, 0)
+        world.judge.disturbed_until = 0
+        if self.plant == "ROUTE":
+            send(self.random.choice(self.live_targets("list")), opening)
+        elif self.plant == "DRAIN":
+            world.judge.draining_at[victim.name] = time.monotonic() - 9
+            send(victim, opening)
+        elif self.plant == "CONFIG":
+            world.judge.dropped_at[flow[2:]] = time.monotonic() - 9
+            send(victim, opening)
+        elif self.plant == "UNASKED":
+            send(victim, opening[:-1] + b"x")
+        elif self.plant == "MIXED":
+            world.from_outside(packet(ACK, flow[2], flow[3], flow[0], flow[1], 0, 1, 1, b"forged"))
+        elif self.plant == "FLOW":
+            while not world.homes:
+                await asyncio.sleep(0.01)
+            key, (name, _) = next(iter(world.homes.items()))
+            world.targets[name].alive = True
+            world.reset_seen(type("Flow", (), {"key": key}), "node")
+        elif self.plant == "EXIT":
+            self.nodes[0].signal(signal.SIGABRT)
+            await asyncio.sleep(0.5)
+            await self.nodes[0].start()
+        elif self.plant == "LOG":
+            with open(self.nodes[0].log, "ab") as file:
+                file.write(b"x" * 10_000_000)
+        elif self.plant == "RECOVER":
+            for target in list(world.targets.values()):
+                target.slots = 0
+
+    async def run(self):
+        self.start_at = time.monotonic()
+        servers = [await asyncio.start_server(self.world.store.serve, self.world.store_ip, 8169)]
+        self.world.write_config(self.version, self.routes)
+        for node in self.nodes:
+            servers.append(await asyncio.start_server(node.proxy.serve, node.ip, 8169))
+            node.write_settings([n.ip for n in self.nodes[::max(len(self.nodes) // 3, 1)][:3]])
+            self.world.nodes[node.name] = node
+        for ip in self.ips:
+            await self.world.add_caller_ip(ip)
+        for service in ("shop", "list"):
+            for _ in range(self.per_service):
+                await self.add_target(service)
+        self.world.judge.disturb(0)
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        helpers = [asyncio.create_task(node.probe()) for node in self.nodes] + [asyncio.create_task(self.budgets())]
+        await asyncio.sleep(1.5)
+        if self.plant:
+            helpers.append(asyncio.create_task(self.defect()))
+        traffic = asyncio.create_task(self.traffic())
+        await self.faults()
+        await self.recover()
+        self.stopping = True
+        await traffic
+        await asyncio.gather(*(node.end(signal.SIGTERM) for node in self.nodes))
+        for helper in helpers:
+            helper.cancel()
+        return self.report()
+
+    def report(self):
+        judge = self.world.judge
+        times = sorted(seconds for _, seconds in judge.outcomes if seconds is not None)
+        at = lambda q: round(times[int(q * (len(times) - 1))], 4) if times else None
+        return {"seed": self.seed, "seconds": self.seconds, "nodes": len(self.nodes), **{k: judge.counts[k] for k in ("flows", "served", "failed")},
+                "p50_s": at(0.5), "p99_s": at(0.99), "store_calls": self.world.store.calls, "broken": judge.broken, "logs": self.folder,
+                "events": self.events}
+
+
+def run_soak(seed, seconds, size, binary, settings, plant, lane):
+    return asyncio.run(Soak(seed, seconds, size, binary, settings, plant, lane).run())
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -18,7 +18,10 @@
 constexpr Time stopCheckInterval = 100 * millisecond;
 // Left of the time that the platform gives, so that the process ends by itself.
 constexpr Time stopReserve = second;
-constexpr Time shareTickInterval = 50 * millisecond;
+// A node that has just started finds its peers and the store's state with short steps.
+constexpr Time startInterval = 50 * millisecond;
+constexpr Time startTime = 3 * second;
+constexpr Time shareInterval = 150 * millisecond;
 // Changes that all members fetch from one node may load its link with this much, about a second of a small one.
 constexpr std::size_t mostSharedBytes = 1'000'000;
 
@@ -84,8 +87,9 @@
              "started",
              {{"data_centre", settings.dataCentre}, {"packets", toString(settings.packets)}, {"store", toString(settings.store)}, {"seeds", seedText(settings.seeds)}});
     onMembers();
-    onShareTick();
-    m_shareTick.start(m_share.settings.startWait, shareTickInterval);
+    tickShare(m_share.startedAt);
+    m_peers.tick(m_share.startedAt);
+    m_shareTick.start(m_share.settings.startWait);
     scheduleTick();
 }
 
@@ -354,6 +358,7 @@
     const Time now = monotonicNow();
     m_peers.tick(now);
     tickShare(now);
+    m_shareTick.start(now - m_share.startedAt < startTime ? startInterval : shareInterval);
 }
 
 void Edge::tickShare(Time now)
