Drop opening packets that waited while a node was paused

Change: a process that hasn't run for 0.4 s drops the opening packets that it reads within the next 20 ms and doesn't offer flows again whose checks are that late. The test fails before.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -73,6 +73,7 @@
     GivenUp, ///< no target had room until the caller gave up
     Opened, ///< the caller goes on with the flow
     Ended,
+    Stale, ///< an opening packet that waited while this process was paused
     Early, ///< the packet is kept until the configuration is known
     NoRoute,
     NoTarget,
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -35,6 +35,10 @@
     /// A dispatcher is avoided after as many flows in a row without an answer.
     int mostDispatcherMisses = 2;
     Time avoidTime = 2 * second;
+    /// A process that hasn't run for this long was paused. What waited in its sockets is old: opening packets that it
+    /// reads within backlogTime are dropped, since their callers have sent copies to other nodes or given up.
+    Time pauseLimit = 400 * millisecond;
+    Time backlogTime = 20 * millisecond;
     Time idleLimit = 15 * second; ///< a flow without packets for this long is forgotten
     Time endedRetention = 3 * second; ///< a flow that the caller has ended is forgotten after this time
     Time earlyLimit = 1200 * millisecond; ///< packets that came before the configuration are kept for this long
@@ -86,6 +90,8 @@
     std::vector<InstanceKey> members; ///< live nodes of the region with this one
     std::map<std::string, DispatcherTable, std::less<>> dispatchers; ///< by service
     std::map<Id, DispatcherMisses> misses;
+    Time ranAt = 0; ///< when this process ran last
+    Time backlogUntil = 0; ///< opening packets are dropped before, after a pause
     Time rolesUntil = 0; ///< when an avoided dispatcher is used again
     std::unordered_map<FlowKey, EdgeFlow> flows;
     std::multimap<Time, FlowKey> checks; ///< when an offered flow needs a look
@@ -95,6 +101,10 @@
     Time nextSweepAt = 0;
 };
 
+/// Notes that this process runs; to be called with each packet and timer.
+/// @return the length of the pause when it was paused, otherwise 0
+Time noteRunning(EdgeForwarder &forwarder, Time now);
+
 /// Takes a caller's packet.
 void handlePacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out);
 
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -7,13 +7,14 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 12> eventNames{"flow_placed",
+constexpr std::array<std::string_view, 13> eventNames{"flow_placed",
                                                       "flow_offered_again",
                                                       "flow_relayed",
                                                       "flow_waiting",
                                                       "flow_given_up",
                                                       "flow_opened",
                                                       "flow_ended",
+                                                      "packet_stale",
                                                       "packet_early",
                                                       "no_route",
                                                       "no_target",
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -241,12 +241,13 @@
 {
     while (!forwarder.checks.empty() && forwarder.checks.begin()->first <= now) {
         const FlowKey key = forwarder.checks.begin()->second;
+        const bool tooLate = now - forwarder.checks.begin()->first > forwarder.settings.pauseLimit;
         forwarder.checks.erase(forwarder.checks.begin());
         const auto it = forwarder.flows.find(key);
         if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
             continue;
         }
-        if (it->second.attempts >= forwarder.settings.mostAttempts) {
+        if (tooLate || it->second.attempts >= forwarder.settings.mostAttempts) {
             // The caller may try again with a copy; until then the flow is no load.
             endPlacedFlow(forwarder.dispatcher, forwarder.table, key, 0, now, out);
             continue;
@@ -264,8 +265,23 @@
     return forwarder.table.configRevision > 0 && forwarder.table.targetHistory > 0 && !forwarder.table.targets.empty();
 }
 
+Time noteRunning(EdgeForwarder &forwarder, Time now)
+{
+    const Time gap = forwarder.ranAt == 0 ? 0 : now - forwarder.ranAt;
+    forwarder.ranAt = now;
+    if (gap <= forwarder.settings.pauseLimit) {
+        return 0;
+    }
+    forwarder.backlogUntil = now + forwarder.settings.backlogTime;
+    return gap;
+}
+
 void handlePacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
 {
+    if (packet.opens && now < forwarder.backlogUntil) {
+        appendNote(out, ForwardEvent::Stale, packet.flow, nullptr, 0, 0);
+        return;
+    }
     if (!canPlace(forwarder)) {
         if (forwarder.early.size() < forwarder.settings.mostEarly) {
             forwarder.early.push_back({std::string(packet.bytes), now});
@@ -282,7 +298,9 @@
 
 void placeForPeer(EdgeForwarder &forwarder, const OpeningFlow &flow, Time now, ForwardOutput &out)
 {
-    if (canPlace(forwarder)) {
+    if (now < forwarder.backlogUntil) {
+        appendNote(out, ForwardEvent::Stale, flow.key, nullptr, flow.attempt, 0);
+    } else if (canPlace(forwarder)) {
         placeFlow(forwarder.dispatcher, forwarder.table, flow, now, out);
     }
 }
--- a/src/libpimentofold/edgeforward_test.cpp
+++ b/src/libpimentofold/edgeforward_test.cpp
@@ -141,6 +141,35 @@
     CHECK(out.packets.front().target == leaving);
 }
 
+// Guards against flows of callers that have long given up: nodes that woke from a freeze placed them, which filled the
+// targets' room for seconds (deploy/days/service-lost.toml).
+TEST_CASE("after a pause the opening packets that waited are dropped")
+{
+    EdgeForwarder forwarder = makeForwarder(2, 0);
+    CHECK(noteRunning(forwarder, second) == 0);
+    ForwardOutput before;
+    handlePacket(forwarder, makeOpening(1), second, before);
+    CHECK(before.packets.size() == 1);
+    const Time wake = 4 * second;
+    CHECK(noteRunning(forwarder, wake) == 3 * second);
+    ForwardOutput stale;
+    tickForwarder(forwarder, wake, stale);
+    handlePacket(forwarder, makeOpening(2), wake, stale);
+    OpeningFlow relayed;
+    relayed.key = makeKey(3);
+    placeForPeer(forwarder, relayed, wake, stale);
+    CHECK(stale.packets.empty());
+    CHECK(hasEvent(stale, ForwardEvent::Stale));
+    // Later packets of flows go on.
+    handlePacket(forwarder, makeData(4, tokenOf(1)), wake, stale);
+    CHECK(stale.packets.size() == 1);
+    const Time later = wake + forwarder.settings.backlogTime;
+    CHECK(noteRunning(forwarder, later) == 0);
+    ForwardOutput after;
+    handlePacket(forwarder, makeOpening(5), later, after);
+    CHECK(after.packets.size() == 1);
+}
+
 // Guards against packets that are dropped for tokens of targets on a page that isn't read yet.
 TEST_CASE("with some pages of the targets missing packets are kept")
 {
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -131,6 +131,7 @@
 {
     const Time now = monotonicNow();
     m_packetAt = now;
+    noteRunning(now);
     handle(bytes, now);
     scheduleTick();
 }
@@ -193,6 +194,7 @@
 {
     m_tickAt = never;
     const Time now = monotonicNow();
+    noteRunning(now);
     ForwardOutput out;
     tickForwarder(m_forwarder, now, out);
     send(out, now);
@@ -216,9 +218,18 @@
     return message;
 }
 
+void Edge::noteRunning(Time now)
+{
+    const Time pause = pimentofold::noteRunning(m_forwarder, now);
+    if (pause > 0) {
+        logEvent(m_log, "paused", {{"length_us", pause}});
+    }
+}
+
 void Edge::onPeerMessage(const wire::EdgeMessage &message, const Address &from)
 {
     const Time now = monotonicNow();
+    noteRunning(now);
     switch (message.kind) {
     case wire::EdgeKind::Beat:
         onBeat(message, from, now);
@@ -356,6 +367,7 @@
 void Edge::onShareTick()
 {
     const Time now = monotonicNow();
+    noteRunning(now);
     m_peers.tick(now);
     tickShare(now);
     m_shareTick.start(now - m_share.startedAt < startTime ? startInterval : shareInterval);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -38,6 +38,7 @@
     void onPacket(std::string_view bytes);
     void handle(std::string_view bytes, Time now);
     void send(const ForwardOutput &out, Time now);
+    void noteRunning(Time now);
     void onTick();
     void scheduleTick();
 
