Pass beats on through one node in each data centre; read the store for large differences

Change: a beat goes to one member of each other data centre, another one each time, which passes it on. A difference of more than 60 datagrams is announced, and each node reads the store itself; a node whose store doesn't answer asks for it anyway. The soak ends its processes after an error of its own.

--- a/scripts/lib/edgesoak.py
+++ b/scripts/lib/edgesoak.py
@@ -358,14 +358,17 @@
         if self.plant:
             helpers.append(asyncio.create_task(self.defect()))
         traffic = asyncio.create_task(self.traffic())
-        await self.faults()
-        await self.recover()
-        self.stopping = True
-        await traffic
-        await asyncio.gather(*(node.end(signal.SIGTERM) for node in self.nodes))
-        for helper in helpers:
-            helper.cancel()
-        self.close(servers)
+        try:
+            await self.faults()
+            await self.recover()
+            self.stopping = True
+            await traffic
+            await asyncio.gather(*(node.end(signal.SIGTERM) for node in self.nodes))
+        finally:
+            for helper in helpers:
+                helper.cancel()
+            await asyncio.gather(*(node.end(signal.SIGKILL) for node in self.nodes))
+            self.close(servers)
         return self.report()
 
     def close(self, servers):
--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -85,7 +85,9 @@
   6: i64 targetsKnown = 0         // the same for targets
   7: i64 age = 0                  // microseconds since the sender's knowledge was confirmed by the store
   12: i64 configRevision = 0      // Beat, Fetch: revision of the configuration that the sender has in force
-  13: bool large = false          // Beat: the changes are so many that receivers had better read the store themselves
+  13: bool large = false          // Beat, Changes: so many changes that the receiver had better read the store itself;
+                                  // Fetch: the sender can't reach the store, so it needs all changes from here
+  14: bool forward = false        // Beat: the receiver passes it on to the nodes of its data centre
   8: optional binary packet       // Place
   9: i32 attempt = 0              // Place: from 1
   10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled
--- a/src/include/pimentofold/address.h
+++ b/src/include/pimentofold/address.h
@@ -14,6 +14,8 @@
     std::uint32_t ip = 0;
     std::uint16_t port = 0;
 
+    // clang-tidy takes the 0 of the generated comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Address &, const Address &) = default;
 };
 
--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -39,7 +39,6 @@
     Time aim = 0; ///< response time that callers want; 0 when the route names none
 
     friend bool operator==(const EdgeRoute &, const EdgeRoute &) = default;
-
 };
 
 /// One version of the whole configuration.
--- a/src/include/pimentofold/storeshare.h
+++ b/src/include/pimentofold/storeshare.h
@@ -31,6 +31,7 @@
     /// A node that starts asks its peers first and calls the store when none has answered by then.
     Time startWait = 25 * millisecond;
     Time fetchRetry = 60 * millisecond; ///< a request for changes is repeated after this time
+    Time readWait = second; ///< a node that reads the store itself asks no peer for this time
     Time beatMemory = 3 * second; ///< a follower that hasn't sent a beat for this long is forgotten
     std::size_t mostUnhealthy = 3; ///< nodes that try at a time to reach a store that doesn't answer
     Time unhealthyLimit = 1500 * millisecond; ///< one that hasn't reached it for this long lets others try
--- a/src/libnet/framedconnection.h
+++ b/src/libnet/framedconnection.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
-#include <pimentofold/address.h>
 #include <libnet/loop.h>
+#include <pimentofold/address.h>
 
 /// Frames over TCP: a 4-byte length and the payload; see appendFrame() in pimentofold/codec.h.
 namespace pimentofold {
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -7,8 +7,8 @@
 #include <set>
 #include <string>
 
-#include <pimentofold/address.h>
 #include <libnet/loop.h>
+#include <pimentofold/address.h>
 
 struct MHD_Daemon;
 struct MHD_Connection;
--- a/src/libnet/logwriter.h
+++ b/src/libnet/logwriter.h
@@ -15,7 +15,7 @@
 namespace pimentofold {
 
 /// Bytes that wait for a reader at most.
-constexpr std::size_t mostLogBytes = 256 * 1024;
+constexpr std::size_t mostLogBytes = 256'000;
 
 /// Sends the lines of easylogging++ to a descriptor while it exists; one for each process.
 class LogWriter
--- a/src/libnet/streamhttp.cpp
+++ b/src/libnet/streamhttp.cpp
@@ -70,11 +70,8 @@
     return m_onDone != nullptr;
 }
 
-void HttpConnection::start(const std::string &method,
-                           const std::string &target,
-                           const std::string &body,
-                           Time timeout,
-                           std::function<void(const HttpResult &)> onDone)
+void HttpConnection::start(
+    const std::string &method, const std::string &target, const std::string &body, Time timeout, std::function<void(const HttpResult &)> onDone)
 {
     http::request<http::string_body> request;
     request.version(11);
@@ -360,7 +357,8 @@
         ::close(descriptor);
         auto *watcher = it->second.watcher.release();
         peers.erase(it);
-        ev_once(EV_DEFAULT, -1, 0, 0.0, [](int, void *closure) { delete static_cast<IoWatcher *>(closure); }, watcher);
+        ev_once(
+            EV_DEFAULT, -1, 0, 0.0, [](int, void *closure) { delete static_cast<IoWatcher *>(closure); }, watcher);
     }
 }
 
--- a/src/libnet/udpsocket.h
+++ b/src/libnet/udpsocket.h
@@ -6,8 +6,8 @@
 #include <string_view>
 #include <vector>
 
-#include <pimentofold/address.h>
 #include <libnet/loop.h>
+#include <pimentofold/address.h>
 
 #include <pimentofold/codec.h>
 
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -107,8 +107,8 @@
 {
     const auto serviceTime = static_cast<Time>(dispatcher.serviceTime);
     while (!dispatcher.waiting.empty()) {
-        const auto next = std::ranges::min_element(
-            dispatcher.waiting, [&](const auto &a, const auto &b) { return goesBefore(a.second, b.second, now, serviceTime); });
+        const auto next =
+            std::ranges::min_element(dispatcher.waiting, [&](const auto &a, const auto &b) { return goesBefore(a.second, b.second, now, serviceTime); });
         const EdgeRoute *route = findRoute(table, next->first.service);
         if (route == nullptr) {
             dispatcher.waiting.erase(next);
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -180,7 +180,8 @@
     }
     const KnownRevisions known{part.configKnown, part.targetsRevision};
     StoreChanges &changes = partial.changes;
-    const bool same = known == partial.known && part.parts == partial.parts && changes.configBase == part.configBase && changes.base.targets == part.targetsBase;
+    const bool same =
+        known == partial.known && part.parts == partial.parts && changes.configBase == part.configBase && changes.base.targets == part.targetsBase;
     if (!same) {
         partial = {};
         partial.known = known;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -22,8 +22,9 @@
 constexpr Time startInterval = 50 * millisecond;
 constexpr Time startTime = 3 * second;
 constexpr Time shareInterval = 150 * millisecond;
-// Changes that all members fetch from one node may load its link with this much, about a second of a small one.
-constexpr std::size_t mostSharedBytes = 1'000'000;
+// Datagrams of changes that one node sends to another; for more, each node reads the store. All nodes of a large fleet would
+// otherwise fetch them over the link of one small instance.
+constexpr std::size_t mostParts = 60;
 
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
@@ -85,7 +86,10 @@
     m_share.startedAt = monotonicNow();
     logEvent(m_log,
              "started",
-             {{"data_centre", settings.dataCentre}, {"packets", toString(settings.packets)}, {"store", toString(settings.store)}, {"seeds", seedText(settings.seeds)}});
+             {{"data_centre", settings.dataCentre},
+              {"packets", toString(settings.packets)},
+              {"store", toString(settings.store)},
+              {"seeds", seedText(settings.seeds)}});
     onMembers();
     tickShare(m_share.startedAt);
     m_peers.tick(m_share.startedAt);
@@ -238,6 +242,9 @@
         onFetch(message, from, now);
         break;
     case wire::EdgeKind::Changes:
+        if (message.large) {
+            onLarge(from, now);
+        }
         onChanges(message, now);
         break;
     case wire::EdgeKind::Place:
@@ -300,26 +307,37 @@
 
 void Edge::onBeat(const wire::EdgeMessage &message, const Address &from, Time now)
 {
+    if (message.forward) {
+        m_peers.forward(message, from);
+    }
     if (message.__isset.changes) {
         onChanges(message, now);
     }
     const StoreBeat beat{message.sender, message.healthy, {message.configKnown, message.targetsKnown}, message.age};
     const bool missing = takeBeat(m_share, beat, now);
-    if (missing && message.large) {
-        m_store.readConfigOnce(m_share.known);
-    } else if (missing && now >= m_share.fetchAt) {
-        fetch(from, now);
+    if (!missing || now < m_share.fetchAt) {
+        return;
+    }
+    if (message.large && m_store.isHealthy()) {
+        m_share.fetchAt = now + m_share.settings.readWait;
+        m_store.readOnce(m_share.known);
+    } else {
+        m_share.fetchAt = now + m_share.settings.fetchRetry;
+        const wire::EdgeMessage request = fetchMessage(false);
+        if (!m_peers.send(request, message.sender)) {
+            m_peers.send(request, from);
+        }
     }
 }
 
-void Edge::fetch(const Address &from, Time now)
+wire::EdgeMessage Edge::fetchMessage(bool evenIfLarge) const
 {
-    m_share.fetchAt = now + m_share.settings.fetchRetry;
     wire::EdgeMessage message = newMessage(wire::EdgeKind::Fetch);
-    message.configRevision = m_forwarder.table.configRevision;
-    message.configKnown = m_share.known.config;
-    message.targetsKnown = m_share.known.targets;
-    m_peers.send(message, from);
+    message.__set_configRevision(m_forwarder.table.configRevision);
+    message.__set_configKnown(m_share.known.config);
+    message.__set_targetsKnown(m_share.known.targets);
+    message.__set_large(evenIfLarge);
+    return message;
 }
 
 void Edge::onFetch(const wire::EdgeMessage &message, const Address &from, Time now)
@@ -329,15 +347,36 @@
     }
     const KnownRevisions base{message.configKnown, message.targetsKnown};
     const StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_share.known, now);
-    for (const wire::EdgeChanges &it : toWire(changes)) {
-        wire::EdgeMessage answer = newMessage(wire::EdgeKind::Changes);
+    const std::vector<wire::EdgeChanges> parts = toWire(changes);
+    wire::EdgeMessage answer = newMessage(wire::EdgeKind::Changes);
+    if (parts.size() > mostParts && !message.large) {
+        answer.__set_large(true);
+        m_peers.send(answer, from);
+        return;
+    }
+    for (const wire::EdgeChanges &it : parts) {
         answer.__set_changes(it);
         m_peers.send(answer, from);
     }
 }
 
+void Edge::onLarge(const Address &from, Time now)
+{
+    if (m_readAt == 0 || now - m_readAt > m_share.settings.readWait) {
+        m_readAt = now;
+        m_share.fetchAt = now + m_share.settings.readWait;
+        m_store.readOnce(m_share.known);
+        return;
+    }
+    // The store hasn't answered this node, so it needs the changes from a peer, however many they are.
+    m_peers.send(fetchMessage(true), from);
+}
+
 void Edge::onChanges(const wire::EdgeMessage &message, Time now)
 {
+    if (!message.__isset.changes) {
+        return;
+    }
     const std::optional<StoreChanges> changes = addPart(m_partial[message.sender], message.changes);
     if (!changes) {
         return;
@@ -383,7 +422,10 @@
         m_share.following = follow;
         logEvent(m_log,
                  follow ? "store_follow_started" : "store_follow_ended",
-                 {{"known_config", m_share.known.config}, {"known_targets", m_share.known.targets}, {"confirmed_us", now - m_share.confirmedAt}, {"calls", m_store.calls()}});
+                 {{"known_config", m_share.known.config},
+                  {"known_targets", m_share.known.targets},
+                  {"confirmed_us", now - m_share.confirmedAt},
+                  {"calls", m_store.calls()}});
         if (follow) {
             m_share.healthy = true;
             m_share.unhealthySince = now;
@@ -414,7 +456,8 @@
     }
     const Address &seed = m_settings.seeds[m_nextSeed++ % m_settings.seeds.size()];
     if (seed != m_settings.peers) {
-        fetch(seed, now);
+        m_share.fetchAt = now + m_share.settings.fetchRetry;
+        m_peers.send(fetchMessage(false), seed);
     }
 }
 
@@ -434,7 +477,7 @@
         if (parts.size() == 1) {
             message.__set_changes(parts.front());
         }
-        message.large = parts.size() * changesPerDatagram * m_forwarder.members.size() > mostSharedBytes;
+        message.__set_large(parts.size() > mostParts);
     }
     m_share.beatKnown = m_share.known;
     m_beatConfig = m_forwarder.table.configRevision;
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -3,10 +3,10 @@
 #include <map>
 #include <memory>
 
+#include <libnet/logwriter.h>
 #include <libnet/loop.h>
 #include <libnet/streamhttp.h>
 #include <libnet/udpsocket.h>
-#include <libnet/logwriter.h>
 #include <pimentofold-edge/edgeoptions.h>
 #include <pimentofold-edge/peerlink.h>
 #include <pimentofold-edge/rosterlink.h>
@@ -51,7 +51,8 @@
     void onNotice(const wire::EdgeMessage &message, Time now);
     void sendNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
-    void fetch(const Address &from, Time now);
+    wire::EdgeMessage fetchMessage(bool evenIfLarge) const;
+    void onLarge(const Address &from, Time now);
 
     void onShareTick();
     void tickShare(Time now);
@@ -85,6 +86,7 @@
     Time m_packetAt = 0;
     std::int64_t m_beatConfig = 0; ///< revision of the configuration at the last own beat
     std::size_t m_nextSeed = 0;
+    Time m_readAt = 0; ///< when the store was read for a peer's sake
 };
 
 } // namespace pimentofold
--- a/src/pimentofold-edge/peerlink.cpp
+++ b/src/pimentofold-edge/peerlink.cpp
@@ -103,19 +103,37 @@
     m_socket.send(tagged(edgeTag, m_codec.encode(message)), to);
 }
 
-void PeerLink::send(const wire::EdgeMessage &message, Id to)
+bool PeerLink::send(const wire::EdgeMessage &message, Id to)
 {
     const auto it = m_addresses.find(to);
-    if (it != m_addresses.end()) {
-        send(message, it->second);
+    if (it == m_addresses.end()) {
+        return false;
     }
+    send(message, it->second);
+    return true;
 }
 
-void PeerLink::broadcast(const wire::EdgeMessage &message)
+void PeerLink::broadcast(wire::EdgeMessage message)
 {
+    ++m_broadcasts;
+    forward(message, m_address);
+    message.__set_forward(true);
     const std::string datagram = tagged(edgeTag, m_codec.encode(message));
-    for (const Address &it : m_running) {
-        m_socket.send(datagram, it);
+    for (const auto &[dataCentre, addresses] : m_running) {
+        if (dataCentre != m_membership.self.dataCentre) {
+            m_socket.send(datagram, addresses[m_broadcasts % addresses.size()]);
+        }
+    }
+}
+
+void PeerLink::forward(wire::EdgeMessage message, const Address &from)
+{
+    message.__set_forward(false);
+    const std::string datagram = tagged(edgeTag, m_codec.encode(message));
+    for (const Address &it : m_running[m_membership.self.dataCentre]) {
+        if (it != from) {
+            m_socket.send(datagram, it);
+        }
     }
 }
 
@@ -217,7 +235,7 @@
             continue;
         }
         const Address address = parseAddress(member.address);
-        m_running.push_back(address);
+        m_running[member.dataCentre].push_back(address);
         if (member.state != wire::MemberState::Leaving) {
             m_addresses[id] = address;
         }
--- a/src/pimentofold-edge/peerlink.h
+++ b/src/pimentofold-edge/peerlink.h
@@ -35,10 +35,14 @@
     void leave(Time now);
 
     void send(const wire::EdgeMessage &message, const Address &to);
-    /// Sends to a member; does nothing when it isn't known.
-    void send(const wire::EdgeMessage &message, Id to);
-    /// Sends to all other members that run, also to those that are about to stop, since they still forward packets.
-    void broadcast(const wire::EdgeMessage &message);
+    /// Sends to a live member.
+    /// @return false when it isn't known
+    bool send(const wire::EdgeMessage &message, Id to);
+    /// Sends to all other members that run, also to those that are about to stop, since they still forward packets:
+    /// directly in the own data centre, and through one member, another one each time, in the others.
+    void broadcast(wire::EdgeMessage message);
+    /// Passes a broadcast on to the other members of the own data centre.
+    void forward(wire::EdgeMessage message, const Address &from);
     /// Contacts nodes that may be running.
     void contact(const std::vector<Address> &nodes, Time now);
     /// @return addresses of the live members with this one
@@ -63,7 +67,8 @@
     Codec m_codec;
     MembershipState m_membership;
     std::map<Id, Address> m_addresses; ///< of other live members
-    std::vector<Address> m_running; ///< of other members with those that are leaving
+    std::map<std::string, std::vector<Address>> m_running; ///< other members with those that are leaving, by data centre
+    std::size_t m_broadcasts = 0;
     UdpSocket m_socket;
 };
 
--- a/src/pimentofold-edge/storelink.cpp
+++ b/src/pimentofold-edge/storelink.cpp
@@ -62,14 +62,20 @@
     m_targets.timer.stop();
 }
 
-void StoreLink::readConfigOnce(const KnownRevisions &known)
+void StoreLink::readOnce(const KnownRevisions &known)
 {
-    if (m_following || m_config.follow.busy) {
+    if (m_following) {
         return;
     }
     skipTo(m_config.follow, known.config, 0);
-    m_config.once = true;
-    run(m_config);
+    skipTo(m_targets.follow, known.targets, 0);
+    for (Follower *it : {&m_config, &m_targets}) {
+        if (!it->follow.busy) {
+            it->once = true;
+            it->follow.probe = true;
+            run(*it);
+        }
+    }
 }
 
 bool StoreLink::isFollowing() const
--- a/src/pimentofold-edge/storelink.h
+++ b/src/pimentofold-edge/storelink.h
@@ -28,8 +28,8 @@
     void start(const KnownRevisions &known);
     /// Makes no further calls; one that is under way still ends.
     void stop();
-    /// Reads the configuration once, without following the store.
-    void readConfigOnce(const KnownRevisions &known);
+    /// Reads what changed once, without following the store.
+    void readOnce(const KnownRevisions &known);
 
     bool isFollowing() const;
     /// @return whether the last call of each kind was answered
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -27,11 +27,10 @@
 const std::string target = R"({"meta":{"name":"i-7f3a91c2","revision":41},"spec":{"service":"huvo11a","address":"10.128.0.9:8080",)"
                            R"("zone":"attica-a","version":"v1","slots":3,"state":"ready","cold_remaining_ms":250,"seq":4,"born":1700}})";
 
-const std::string config =
-    R"({"meta":{"name":"main","revision":9},"spec":{"version":7,"routes":[)"
-    R"({"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe","aim_ms":200,"priority":2,)"
-    R"("backends":[{"service":"x","weight":90},{"service":"y","weight":10},{"service":"z","weight":0}],"max_attempts":2},)"
-    R"({"name":"b","host":"198.18.0.2","path_prefix":"/80/","type":"unsafe","service":"x"}],"limits":{"idle_timeout_ms":15000}}})";
+const std::string config = R"({"meta":{"name":"main","revision":9},"spec":{"version":7,"routes":[)"
+                           R"({"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe","aim_ms":200,"priority":2,)"
+                           R"("backends":[{"service":"x","weight":90},{"service":"y","weight":10},{"service":"z","weight":0}],"max_attempts":2},)"
+                           R"({"name":"b","host":"198.18.0.2","path_prefix":"/80/","type":"unsafe","service":"x"}],"limits":{"idle_timeout_ms":15000}}})";
 
 std::string list(const std::string &items)
 {
@@ -65,8 +64,8 @@
     forwarded.replace(8 + 18, 4, std::string(4, '\0'));
     CHECK(forwarded.substr(8) == opening);
 
-    const std::string reset = bytesOf({0x10, 0,    0,    0,    0, 0, 0x9c, 0x41, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x01,
-                                       0xbb, 0x00, 0x00, 0x00, 0, 0, 0,    0,    0,    0,    0,    0,    0,    0,    0,    0,    0});
+    const std::string reset = bytesOf(
+        {0x10, 0, 0, 0, 0, 0, 0x9c, 0x41, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x01, 0xbb, 0x00, 0x00, 0x00, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0});
     CHECK(encodeReset({packet->flow, 0}) == reset);
 }
 
@@ -156,7 +155,7 @@
         CAPTURE(row);
         std::string good = target;
         good.replace(good.find("i-7f3a91c2"), 10, "i-00000001");
-        const std::optional<StoreAnswer> answer = decodeStoreAnswer(StoreKind::Targets, list(row + "," + good));
+        const std::optional<StoreAnswer> answer = decodeStoreAnswer(StoreKind::Targets, list(std::string(row).append(",").append(good)));
         REQUIRE(answer);
         REQUIRE(answer->objects.size() == 2);
         CHECK(std::holds_alternative<UnreadableObject>(answer->objects[0]));
