Remove fields of the edge node that nothing reads

Five settings, two observations of targets and one packet field were decoded and never used; the name of a member's state was written a second time. No behaviour changes.

--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -15,17 +15,12 @@
 struct EdgeSettings {
     std::string node; ///< name of the instance
     std::string dataCentre;
-    std::vector<std::string> dataCentres; ///< all of the installation
     Address packets; ///< packets of flows arrive here; packets to callers go to this port
     Address readiness; ///< the fabric asks here whether the node takes packets
     Address peers; ///< for messages between nodes; the port is the same on all nodes
     std::vector<Address> seeds; ///< peers' addresses of a few nodes, which may be gone
     Address store; ///< of the platform
-    Time statusInterval = 1200 * millisecond; ///< a target writes its entry about this often
-    Time drainLimit = 3 * second; ///< a leaving target gets no new flows after this time
-    Time configLimit = 3 * second; ///< an accepted configuration is in force after this time
     Time stopLimit = 6 * second; ///< a process is killed when it hasn't ended by then after the request to stop
-    Time flowLifetime = 60 * second; ///< older flows may be forgotten
 };
 
 } // namespace pimentofold
--- a/src/include/pimentofold/flowpacket.h
+++ b/src/include/pimentofold/flowpacket.h
@@ -28,7 +28,6 @@
     bool resets = false; ///< the caller has given up the flow
     FlowToken token = 0; ///< the last one that the caller received on this flow
     Time openAge = 0; ///< of an opening packet: since the first copy of it was sent
-    std::uint32_t acknowledged = 0; ///< of a later packet
     std::uint16_t dataBytes = 0;
     std::string_view bytes; ///< the packet as received
 };
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -33,7 +33,6 @@
     FlowToken token = 0;
     bool listed = true; ///< has an entry in the store
     std::int64_t removedRevision = 0; ///< of the store when the entry was removed
-    Time listedAt = 0; ///< when this incarnation was first known
     Time removedAt = 0; ///< when the entry was gone; meaningful unless listed
     Time drainingAt = never; ///< when this node learned that the target leaves
     Time warmUntil = 0; ///< end of the cold start
@@ -43,7 +42,6 @@
     Time usedAt = 0; ///< last new flow
     Time answeredAt = 0; ///< last time that a caller went on with a flow that was opened here
     int unanswered = 0; ///< opening packets in a row without a sign of an answer
-    Time unansweredAt = 0; ///< when the last one was counted
     Time trialAt = 0; ///< a suspected target gets one new flow from then on
 };
 
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -92,7 +92,6 @@
 void noteUnanswered(EdgeTarget &target, const PlacementSettings &settings, Time now)
 {
     ++target.unanswered;
-    target.unansweredAt = now;
     constexpr int mostDoublings = 6;
     const int doublings = std::clamp(target.unanswered - settings.suspectedAfter, 0, mostDoublings);
     target.trialAt = now + std::min(settings.mostTrialWait, settings.leastTrialWait << doublings);
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -40,12 +40,11 @@
 }
 
 /// What was seen of an earlier incarnation says nothing about this one.
-void forgetObservations(EdgeTarget &target, Time now)
+void forgetObservations(EdgeTarget &target)
 {
     EdgeTarget fresh;
     fresh.record = target.record;
     fresh.token = target.token;
-    fresh.listedAt = now;
     fresh.owned = target.owned;
     target = fresh;
 }
@@ -55,7 +54,7 @@
     const bool sameRun = target.record.startedAt == record.startedAt && target.record.address == record.address;
     target.record = record;
     if (!sameRun) {
-        forgetObservations(target, now);
+        forgetObservations(target);
     }
     target.listed = true;
     target.warmUntil = now + record.warmup;
@@ -139,7 +138,6 @@
     if (added) {
         target.record = record;
         target.token = tokenOf(record.id);
-        target.listedAt = now;
         table.tokens.emplace(target.token, record.id);
         addToService(table, target);
         takeRecord(target, record, now);
--- a/src/pimentofold-edge/peerlink.cpp
+++ b/src/pimentofold-edge/peerlink.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <pimentofold/settings.h>
+#include <pimentofold/statusboard.h>
 
 namespace pimentofold {
 
@@ -49,20 +50,6 @@
     return datagram;
 }
 
-std::string_view stateName(wire::MemberState::type state)
-{
-    switch (state) {
-    case wire::MemberState::Alive:
-        return "alive";
-    case wire::MemberState::Suspect:
-        return "suspect";
-    case wire::MemberState::Leaving:
-        return "leaving";
-    default:
-        return "dead";
-    }
-}
-
 } // namespace
 
 PeerLink::PeerLink(const EdgeSettings &settings,
@@ -218,7 +205,7 @@
     for (const MemberChange &it : output.changes) {
         logEvent(m_log,
                  "member_changed",
-                 {{"member", it.member.name}, {"address", it.member.address}, {"state", stateName(it.member.state)}, {"members", liveCount(m_membership)}});
+                 {{"member", it.member.name}, {"address", it.member.address}, {"state", name(it.member.state)}, {"members", liveCount(m_membership)}});
     }
     if (!output.changes.empty()) {
         refresh();
--- a/src/platform/packetcodec.cpp
+++ b/src/platform/packetcodec.cpp
@@ -65,10 +65,9 @@
     packet.flow.caller = {readNumber(bytes, sourceAt, 4), static_cast<std::uint16_t>(readNumber(bytes, sourcePortAt, 2))};
     packet.flow.service = {readNumber(bytes, destinationAt, 4), static_cast<std::uint16_t>(readNumber(bytes, destinationPortAt, 2))};
     packet.token = readNumber(bytes, echoAt, 4);
-    packet.acknowledged = readNumber(bytes, acknowledgementAt, 4);
     if (packet.opens) {
-        // Here the field counts the copies.
-        packet.openAge = openAges[std::min<std::size_t>(packet.acknowledged, openAges.size() - 1)];
+        // In an opening packet the acknowledgement counts the copies.
+        packet.openAge = openAges[std::min<std::size_t>(readNumber(bytes, acknowledgementAt, 4), openAges.size() - 1)];
     }
     packet.dataBytes = static_cast<std::uint16_t>(length);
     packet.bytes = bytes;
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -56,7 +56,8 @@
     return addressIn(lines, field, textOf(lines, field));
 }
 
-/// @return the number in thousandths, rounded down; @p fallback when the field is missing
+/// @param unit of the number in the file
+/// @return @p fallback when the field is missing
 Time durationOf(const Lines &lines, const std::string &field, Time unit, Time fallback)
 {
     const auto it = lines.values.find(field);
@@ -120,17 +121,7 @@
             settings.seeds.push_back({addressIn(lines, "seeds", it).ip, port});
         }
     }
-    constexpr std::string_view zonePrefix = "zones.";
-    for (const auto &[field, value] : lines.values) {
-        if (field.starts_with(zonePrefix)) {
-            settings.dataCentres.push_back(field.substr(zonePrefix.size()));
-        }
-    }
-    settings.statusInterval = durationOf(lines, "heartbeat_ms", millisecond, settings.statusInterval);
-    settings.drainLimit = durationOf(lines, "bounds.drain_ms", millisecond, settings.drainLimit);
-    settings.configLimit = durationOf(lines, "bounds.config_apply_ms", millisecond, settings.configLimit);
     settings.stopLimit = durationOf(lines, "bounds.grace_s", second, settings.stopLimit);
-    settings.flowLifetime = durationOf(lines, "bounds.flow_max_s", second, settings.flowLifetime);
     return settings;
 }
 
