--- a/scripts/lib/edgesoak.py
+++ b/scripts/lib/edgesoak.py
@@ -335,8 +335,7 @@
             with open(self.nodes[0].log, "ab") as file:
                 file.write(b"x" * 10_000_000)
         elif self.plant == "RECOVER":
-            for target in list(world.targets.values()):
-                target.slots = 0
+            world.answers = False
 
     async def run(self):
         self.start_at = time.monotonic()
--- a/scripts/lib/edgeworld.py
+++ b/scripts/lib/edgeworld.py
@@ -296,7 +296,7 @@
             self.reply(key, ACK | FIN, echo, flow["seq"] + 1, seq + len(body), flow["answer"])
 
     def work(self):
-        while self.queue and self.busy < self.slots:
+        while self.queue and self.busy < self.slots and self.world.answers:
             self.busy += 1
             asyncio.get_running_loop().call_later(random.uniform(0.01, 0.05), self.finish, self.queue.pop(0))
 
@@ -372,6 +372,7 @@
         self.store = Store()
         self.packets_port = packets_port
         self.store_ip = ""
+        self.answers = True  # targets work on requests
         self.targets = {}
         self.callers = {}  # (ip number, port) -> Caller
         self.sockets = {}  # caller's ip number -> transport
