--- a/src/libnet/libnet_test.cpp
+++ b/src/libnet/libnet_test.cpp
@@ -94,7 +94,8 @@
 // Guards against answers that come after the handler returned being lost, as a waiting watch needs them.
 TEST_CASE("HTTP client and server: now, later and too large")
 {
-    const Address at{0x7f000001, 39842};
+    // An address and a port that outgoing connections of other processes don't use.
+    const Address at{0x7f4d0001, 9842};
     std::vector<HttpResponder> waiting;
     HttpServer server(
         at,
