Pass beats on in groups, and repair from the node that passed them on

Answers and broadcasts of one sender also threw away each other's parts, and nodes late in rank all began to follow the store at the same moment and each broadcast seven parts that the others knew.

Change: receivers in one data centre are divided into about sqrt(n) groups whose heads pass a message on; a node asks the one that passed the beat on, then others of its data centre, instead of the follower; parts are put together by sender, base and revisions; nodes late in rank begin 30 ms apart; a new follower tells only what it learns after its start.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -87,7 +87,8 @@
   12: i64 configRevision = 0      // Beat, Fetch: revision of the configuration that the sender has in force
   13: bool large = false          // Beat, Changes: so many changes that the receiver had better read the store itself;
                                   // Fetch: the sender can't reach the store, so it needs all changes from here
-  14: bool forward = false        // Beat: the receiver passes it on to the nodes of its data centre
+  14: bool forward = false        // Beat, Changes: the receiver passes it on to the nodes of its data centre
+  15: optional list<EdgeEndpoint> relayTo  // Beat, Changes: nodes to which the receiver passes it on
   8: optional binary packet       // Place
   9: i32 attempt = 0              // Place: from 1
   10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled
--- a/src/include/pimentofold/storeshare.h
+++ b/src/include/pimentofold/storeshare.h
@@ -28,6 +28,10 @@
     Time silenceLimit = 700 * millisecond;
     Time rankStep = 150 * millisecond; ///< further wait for each rank, also after a follower has told that it gets no answers
     int mostRankSteps = 6;
+    /// Further wait for each rank beyond these: it is rare that all nodes before are gone, and a hundred nodes that start
+    /// at once fill each other's links.
+    Time lateRankStep = 30 * millisecond;
+    int mostLateRankSteps = 30;
     /// A node that starts asks its peers first and calls the store when none has answered by then.
     Time startWait = 25 * millisecond;
     Time fetchRetry = 60 * millisecond; ///< a request for changes is repeated after this time
@@ -91,6 +95,7 @@
     Time beatAt = 0; ///< last own beat
     KnownRevisions beatKnown; ///< revisions at the last own beat
     KnownRevisions known;
+    KnownRevisions heard; ///< highest revisions that a beat has told of
     std::map<Id, HeardFollower> followers;
     Time fetchAt = 0; ///< when changes may be asked for again
 };
@@ -103,9 +108,19 @@
 void noteOwnHealth(StoreShare &share, bool healthy, Time now);
 
 /// Takes the beat of another node.
-/// @return whether changes are missing, so that they should be fetched from the sender
+/// @return whether changes are missing, so that they should be fetched from the node that passed the beat on
 bool takeBeat(StoreShare &share, const StoreBeat &beat, Time now);
 
+/// @return whether changes that a beat has told of are missing here
+bool isBehind(const StoreShare &share);
+
+/// Takes that this node starts to follow the store. Its first beat tells what it learns from now on; what it knew before
+/// the others know too, or ask for.
+void startFollowing(StoreShare &share, Time now);
+
+/// @return whether this node knows something that a peer with these revisions doesn't
+bool knowsMore(const StoreShare &share, const KnownRevisions &peer);
+
 /// @return whether a beat is due
 bool isBeatDue(const StoreShare &share, Time now);
 
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -1,6 +1,7 @@
 #include <pimentofold/edgecodec.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pimentofold {
 
@@ -130,7 +131,7 @@
         }
     }
     for (const wire::EdgeEndpoint &it : part.removedRoutes) {
-        changes.removedRoutes.push_back(toAddress(it.ip, it.port));
+        changes.removedRoutes.push_back(pimentofold::fromWire(it));
     }
     for (const wire::EdgeTarget &it : part.targets) {
         changes.targets.push_back(fromWire(it));
@@ -140,6 +141,29 @@
     }
 }
 
+bool belongsTo(const wire::EdgeChanges &part, Id sender, const PartialChanges &open)
+{
+    const KnownRevisions known{part.configKnown, part.targetsRevision};
+    return sender == open.sender && known == open.known && part.parts == open.parts && open.changes.configBase == part.configBase
+        && open.changes.base.targets == part.targetsBase;
+}
+
+PartialChanges startPartial(const wire::EdgeChanges &part, Id sender)
+{
+    PartialChanges partial;
+    partial.sender = sender;
+    partial.known = {part.configKnown, part.targetsRevision};
+    partial.parts = part.parts;
+    StoreChanges &changes = partial.changes;
+    changes.known = partial.known;
+    changes.base = {part.configBase, part.targetsBase};
+    changes.configBase = part.configBase;
+    changes.config.revision = part.configRevision;
+    changes.config.version = part.configVersion;
+    changes.config.idleLimit = part.idleLimit;
+    return partial;
+}
+
 } // namespace
 
 std::vector<wire::EdgeChanges> toWire(const StoreChanges &changes)
@@ -152,10 +176,7 @@
         writer.room(sizeOf(it)).routes.push_back(toWire(it));
     }
     for (const Address &it : changes.removedRoutes) {
-        wire::EdgeEndpoint endpoint;
-        endpoint.ip = static_cast<std::int32_t>(it.ip);
-        endpoint.port = static_cast<std::int16_t>(it.port);
-        writer.room(addressBytes).removedRoutes.push_back(endpoint);
+        writer.room(addressBytes).removedRoutes.push_back(toWire(it));
     }
     for (const TargetRecord &it : changes.targets) {
         writer.room(sizeOf(it)).targets.push_back(toWire(it));
@@ -172,39 +193,45 @@
     return std::move(writer.parts);
 }
 
-std::optional<StoreChanges> addPart(PartialChanges &partial, const wire::EdgeChanges &part)
+std::optional<StoreChanges> addPart(ChangesAssembler &assembler, Id sender, const wire::EdgeChanges &part)
 {
     constexpr std::int32_t mostParts = 10'000;
     if (part.parts < 1 || part.parts > mostParts || part.part < 0 || part.part >= part.parts) {
         return std::nullopt;
     }
-    const KnownRevisions known{part.configKnown, part.targetsRevision};
-    StoreChanges &changes = partial.changes;
-    const bool same =
-        known == partial.known && part.parts == partial.parts && changes.configBase == part.configBase && changes.base.targets == part.targetsBase;
-    if (!same) {
-        partial = {};
-        partial.known = known;
-        partial.parts = part.parts;
-        changes.known = known;
-        changes.base = {part.configBase, part.targetsBase};
-        changes.configBase = part.configBase;
-        changes.config.revision = part.configRevision;
-        changes.config.version = part.configVersion;
-        changes.config.idleLimit = part.idleLimit;
-    }
-    if (!partial.received.insert(part.part).second) {
+    auto it = std::ranges::find_if(assembler.open, [&](const PartialChanges &open) { return belongsTo(part, sender, open); });
+    if (it == assembler.open.end()) {
+        if (assembler.open.size() >= mostPartialChanges) {
+            assembler.open.erase(assembler.open.begin());
+        }
+        assembler.open.push_back(startPartial(part, sender));
+        it = std::prev(assembler.open.end());
+    }
+    if (!it->received.insert(part.part).second) {
         return std::nullopt;
     }
-    add(changes, part);
-    if (static_cast<std::int32_t>(partial.received.size()) < partial.parts) {
+    add(it->changes, part);
+    if (static_cast<std::int32_t>(it->received.size()) < it->parts) {
         return std::nullopt;
     }
-    std::optional<StoreChanges> result(std::move(changes));
-    partial = {};
+    std::optional<StoreChanges> result(std::move(it->changes));
+    assembler.open.erase(it);
     return result;
 }
 
+wire::EdgeEndpoint toWire(const Address &address)
+{
+    wire::EdgeEndpoint endpoint;
+    endpoint.ip = static_cast<std::int32_t>(address.ip);
+    endpoint.port = static_cast<std::int16_t>(address.port);
+    return endpoint;
+}
+
+Address fromWire(const wire::EdgeEndpoint &endpoint)
+{
+    return toAddress(endpoint.ip, endpoint.port);
+}
+
 wire::EdgeFlowEnds toWire(const FlowKey &key)
 {
     wire::EdgeFlowEnds ends;
--- a/src/libpimentofold/storeshare.cpp
+++ b/src/libpimentofold/storeshare.cpp
@@ -62,6 +62,12 @@
     return true;
 }
 
+Time rankWait(const ShareSettings &settings, int rank)
+{
+    const int lateSteps = std::clamp(rank - settings.mostRankSteps, 0, settings.mostLateRankSteps);
+    return settings.rankStep * std::min(rank, settings.mostRankSteps) + settings.lateRankStep * lateSteps;
+}
+
 } // namespace
 
 std::uint64_t followRank(Id node)
@@ -97,8 +103,7 @@
     if (share.confirmedAt == 0) {
         return now - share.startedAt >= share.settings.startWait;
     }
-    const Time wait = share.settings.silenceLimit + share.settings.rankStep * std::min(rank, share.settings.mostRankSteps);
-    if (now - share.confirmedAt >= wait) {
+    if (now - share.confirmedAt >= share.settings.silenceLimit + rankWait(share.settings, rank)) {
         return true;
     }
     const int position = std::max(rank - static_cast<int>(unhealthyBefore), 0);
@@ -124,6 +129,8 @@
     std::erase_if(share.followers, [&](const auto &it) { return now - it.second.heardAt > share.settings.beatMemory; });
     share.followers[beat.sender] = {beat.healthy, now};
     share.troubleAt = beat.healthy ? never : std::min(share.troubleAt, now);
+    share.heard.config = std::max(share.heard.config, beat.known.config);
+    share.heard.targets = std::max(share.heard.targets, beat.known.targets);
     const bool missing = beat.known.config > share.known.config || beat.known.targets > share.known.targets;
     if (!missing && beat.healthy) {
         share.confirmedAt = std::max(share.confirmedAt, now - beat.age);
@@ -131,6 +138,24 @@
     return missing;
 }
 
+bool isBehind(const StoreShare &share)
+{
+    return share.heard.config > share.known.config || share.heard.targets > share.known.targets;
+}
+
+void startFollowing(StoreShare &share, Time now)
+{
+    share.following = true;
+    share.healthy = true;
+    share.unhealthySince = now;
+    share.beatKnown = share.known;
+}
+
+bool knowsMore(const StoreShare &share, const KnownRevisions &peer)
+{
+    return share.known.config > peer.config || share.known.targets > peer.targets;
+}
+
 bool isBeatDue(const StoreShare &share, Time now)
 {
     return share.following && (now - share.beatAt >= share.settings.beatInterval || share.known != share.beatKnown);
--- a/src/libpimentofold/storeshare_test.cpp
+++ b/src/libpimentofold/storeshare_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/storeshare.h>
 
@@ -10,6 +12,8 @@
 
 namespace {
 
+constexpr Id testSender = 7;
+
 struct Node {
     StoreShare share;
     TargetTable table;
@@ -18,11 +22,11 @@
 /// Sends changes through their wire form.
 std::optional<StoreChanges> transfer(const StoreChanges &changes)
 {
-    PartialChanges partial;
+    ChangesAssembler partial;
     std::optional<StoreChanges> result;
     for (const wire::EdgeChanges &it : toWire(changes)) {
         CHECK_FALSE(result);
-        result = addPart(partial, it);
+        result = addPart(partial, testSender, it);
     }
     return result;
 }
@@ -132,25 +136,114 @@
     }
     const std::vector<wire::EdgeChanges> parts = toWire(changes);
     REQUIRE(parts.size() > 2);
-    PartialChanges partial;
+    ChangesAssembler partial;
     for (std::size_t n = parts.size() - 1; n > 0; --n) {
-        CHECK_FALSE(addPart(partial, parts[n]));
-        CHECK_FALSE(addPart(partial, parts[n]));
+        CHECK_FALSE(addPart(partial, testSender, parts[n]));
+        CHECK_FALSE(addPart(partial, testSender, parts[n]));
     }
-    const std::optional<StoreChanges> whole = addPart(partial, parts[0]);
+    const std::optional<StoreChanges> whole = addPart(partial, testSender, parts[0]);
     REQUIRE(whole);
     CHECK(whole->config.routes.size() == 100);
 
-    CHECK_FALSE(addPart(partial, parts[0]));
+    CHECK_FALSE(addPart(partial, testSender, parts[0]));
     wire::EdgeChanges newer = parts[1];
     newer.targetsRevision = 21;
-    CHECK_FALSE(addPart(partial, newer));
-    CHECK(partial.received.size() == 1);
+    CHECK_FALSE(addPart(partial, testSender, newer));
+    REQUIRE(partial.open.size() == 2);
+    CHECK(partial.open.back().received.size() == 1);
     wire::EdgeChanges bad = parts[0];
     bad.part = 1'000'000;
-    CHECK_FALSE(addPart(partial, bad));
+    CHECK_FALSE(addPart(partial, testSender, bad));
     bad.parts = -1;
-    CHECK_FALSE(addPart(partial, bad));
+    CHECK_FALSE(addPart(partial, testSender, bad));
+}
+
+// Guards against an answer to a request that throws away the parts of a broadcast from the same node. On lexipaig-edge-grown
+// (hunt-538f-7) nodes asked again and again, and changes of targets took over four seconds.
+TEST_CASE("parts of a broadcast and of an answer may arrive mixed")
+{
+    StoreChanges broadcast;
+    broadcast.base = {5, 5};
+    broadcast.known = {20, 20};
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        broadcast.targets.push_back(makeTarget(id, 10));
+    }
+    StoreChanges answer = broadcast;
+    answer.base = {1, 1};
+    const std::vector<wire::EdgeChanges> first = toWire(broadcast);
+    const std::vector<wire::EdgeChanges> second = toWire(answer);
+    REQUIRE(first.size() > 1);
+    ChangesAssembler assembler;
+    std::size_t complete = 0;
+    for (std::size_t n = 0; n < first.size(); ++n) {
+        complete += addPart(assembler, testSender, first[n]) ? 1 : 0;
+        complete += addPart(assembler, testSender, second[n]) ? 1 : 0;
+    }
+    CHECK(complete == 2);
+    CHECK(assembler.open.empty());
+    // Another sender's parts don't complete it, and what never becomes complete is forgotten.
+    for (Id sender = 1; sender <= Id{2 * mostPartialChanges}; ++sender) {
+        CHECK_FALSE(addPart(assembler, sender, first[0]));
+    }
+    CHECK(assembler.open.size() == mostPartialChanges);
+}
+
+// Guards against new followers that each send all nodes what these know already.
+TEST_CASE("a new follower tells only what it learns after its start")
+{
+    Node node;
+    applyConfig(node.table, makeConfig(10, {makeRoute(shopAddress, "shop")}));
+    applyTarget(node.table, makeTarget(1, 11), 0);
+    startTargetHistory(node.table, 11);
+    know(node, 5);
+    node.share.beatKnown = {5, 5};
+    know(node, 11);
+    startFollowing(node.share, second);
+    node.share.beatAt = second;
+    CHECK_FALSE(isBeatDue(node.share, second));
+    CHECK(node.share.beatKnown == node.share.known);
+    know(node, 12);
+    CHECK(isBeatDue(node.share, second));
+}
+
+// Guards against nodes that wait for the next beat when the node that they have asked couldn't answer.
+TEST_CASE("a node is behind until it knows what a beat has told of")
+{
+    StoreShare share;
+    CHECK_FALSE(isBehind(share));
+    CHECK(takeBeat(share, {testSender, true, {10, 12}, 0}, second));
+    CHECK(isBehind(share));
+    CHECK_FALSE(knowsMore(share, {}));
+    share.known = {10, 11};
+    CHECK(isBehind(share));
+    CHECK(knowsMore(share, {9, 11}));
+    CHECK_FALSE(knowsMore(share, {10, 11}));
+    share.known = {10, 12};
+    CHECK_FALSE(isBehind(share));
+}
+
+// Guards against a hundred nodes that start to follow the store in the same moment.
+TEST_CASE("nodes late in rank begin one after the other")
+{
+    const Time now = 100 * second;
+    StoreShare share;
+    share.self = 1000;
+    share.startedAt = 0;
+    std::map<Time, int> starts;
+    for (int rank = 0; rank < 130; ++rank) {
+        Time wait = 0;
+        do {
+            share.confirmedAt = now - wait;
+            wait += 10 * millisecond;
+        } while (!shouldFollow(share, rank, now));
+        ++starts[wait];
+    }
+    int within = 0;
+    for (const auto &[wait, count] : starts) {
+        within += wait < 2 * second ? count : 0;
+        CHECK((count == 1 || wait > 2 * second));
+    }
+    CHECK(within < 30);
 }
 
 // Guards against fleets in which nobody follows the store, or everybody does.
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -242,9 +242,7 @@
         onFetch(message, from, now);
         break;
     case wire::EdgeKind::Changes:
-        if (message.forward) {
-            m_peers.forward(message, from);
-        }
+        m_peers.passOn(message);
         if (message.large) {
             onLarge(from, now);
         }
@@ -310,9 +308,7 @@
 
 void Edge::onBeat(const wire::EdgeMessage &message, const Address &from, Time now)
 {
-    if (message.forward) {
-        m_peers.forward(message, from);
-    }
+    m_peers.passOn(message);
     if (message.__isset.changes) {
         onChanges(message, now);
     }
@@ -325,11 +321,9 @@
         m_share.fetchAt = now + m_share.settings.readWait;
         m_store.readOnce(m_share.known);
     } else {
+        // The node that passed the beat on: a follower that all nodes ask would fill its link.
         m_share.fetchAt = now + m_share.settings.fetchRetry;
-        const wire::EdgeMessage request = fetchMessage(false);
-        if (!m_peers.send(request, message.sender)) {
-            m_peers.send(request, from);
-        }
+        m_peers.send(fetchMessage(false), from);
     }
 }
 
@@ -349,6 +343,9 @@
         return;
     }
     const KnownRevisions base{message.configKnown, message.targetsKnown};
+    if (!knowsMore(m_share, base)) {
+        return;
+    }
     const StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_share.known, now);
     const std::vector<wire::EdgeChanges> parts = toWire(changes);
     wire::EdgeMessage answer = newMessage(wire::EdgeKind::Changes);
@@ -380,7 +377,7 @@
     if (!message.__isset.changes) {
         return;
     }
-    const std::optional<StoreChanges> changes = addPart(m_partial[message.sender], message.changes);
+    const std::optional<StoreChanges> changes = addPart(m_partial, message.sender, message.changes);
     if (!changes) {
         return;
     }
@@ -430,8 +427,8 @@
                   {"confirmed_us", now - m_share.confirmedAt},
                   {"calls", m_store.calls()}});
         if (follow) {
-            m_share.healthy = true;
-            m_share.unhealthySince = now;
+            startFollowing(m_share, now);
+            m_beatConfig = m_forwarder.table.configRevision;
             m_store.start(m_share.known);
             if (!m_rosterAsked && m_forwarder.members.size() == 1) {
                 m_rosterAsked = true;
@@ -443,6 +440,9 @@
     }
     if (m_share.known.targets == 0 || m_share.known.config == 0) {
         fetchFromSeeds(now);
+    } else if (isBehind(m_share) && !follow && now >= m_share.fetchAt) {
+        m_share.fetchAt = now + m_share.settings.fetchRetry;
+        m_peers.sendToNeighbour(fetchMessage(false));
     }
     if (follow && m_share.healthy && canPlace(m_forwarder)) {
         m_roster.keep(m_peers.addresses(), now);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -71,7 +71,7 @@
     Metrics m_metrics;
     EdgeForwarder m_forwarder;
     StoreShare m_share;
-    std::map<Id, PartialChanges> m_partial;
+    ChangesAssembler m_partial; ///< changes of which parts are missing
     UdpSocket m_packets;
     HttpResponderServer m_readiness;
     std::unique_ptr<HttpResponderServer> m_metricsServer;
--- a/src/pimentofold-edge/peerlink.cpp
+++ b/src/pimentofold-edge/peerlink.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include <pimentofold/relaygroups.h>
 #include <pimentofold/settings.h>
 #include <pimentofold/statusboard.h>
 
@@ -63,6 +64,7 @@
     , m_address(settings.peers)
     , m_socket(settings.peers, [this](std::string_view bytes, const Address &from) { onDatagram(bytes, from); })
 {
+    m_random.state = randomSeed;
     m_membership.options = edgeMembership();
     std::vector<std::string> seeds;
     for (const Address &it : settings.seeds) {
@@ -100,29 +102,63 @@
     return true;
 }
 
-void PeerLink::broadcast(wire::EdgeMessage message, std::size_t way)
+void PeerLink::broadcast(wire::EdgeMessage message, std::size_t turn)
 {
-    forward(message, m_address);
+    m_turn = turn;
+    sendToOwn(message);
     message.__set_forward(true);
     const std::string datagram = tagged(edgeTag, m_codec.encode(message));
-    for (const auto &[dataCentre, addresses] : m_running) {
+    for (const auto &[dataCentre, running] : m_running) {
+        const std::vector<Address> &candidates = running.alive.empty() ? running.doubtful : running.alive;
         if (dataCentre != m_membership.self.dataCentre) {
-            m_socket.send(datagram, addresses[way % addresses.size()]);
+            m_socket.send(datagram, candidates[turn % candidates.size()]);
         }
     }
 }
 
-void PeerLink::forward(wire::EdgeMessage message, const Address &from)
+void PeerLink::passOn(const wire::EdgeMessage &message)
 {
+    if (message.forward) {
+        m_turn += message.kind == wire::EdgeKind::Beat ? 1 : 0;
+        sendToOwn(message);
+    }
+    if (message.__isset.relayTo) {
+        wire::EdgeMessage copy = message;
+        copy.__isset.relayTo = false;
+        const std::string datagram = tagged(edgeTag, m_codec.encode(copy));
+        for (const wire::EdgeEndpoint &it : message.relayTo) {
+            m_socket.send(datagram, fromWire(it));
+        }
+    }
+}
+
+void PeerLink::sendToOwn(wire::EdgeMessage message)
+{
+    const auto own = m_running.find(m_membership.self.dataCentre);
+    if (own == m_running.end()) {
+        return;
+    }
     message.__set_forward(false);
-    const std::string datagram = tagged(edgeTag, m_codec.encode(message));
-    for (const Address &it : m_running[m_membership.self.dataCentre]) {
-        if (it != from) {
-            m_socket.send(datagram, it);
+    for (const RelayGroup &it : makeRelayGroups(own->second.alive, own->second.doubtful, m_turn)) {
+        message.relayTo.clear();
+        for (const Address &other : it.others) {
+            message.relayTo.push_back(toWire(other));
         }
+        message.__isset.relayTo = !it.others.empty();
+        send(message, it.head);
     }
 }
 
+bool PeerLink::sendToNeighbour(const wire::EdgeMessage &message)
+{
+    const auto own = m_running.find(m_membership.self.dataCentre);
+    if (own == m_running.end() || own->second.alive.empty()) {
+        return false;
+    }
+    send(message, own->second.alive[below(m_random, own->second.alive.size())]);
+    return true;
+}
+
 void PeerLink::contact(const std::vector<Address> &nodes, Time now)
 {
     MembershipOutput output;
@@ -221,7 +257,8 @@
             continue;
         }
         const Address address = parseAddress(member.address);
-        m_running[member.dataCentre].push_back(address);
+        Running &running = m_running[member.dataCentre];
+        (member.state == wire::MemberState::Alive ? running.alive : running.doubtful).push_back(address);
         if (member.state != wire::MemberState::Leaving) {
             m_addresses[id] = address;
         }
--- a/src/pimentofold-edge/peerlink.h
+++ b/src/pimentofold-edge/peerlink.h
@@ -38,12 +38,15 @@
     /// Sends to a live member.
     /// @return false when it isn't known
     bool send(const wire::EdgeMessage &message, Id to);
-    /// Sends to all other members that run, also to those that are about to stop, since they still forward packets:
-    /// directly in the own data centre, and through one member in the others.
-    /// @param way chooses the member in each other data centre; messages with the same one take the same way
-    void broadcast(wire::EdgeMessage message, std::size_t way);
-    /// Passes a broadcast on to the other members of the own data centre.
-    void forward(wire::EdgeMessage message, const Address &from);
+    /// Sends to all other members that run, also to those that are about to stop, since they still forward packets: through
+    /// one member in each other data centre, and in groups whose heads pass the message on.
+    /// @param turn chooses the members that pass it on; messages with the same one take the same way
+    void broadcast(wire::EdgeMessage message, std::size_t turn);
+    /// Passes a broadcast on to the members for which it asks this.
+    void passOn(const wire::EdgeMessage &message);
+    /// Sends to another member of the own data centre at random.
+    /// @return false when there is none
+    bool sendToNeighbour(const wire::EdgeMessage &message);
     /// Contacts nodes that may be running.
     void contact(const std::vector<Address> &nodes, Time now);
     /// @return addresses of the live members with this one
@@ -56,6 +59,13 @@
     int rankBy(const std::function<std::uint64_t(Id)> &order) const;
 
 private:
+    /// Running members of one data centre, other than this node.
+    struct Running {
+        std::vector<Address> alive;
+        std::vector<Address> doubtful; ///< suspected or leaving
+    };
+
+    void sendToOwn(wire::EdgeMessage message);
     void onDatagram(std::string_view bytes, const Address &from);
     void onMembership(std::string_view bytes, const Address &from, Time now);
     void takeOutput(MembershipOutput &&output);
@@ -68,7 +78,9 @@
     Codec m_codec;
     MembershipState m_membership;
     std::map<Id, Address> m_addresses; ///< of other live members
-    std::map<std::string, std::vector<Address>> m_running; ///< other members with those that are leaving, by data centre
+    std::map<std::string, Running> m_running; ///< by data centre
+    std::size_t m_turn = 0; ///< of the groups in the own data centre
+    Random m_random;
     UdpSocket m_socket;
 };
 
