Read the store through the seeds at the first start; log each configuration that a peer brought

Found beside it: changes of which only one kind could be taken over were neither logged nor followed by a new choice of dispatchers.

Change: when the platform says that the whole system starts for the first time, seeds call the store one after the other and other nodes ask seeds and neighbours, and call it after 2 to 4 s without an answer. Partly usable changes are logged and acted on.

--- a/scripts/lib/observations.py
+++ b/scripts/lib/observations.py
@@ -111,7 +111,8 @@
             result["false_not_run"] += it["verdict"] == "not_run" and ran > 0
             result["false_ran"] += it["verdict"] == "ran" and ran == 0
             if (it["verdict"] == "not_run" and ran > 0) or (it["verdict"] == "ran" and ran == 0):
-                faults.append(it | {"runs": ran})
+                faults.append(it | {"runs": ran, "runs_of_operation": [run for run in runs if run["operation"] == it["operation"]],
+                                    "runs_of_flow": [run for run in runs if run["flow"] == it["flow"]][-5:]})
     result["operations"] = len(seen)
     result["doubled"] = sum(1 for n in by_operation.values() if n > 1)
     faults += [{"operation": name, "runs": n} for name, n in by_operation.items() if n > 1]
--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -20,6 +20,7 @@
     Address peers; ///< for messages between nodes; the port is the same on all nodes
     std::vector<Address> seeds; ///< peers' addresses of a few nodes, which may be gone
     Address store; ///< of the platform
+    bool firstStart = false; ///< the whole system starts for the first time, some seconds before traffic
     Time stopLimit = 6 * second; ///< a process is killed when it hasn't ended by then after the request to stop
 };
 
--- a/src/include/pimentofold/storeshare.h
+++ b/src/include/pimentofold/storeshare.h
@@ -34,6 +34,12 @@
     int mostLateRankSteps = 30;
     /// A node that starts asks its peers first and calls the store when none has answered by then.
     Time startWait = 25 * millisecond;
+    /// When the whole system starts for the first time no caller waits yet: the seeds call the store one after the other, and
+    /// the other nodes only when no peer has told them anything after this time and a random part of the spread.
+    Time seedStep = 200 * millisecond;
+    Time firstStartWait = 2 * second;
+    Time firstStartSpread = 2 * second;
+    Time firstFetchRetry = 500 * millisecond; ///< as fetchRetry, at the first start
     Time fetchRetry = 60 * millisecond; ///< a request for changes is repeated after this time
     Time readWait = second; ///< a node that reads the store itself asks no peer for this time
     Time beatMemory = 3 * second; ///< a follower that hasn't sent a beat for this long is forgotten
@@ -100,6 +106,10 @@
     Time fetchAt = 0; ///< when changes may be asked for again
 };
 
+/// @param seedPosition of this node among the seeds, from 0; nothing for other nodes
+/// @return how long a node waits for its peers at the first start of the whole system before it calls the store
+Time firstCallWait(const ShareSettings &settings, std::optional<std::size_t> seedPosition, Random &random);
+
 /// @return whether this node should follow the store now
 /// @param rank of this node among the members, from 0
 bool shouldFollow(const StoreShare &share, int rank, Time now);
--- a/src/libpimentofold/storeshare.cpp
+++ b/src/libpimentofold/storeshare.cpp
@@ -76,6 +76,14 @@
     return mix(purpose, static_cast<std::uint64_t>(node));
 }
 
+Time firstCallWait(const ShareSettings &settings, std::optional<std::size_t> seedPosition, Random &random)
+{
+    if (seedPosition) {
+        return settings.startWait + settings.seedStep * static_cast<Time>(*seedPosition);
+    }
+    return settings.firstStartWait + static_cast<Time>(unit(random) * static_cast<double>(settings.firstStartSpread));
+}
+
 bool shouldFollow(const StoreShare &share, int rank, Time now)
 {
     if (now < share.restUntil) {
--- a/src/libpimentofold/storeshare_test.cpp
+++ b/src/libpimentofold/storeshare_test.cpp
@@ -246,6 +246,22 @@
     CHECK(within < 30);
 }
 
+// Guards against a first start at which each node of a large fleet reads the whole store.
+TEST_CASE("at the first start the seeds call the store before the other nodes")
+{
+    const ShareSettings settings;
+    Random random{1};
+    const Time first = firstCallWait(settings, 0, random);
+    const Time last = firstCallWait(settings, 2, random);
+    CHECK(first == settings.startWait);
+    CHECK(first < last);
+    for (int n = 0; n < 100; ++n) {
+        const Time other = firstCallWait(settings, std::nullopt, random);
+        CHECK(other > last);
+        CHECK(other <= settings.firstStartWait + settings.firstStartSpread);
+    }
+}
+
 // Guards against fleets in which nobody follows the store, or everybody does.
 TEST_CASE("who follows the store")
 {
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -83,17 +83,23 @@
     m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
     m_forwarder.self = m_peers.self();
     m_share.self = m_forwarder.self.instance;
+    if (settings.firstStart && !settings.seeds.empty()) {
+        const auto own = std::ranges::find(settings.seeds, settings.peers);
+        const std::optional<std::size_t> position = own == settings.seeds.end() ? std::nullopt : std::optional<std::size_t>(own - settings.seeds.begin());
+        m_share.settings.startWait = firstCallWait(m_share.settings, position, m_forwarder.dispatcher.random);
+    }
     m_share.startedAt = monotonicNow();
     logEvent(m_log,
              "started",
              {{"data_centre", settings.dataCentre},
               {"packets", toString(settings.packets)},
               {"store", toString(settings.store)},
-              {"seeds", seedText(settings.seeds)}});
+              {"seeds", seedText(settings.seeds)},
+              {"first_start", static_cast<int>(settings.firstStart)}});
     onMembers();
     tickShare(m_share.startedAt);
     m_peers.tick(m_share.startedAt);
-    m_shareTick.start(m_share.settings.startWait);
+    m_shareTick.start(std::min(m_share.settings.startWait, startInterval));
     scheduleTick();
 }
 
@@ -383,7 +389,9 @@
     }
     const std::int64_t configBefore = m_forwarder.table.configRevision;
     const KnownRevisions before = m_share.known;
-    if (!applyChanges(m_share, m_forwarder.table, *changes, now) || m_share.known == before) {
+    // One kind may be taken over while changes of the other are missing.
+    applyChanges(m_share, m_forwarder.table, *changes, now);
+    if (m_share.known == before && m_forwarder.table.configRevision == configBefore) {
         return;
     }
     if (m_forwarder.table.configRevision != configBefore) {
@@ -395,7 +403,7 @@
                   {"changed", changes->config.routes.size()},
                   {"removed", changes->removedRoutes.size()}});
     }
-    if (!changes->targets.empty() || !changes->removedTargets.empty()) {
+    if (m_share.known.targets != before.targets && (!changes->targets.empty() || !changes->removedTargets.empty())) {
         logEvent(m_log,
                  "targets_applied",
                  {{"source", "peer"}, {"changed", changes->targets.size()}, {"removed", changes->removedTargets.size()}, {"revision", m_share.known.targets}});
@@ -439,7 +447,7 @@
         }
     }
     if (m_share.known.targets == 0 || m_share.known.config == 0) {
-        fetchFromSeeds(now);
+        fetchFirst(now);
     } else if (isBehind(m_share) && !follow && now >= m_share.fetchAt) {
         m_share.fetchAt = now + m_share.settings.fetchRetry;
         m_peers.sendToNeighbour(fetchMessage(false));
@@ -452,16 +460,19 @@
     }
 }
 
-void Edge::fetchFromSeeds(Time now)
+void Edge::fetchFirst(Time now)
 {
     if (m_settings.seeds.empty() || now < m_share.fetchAt) {
         return;
     }
-    const Address &seed = m_settings.seeds[m_nextSeed++ % m_settings.seeds.size()];
-    if (seed != m_settings.peers) {
-        m_share.fetchAt = now + m_share.settings.fetchRetry;
+    // Seeds and neighbours by turns: the seeds may be gone, and can't serve a large fleet alone.
+    const std::size_t turn = m_fetches++;
+    const bool sent = turn % 2 == 1 && m_peers.sendToNeighbour(fetchMessage(false));
+    const Address &seed = m_settings.seeds[turn / 2 % m_settings.seeds.size()];
+    if (!sent && seed != m_settings.peers) {
         m_peers.send(fetchMessage(false), seed);
     }
+    m_share.fetchAt = now + (m_settings.firstStart ? m_share.settings.firstFetchRetry : m_share.settings.fetchRetry);
 }
 
 void Edge::broadcastParts(const std::vector<wire::EdgeChanges> &parts)
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -56,7 +56,7 @@
 
     void onShareTick();
     void tickShare(Time now);
-    void fetchFromSeeds(Time now);
+    void fetchFirst(Time now);
     void sendBeat(Time now);
     void broadcastParts(const std::vector<wire::EdgeChanges> &parts);
     void onStoreChange();
@@ -86,7 +86,7 @@
     Time m_stopAt = never;
     Time m_packetAt = 0;
     std::int64_t m_beatConfig = 0; ///< revision of the configuration at the last own beat
-    std::size_t m_nextSeed = 0;
+    std::size_t m_fetches = 0; ///< requests for a first state
     std::size_t m_beats = 0;
     Time m_readAt = 0; ///< when the store was read for a peer's sake
 };
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -208,6 +208,9 @@
     REQUIRE(settings.seeds.size() == 2);
     CHECK(toString(settings.seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.stopLimit == 6 * second);
+    CHECK_FALSE(settings.firstStart);
+    CHECK(parseSettingsLines(settingsText + "bootstrap=true\n", "f").firstStart);
+    CHECK_FALSE(parseSettingsLines(settingsText + "bootstrap=maybe\n", "f").firstStart);
 
     struct Row {
         std::string from;
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -121,6 +121,8 @@
             settings.seeds.push_back({addressIn(lines, "seeds", it).ip, port});
         }
     }
+    const auto bootstrap = lines.values.find("bootstrap");
+    settings.firstStart = bootstrap != lines.values.end() && bootstrap->second == "true";
     settings.stopLimit = durationOf(lines, "bounds.grace_s", second, settings.stopLimit);
     return settings;
 }
