Send no beat before the first call to the store has ended

Each began to follow it, counted as healthy until its first call failed after 0.5 s, and stopped when the other began. Their beats told all others that the store was followed, so that nobody read a new configuration for five seconds.

Change: contact with the store is unknown, answering or failing; a follower is silent while it is unknown, and only answers confirm what is known. Changes of contact are logged.

--- a/src/include/pimentofold/storeshare.h
+++ b/src/include/pimentofold/storeshare.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include <pimentofold/edgeconfig.h>
@@ -20,6 +21,16 @@
 /// ends. Neither two followers nor none do harm: what they read is the same, and knowledge never steps back.
 namespace pimentofold {
 
+/// What a node's own calls to the store have shown since it began to follow it.
+enum class StoreContact {
+    Unknown, ///< no call has ended yet
+    Answering,
+    Failing,
+};
+
+/// @return name in lower case
+std::string_view name(StoreContact contact);
+
 /// Times of sharing.
 struct ShareSettings {
     Time beatInterval = 300 * millisecond;
@@ -93,8 +104,8 @@
     Id self = 0;
     bool following = false; ///< this node calls the store
     Time startedAt = 0;
-    bool healthy = true; ///< the own calls to the store are answered
-    Time unhealthySince = 0;
+    StoreContact contact = StoreContact::Unknown;
+    Time failingSince = 0; ///< no call has been answered since then
     Time restUntil = 0;
     Time troubleAt = never; ///< when a follower first told that the store doesn't answer it, unless another one has told the contrary since
     Time confirmedAt = 0; ///< the store's state was as known here at that time; 0: never
@@ -114,8 +125,8 @@
 /// @param rank of this node among the members, from 0
 bool shouldFollow(const StoreShare &share, int rank, Time now);
 
-/// Takes over whether the own calls to the store are answered.
-void noteOwnHealth(StoreShare &share, bool healthy, Time now);
+/// Takes over what the own calls to the store show.
+void noteContact(StoreShare &share, StoreContact contact, Time now);
 
 /// Takes the beat of another node.
 /// @return whether changes are missing, so that they should be fetched from the node that passed the beat on
@@ -131,7 +142,8 @@
 /// @return whether this node knows something that a peer with these revisions doesn't
 bool knowsMore(const StoreShare &share, const KnownRevisions &peer);
 
-/// @return whether a beat is due
+/// @return whether a beat is due. A follower whose first call hasn't ended sends none: others would take it for proof that the
+/// store is followed.
 bool isBeatDue(const StoreShare &share, Time now);
 
 /// @return what changed after @p base, as this node knows it; everything when the base is too old
--- a/src/libpimentofold/storeshare.cpp
+++ b/src/libpimentofold/storeshare.cpp
@@ -1,12 +1,15 @@
 #include <pimentofold/storeshare.h>
 
 #include <algorithm>
+#include <array>
 #include <unordered_set>
 
 namespace pimentofold {
 
 namespace {
 
+constexpr std::array<std::string_view, 3> contactNames{"unknown", "answering", "failing"};
+
 /// Removes what a complete list doesn't hold.
 void removeMissing(TargetTable &table, const StoreChanges &changes, Time now)
 {
@@ -70,6 +73,11 @@
 
 } // namespace
 
+std::string_view name(StoreContact contact)
+{
+    return contactNames.at(static_cast<std::size_t>(contact));
+}
+
 std::uint64_t followRank(Id node)
 {
     constexpr std::uint64_t purpose = 0x666f6c6c6f77; // keeps this order apart from those for other uses
@@ -96,7 +104,7 @@
             continue;
         }
         const bool goesFirst = followRank(id) < followRank(share.self);
-        if (it.healthy && (goesFirst || !share.healthy)) {
+        if (it.healthy && (goesFirst || share.contact == StoreContact::Failing)) {
             return false;
         }
         healthyFollower = healthyFollower || it.healthy;
@@ -118,16 +126,18 @@
     return share.troubleAt != never && now - share.troubleAt >= share.settings.rankStep * position;
 }
 
-void noteOwnHealth(StoreShare &share, bool healthy, Time now)
+void noteContact(StoreShare &share, StoreContact contact, Time now)
 {
-    if (share.healthy && !healthy) {
-        share.unhealthySince = now;
+    if (share.contact == StoreContact::Answering && contact != StoreContact::Answering) {
+        share.failingSince = now;
     }
-    share.healthy = healthy;
-    if (share.following && healthy) {
-        share.confirmedAt = now;
+    share.contact = contact;
+    if (!share.following) {
+        return;
     }
-    if (share.following && !healthy && now - share.unhealthySince >= share.settings.unhealthyLimit) {
+    if (contact == StoreContact::Answering) {
+        share.confirmedAt = now;
+    } else if (now - share.failingSince >= share.settings.unhealthyLimit) {
         share.restUntil = now + share.settings.restTime;
     }
 }
@@ -154,8 +164,8 @@
 void startFollowing(StoreShare &share, Time now)
 {
     share.following = true;
-    share.healthy = true;
-    share.unhealthySince = now;
+    share.contact = StoreContact::Unknown;
+    share.failingSince = now;
     share.beatKnown = share.known;
 }
 
@@ -166,7 +176,7 @@
 
 bool isBeatDue(const StoreShare &share, Time now)
 {
-    return share.following && (now - share.beatAt >= share.settings.beatInterval || share.known != share.beatKnown);
+    return share.following && share.contact != StoreContact::Unknown && (now - share.beatAt >= share.settings.beatInterval || share.known != share.beatKnown);
 }
 
 StoreChanges changesSince(const TargetTable &table, const KnownRevisions &base, std::int64_t configBase, const KnownRevisions &known, Time now)
--- a/src/libpimentofold/storeshare_test.cpp
+++ b/src/libpimentofold/storeshare_test.cpp
@@ -199,6 +199,7 @@
     node.share.beatKnown = {5, 5};
     know(node, 11);
     startFollowing(node.share, second);
+    node.share.contact = StoreContact::Answering;
     node.share.beatAt = second;
     CHECK_FALSE(isBeatDue(node.share, second));
     CHECK(node.share.beatKnown == node.share.known);
@@ -324,15 +325,41 @@
     CHECK(shouldFollow(share, 2, 10 * second + 300 * millisecond + share.settings.rankStep));
 }
 
+// Guards against followers that take themselves for healthy before a first answer. On zbinden-grat (scale-2, seed 239166579057)
+// two nodes that were cut off from the store followed it by turns, each for the half second until its first call failed, and
+// their beats kept the others from reading a new configuration for five seconds.
+TEST_CASE("a new follower is silent until its first call has ended")
+{
+    StoreShare share;
+    share.known = {20, 20};
+    share.confirmedAt = second;
+    startFollowing(share, 2 * second);
+    noteContact(share, StoreContact::Unknown, 2 * second + 400 * millisecond);
+    CHECK_FALSE(isBeatDue(share, 2 * second + 400 * millisecond));
+    CHECK(share.confirmedAt == second);
+    noteContact(share, StoreContact::Failing, 2 * second + 500 * millisecond);
+    CHECK(isBeatDue(share, 2 * second + 500 * millisecond));
+    CHECK(share.confirmedAt == second);
+    // The time without an answer counts from the start.
+    noteContact(share, StoreContact::Failing, 2 * second + share.settings.unhealthyLimit);
+    CHECK_FALSE(shouldFollow(share, 0, 3 * second + share.settings.unhealthyLimit));
+
+    StoreShare reached;
+    startFollowing(reached, 2 * second);
+    noteContact(reached, StoreContact::Answering, 2 * second + 5 * millisecond);
+    CHECK(isBeatDue(reached, 2 * second + 5 * millisecond));
+    CHECK(reached.confirmedAt == 2 * second + 5 * millisecond);
+}
+
 TEST_CASE("a follower that can't reach the store lets others try")
 {
     StoreShare share;
     share.following = true;
-    noteOwnHealth(share, true, second);
+    noteContact(share, StoreContact::Answering, second);
     CHECK(share.confirmedAt == second);
-    noteOwnHealth(share, false, 2 * second);
+    noteContact(share, StoreContact::Failing, 2 * second);
     CHECK(shouldFollow(share, 0, 2 * second));
-    noteOwnHealth(share, false, 2 * second + share.settings.unhealthyLimit);
+    noteContact(share, StoreContact::Failing, 2 * second + share.settings.unhealthyLimit);
     CHECK_FALSE(shouldFollow(share, 0, 4 * second));
     CHECK(share.confirmedAt == second);
 }
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -323,7 +323,7 @@
     if (!missing || now < m_share.fetchAt) {
         return;
     }
-    if (message.large && m_store.isHealthy()) {
+    if (message.large && m_store.contact() != StoreContact::Failing) {
         m_share.fetchAt = now + m_share.settings.readWait;
         m_store.readOnce(m_share.known);
     } else {
@@ -420,10 +420,19 @@
     m_shareTick.start(now - m_share.startedAt < startTime ? startInterval : shareInterval);
 }
 
+void Edge::noteStoreContact(Time now)
+{
+    const StoreContact before = m_share.contact;
+    noteContact(m_share, m_store.contact(), now);
+    if (m_share.contact != before) {
+        logEvent(m_log, "store_contact", {{"state", name(m_share.contact)}, {"before", name(before)}, {"known_targets", m_share.known.targets}});
+    }
+}
+
 void Edge::tickShare(Time now)
 {
     if (m_store.isFollowing()) {
-        noteOwnHealth(m_share, m_store.isHealthy(), now);
+        noteStoreContact(now);
     }
     const bool follow = shouldFollow(m_share, m_peers.rankBy(followRank), now);
     if (follow != m_share.following) {
@@ -452,7 +461,7 @@
         m_share.fetchAt = now + m_share.settings.fetchRetry;
         m_peers.sendToNeighbour(fetchMessage(false));
     }
-    if (follow && m_share.healthy && canPlace(m_forwarder)) {
+    if (follow && m_share.contact == StoreContact::Answering && canPlace(m_forwarder)) {
         m_roster.keep(m_peers.addresses(), now);
     }
     if (isBeatDue(m_share, now)) {
@@ -488,7 +497,7 @@
 {
     m_share.beatAt = now;
     wire::EdgeMessage message = newMessage(wire::EdgeKind::Beat);
-    message.healthy = m_share.healthy;
+    message.healthy = m_share.contact == StoreContact::Answering;
     message.configKnown = m_share.known.config;
     message.targetsKnown = m_share.known.targets;
     message.configRevision = m_forwarder.table.configRevision;
@@ -518,7 +527,7 @@
     m_share.known.config = std::max(m_share.known.config, known.config);
     m_share.known.targets = std::max(m_share.known.targets, known.targets);
     if (m_store.isFollowing()) {
-        noteOwnHealth(m_share, m_store.isHealthy(), now);
+        noteStoreContact(now);
     }
     afterChange();
     if (isBeatDue(m_share, now)) {
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -56,6 +56,7 @@
 
     void onShareTick();
     void tickShare(Time now);
+    void noteStoreContact(Time now);
     void fetchFirst(Time now);
     void sendBeat(Time now);
     void broadcastParts(const std::vector<wire::EdgeChanges> &parts);
--- a/src/pimentofold-edge/storelink.cpp
+++ b/src/pimentofold-edge/storelink.cpp
@@ -83,9 +83,15 @@
     return m_following;
 }
 
-bool StoreLink::isHealthy() const
+StoreContact StoreLink::contact() const
 {
-    return m_config.follow.failures == 0 && m_targets.follow.failures == 0 && m_config.follow.revision > 0 && m_targets.follow.revision > 0;
+    const StoreFollow &config = m_config.follow;
+    const StoreFollow &targets = m_targets.follow;
+    if (config.failures > 0 || targets.failures > 0) {
+        return StoreContact::Failing;
+    }
+    const bool answered = !config.probe && !targets.probe && config.revision > 0 && targets.revision > 0;
+    return answered ? StoreContact::Answering : StoreContact::Unknown;
 }
 
 KnownRevisions StoreLink::known() const
--- a/src/pimentofold-edge/storelink.h
+++ b/src/pimentofold-edge/storelink.h
@@ -32,8 +32,8 @@
     void readOnce(const KnownRevisions &known);
 
     bool isFollowing() const;
-    /// @return whether the last call of each kind was answered
-    bool isHealthy() const;
+    /// @return what the calls since start() have shown
+    StoreContact contact() const;
     /// @return revisions up to which the store is known
     KnownRevisions known() const;
     std::int64_t calls() const;
