--- a/src/libpimentofold/storeshare_test.cpp
+++ b/src/libpimentofold/storeshare_test.cpp
@@ -171,13 +171,13 @@
     StoreChanges answer = broadcast;
     answer.base = {1, 1};
     const std::vector<wire::EdgeChanges> first = toWire(broadcast);
-    const std::vector<wire::EdgeChanges> second = toWire(answer);
+    const std::vector<wire::EdgeChanges> answered = toWire(answer);
     REQUIRE(first.size() > 1);
     ChangesAssembler assembler;
     std::size_t complete = 0;
     for (std::size_t n = 0; n < first.size(); ++n) {
         complete += addPart(assembler, testSender, first[n]) ? 1 : 0;
-        complete += addPart(assembler, testSender, second[n]) ? 1 : 0;
+        complete += addPart(assembler, testSender, answered[n]) ? 1 : 0;
     }
     CHECK(complete == 2);
     CHECK(assembler.open.empty());
