Tell a flow's outcome and cause from the logs of all nodes

Cause: the operations page led from a failed request to its lines with grep only, and the reader had to know which lines of targets and nodes concern it; logs of a collector that puts words before each line couldn't be read.

The lines of the page's three recorded cases are a test; events about dependencies are listed.

--- a/src/include/pimentofold/timeline.h
+++ b/src/include/pimentofold/timeline.h
@@ -31,7 +31,8 @@
 /// @return the event; nothing when the line isn't complete: `time`, `hlc`, `node` and `event` come first
 std::optional<TimelineEvent> parseEventLine(std::string_view line);
 
-/// Adds one line of any process. Empty lines are ignored, broken ones counted.
+/// Adds one line of any process; words without "=" that a log collector has put before it are left out. Empty lines are
+/// ignored, broken ones counted.
 void addLine(Timeline &timeline, std::string_view line);
 
 /// Puts the events in causal order, by hybrid logical clock. Events of one process with the same reading keep
--- /dev/null
+++ b/src/libpimentofold/flowreport_test.cpp
@@ -0,0 +1,73 @@
+#include <pimentofold/flowreport.h>
+
+#include <doctest/doctest.h>
+
+using namespace pimentofold;
+
+namespace {
+
+Timeline read(std::initializer_list<const char *> lines)
+{
+    Timeline timeline;
+    for (const char *it : lines) {
+        addLine(timeline, it);
+    }
+    sortEvents(timeline);
+    return timeline;
+}
+
+} // namespace
+
+// Guards against an operations page whose commands don't lead from a failed request to its cause. The lines are those of
+// recorded days.
+TEST_CASE("from a flow to its cause")
+{
+    const Timeline all = read({
+        "  13.81 front-meiringen-1 time=1769247365813 hlc=1 node=front-meiringen-1 event=no_target flow=100.66.0.26:1152>198.18.0.2:8443 attempts=1 config=2",
+        "time=1769247365813 hlc=2 node=front-meiringen-1 event=flow_refused flow=100.66.0.26:1152>198.18.0.2:8443 config=2",
+        "time=1769247365900 hlc=3 node=front-thun-1 event=no_route flow=100.66.0.26:11521>198.18.0.9:8443 config=2",
+        "time=1767977470700 hlc=10 node=front-attica-b-6 event=started data_centre=attica-b",
+        "time=1767977470937 hlc=11 node=front-attica-a-3 event=flow_relayed flow=100.66.0.14:1372>198.18.0.1:8443 attempts=1 node=9989e143311b1baf",
+        "time=1767977470938 hlc=12 node=front-attica-b-6 event=flow_waiting flow=100.66.0.14:1372>198.18.0.1:8443 attempts=1",
+        "time=1767977470975 hlc=13 node=front-attica-a-3 event=flow_placed flow=100.66.0.14:1372>198.18.0.1:8443 target=i-6abe838c3a load=3",
+        "time=1767977471263 hlc=14 node=front-attica-c-1 event=flow_ended flow=100.66.0.14:1372>198.18.0.1:8443 target=i-6abe838c3a",
+        "time=1767977471300 hlc=15 node=front-attica-c-1 event=target_removed target=i-other revision=9",
+        "time=1789136495564 hlc=21 node=front-frutigen-7 event=flow_relayed flow=100.65.0.17:1049>198.18.0.1:8080 attempts=1 node=cff154e61a9a45fa",
+        "time=1789136495573 hlc=22 node=front-frutigen-7 event=flow_opened flow=100.65.0.17:1049>198.18.0.1:8080 target=i-35fedc4edd attempts=1",
+        "time=1789136497259 hlc=23 node=front-thun-1 event=target_removed target=i-35fedc4edd revision=23",
+    });
+    CHECK(all.brokenLines == 0);
+    struct Row {
+        const char *caller;
+        std::size_t events;
+        const char *outcome;
+    };
+    const Row rows[] = {
+        {"100.66.0.26:1152", 2, "refused: no target of the service takes new flows; the request hasn't run"},
+        {"100.66.0.26:11521", 1, "dropped: the configuration has no route for the address; the request hasn't run"},
+        {"100.66.0.14:1372", 5, "ended at target i-6abe838c3a after it had waited 37 ms for room; from the first offer to the end 288 ms"},
+        {"100.65.0.17:1049", 3, "cut: target i-35fedc4edd was lost 1686 ms after the flow had opened; the request may have run"},
+        {"100.65.0.17:104", 0, "no event tells how the flow ended"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.caller);
+        const Timeline flow = eventsOfFlow(all, row.caller);
+        CHECK(flow.events.size() == row.events);
+        CHECK(flowOutcome(flow) == row.outcome);
+    }
+}
+
+// Guards against outcomes that claim more than the lines show.
+TEST_CASE("flows without an end")
+{
+    const char *const placed = "time=1 hlc=1 node=a event=flow_placed flow=1.1.1.1:5>2.2.2.2:80 target=i-1 load=1";
+    const char *const again = "time=9 hlc=2 node=a event=flow_offered_again flow=1.1.1.1:5>2.2.2.2:80 target=i-2 load=1";
+    const char *const waiting = "time=9 hlc=3 node=a event=flow_waiting flow=1.1.1.1:5>2.2.2.2:80";
+    const char *const opened = "time=20 hlc=4 node=a event=flow_opened flow=1.1.1.1:5>2.2.2.2:80 target=i-2";
+    const char *const ended = "time=30 hlc=5 node=a event=flow_ended flow=1.1.1.1:5>2.2.2.2:80 target=i-2";
+    CHECK(flowOutcome(read({placed, again})).starts_with("never opened"));
+    CHECK(flowOutcome(read({waiting})).starts_with("given up"));
+    CHECK(flowOutcome(read({placed, opened})).starts_with("open at target i-2"));
+    CHECK(flowOutcome(read({placed, again, opened, ended}))
+          == "ended at target i-2 after an earlier target had given no answer; from the first offer to the end 29 ms");
+}
--- a/src/libpimentofold/timeline.cpp
+++ b/src/libpimentofold/timeline.cpp
@@ -83,6 +83,17 @@
     return true;
 }
 
+/// Log collectors put their own time and the node's name before a line.
+std::string_view withoutCollectorPrefix(std::string_view line)
+{
+    constexpr std::string_view start = "time=";
+    constexpr std::size_t longestPrefix = 100;
+    const std::size_t at = line.find(start);
+    const bool isPrefix =
+        at != std::string_view::npos && at > 0 && at <= longestPrefix && line[at - 1] == ' ' && line.substr(0, at).find('=') == std::string_view::npos;
+    return isPrefix ? line.substr(at) : line;
+}
+
 } // namespace
 
 std::optional<TimelineEvent> parseEventLine(std::string_view line)
@@ -111,7 +122,7 @@
     if (line.find_first_not_of(" \t\r") == std::string_view::npos) {
         return;
     }
-    auto event = parseEventLine(line);
+    auto event = parseEventLine(withoutCollectorPrefix(line));
     if (event) {
         timeline.events.push_back(std::move(*event));
     } else {
--- a/src/pimentofoldctl/commandline_test.cpp
+++ b/src/pimentofoldctl/commandline_test.cpp
@@ -47,6 +47,8 @@
         {{"apply", "--platform", platform, "--if-version", "-4", "x.json"}, 2, "--if-version"},
         {{"apply", "--platform", platform, "--if-version", "x", "x.json"}, 2, "if-version"},
         {{"apply", "--platform", platform, "--deadline-ms", "0", "x.json"}, 2, "--deadline-ms"},
+        {{"list", "--platform", platform, "--flow", "100.66.0.14:1372"}, 2, "--flow"},
+        {{"timeline", "--flow", "100.66.0.14", "x.log"}, 2, "--flow"},
         {{"apply", "--platfrm", platform, "x.json"}, 2, "--platfrm"},
         {{"get", "team", "a", "--platform", platform, "--wait"}, 2, "--wait: not an option of 'get'"},
         {{"get", "team", "a", "--platform", platform, "--reason", "x"}, 2, "--reason"},
--- a/src/pimentofoldctl/options.cpp
+++ b/src/pimentofoldctl/options.cpp
@@ -5,6 +5,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <pimentofold/settings.h>
 #include <pimentofoldctl/changeid.h>
 
 namespace pimentofold::ctl {
@@ -72,6 +73,7 @@
     TCLAP::ValueArg<std::int64_t> ifVersion{"", "if-version", "write only over this version; 0: the object must not exist", false, -1, "N", command};
     TCLAP::ValueArg<std::string> reason{"", "reason", "reason of a drain", false, "", "TEXT", command};
     TCLAP::ValueArg<std::string> html{"", "html", "file for the timeline's page", false, "", "FILE", command};
+    TCLAP::ValueArg<std::string> flow{"", "flow", "only what concerns the flow of this caller, and its outcome", false, "", "IP:PORT", command};
     TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "operands of the command", false, "operand", command};
 };
 
@@ -96,6 +98,7 @@
     options.checkOnly = arguments.check.getValue();
     options.reason = arguments.reason.getValue();
     options.html = arguments.html.getValue();
+    options.flow = arguments.flow.getValue();
     if (arguments.platform.isSet()) {
         options.platform = arguments.platform.getValue();
     }
@@ -126,6 +129,10 @@
     refuseOption(options.ifVersion && !syntax.changesObjects, "--if-version", syntax);
     refuseOption(!options.reason.empty() && syntax.name != "drain", "--reason", syntax);
     refuseOption(!options.html.empty() && syntax.name != "timeline", "--html", syntax);
+    refuseOption(!options.flow.empty() && syntax.name != "timeline", "--flow", syntax);
+    if (!options.flow.empty() && !isAddress(options.flow)) {
+        throw UsageError("--flow: expected the caller's IPv4 address and port, such as 100.66.0.14:1372");
+    }
     for (const std::string &it : options.operands) {
         // TCLAP takes unknown options as operands.
         refuseOption(it.starts_with("-"), it, syntax);
--- a/src/pimentofoldctl/options.h
+++ b/src/pimentofoldctl/options.h
@@ -26,6 +26,7 @@
     std::optional<std::int64_t> ifVersion;
     std::string reason; ///< of a drain
     std::string html; ///< file for the timeline's page
+    std::string flow; ///< caller's address and port of the flow that the timeline is limited to
 };
 
 /// A wrong command line; what() says what was expected.
--- a/src/pimentofoldctl/queries.cpp
+++ b/src/pimentofoldctl/queries.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 
+#include <pimentofold/flowreport.h>
 #include <pimentofold/timeline.h>
 #include <pimentofoldctl/changeid.h>
 #include <pimentofoldctl/difference.h>
@@ -253,7 +254,15 @@
     }
     sortEvents(timeline);
     Report report;
-    report.data = {{"events", timeline.events.size()}, {"processes", processesOf(timeline).size()}, {"brokenLines", timeline.brokenLines}};
+    const std::size_t brokenLines = timeline.brokenLines;
+    if (!context.options.flow.empty()) {
+        timeline = eventsOfFlow(timeline, context.options.flow);
+        report.text = flowOutcome(timeline) + "\n";
+    }
+    report.data = {{"events", timeline.events.size()}, {"processes", processesOf(timeline).size()}, {"brokenLines", brokenLines}};
+    if (!context.options.flow.empty()) {
+        report.data["outcome"] = flowOutcome(timeline);
+    }
     if (!context.options.html.empty()) {
         std::ofstream out(context.options.html);
         out << timelinePage(timeline);
@@ -262,10 +271,10 @@
         }
         report.data["html"] = context.options.html;
     } else {
-        report.text = timelineText(timeline);
+        report.text = timelineText(timeline) + report.text;
     }
     report.text += std::to_string(timeline.events.size()) + " events of " + std::to_string(processesOf(timeline).size()) + " processes, "
-        + std::to_string(timeline.brokenLines) + " broken lines\n";
+        + std::to_string(brokenLines) + " broken lines\n";
     return report;
 }
 
