--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -54,6 +54,8 @@
     wire::EdgeMessage fetchMessage(bool evenIfLarge) const;
     void onLarge(const Address &from, Time now);
 
+    void prepareSharing();
+    void startSharing();
     void onShareTick();
     void tickShare(Time now);
     void noteStoreContact(Time now);
