Use a configuration although a part of it is invalid or unknown

Change: upload is a type of its own. An unknown type is treated as the strictest one, an invalid urgency, goal or idle timeout as not set, and a route that can't be decoded keeps its last valid version. Each problem is logged once (config_problem) and counted by the gauge config_problems. Messages of newer nodes with unknown types no longer lose the route. A port range without ports is a settings error and no longer ends the process with out_of_range.

--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,11 +18,18 @@
     Safe,
     Unsafe,
     Download,
+    Upload, ///< not idempotent, with a large body from the caller
 };
 
-/// @return "safe", "unsafe" or "download"
+/// The type that a route of an unknown type is treated as: its requests are never repeated.
+constexpr RouteType strictestRouteType = RouteType::Unsafe;
+
+/// @return "safe", "unsafe", "download" or "upload"
 std::string_view name(RouteType type);
 
+/// @return the type with this name; nothing when there is none
+std::optional<RouteType> routeTypeFromName(std::string_view text);
+
 /// A service with its weight in a route.
 struct WeightedService {
     std::string service;
@@ -42,12 +50,24 @@
     friend bool operator==(const EdgeRoute &, const EdgeRoute &) = default;
 };
 
+/// An invalid part of a configuration. The rest of the configuration is used.
+struct ConfigProblem {
+    std::string route; ///< name of the route, or its address when the name can't be decoded; empty when neither can, or for other parts
+    std::string problem; ///< description of the invalid field
+
+    friend auto operator<=>(const ConfigProblem &, const ConfigProblem &) = default;
+};
+
 /// One version of the whole configuration.
 struct EdgeConfig {
     std::int64_t revision = 0; ///< store revision of this version; later versions have higher revisions
     std::int64_t version = 0; ///< version number that the operator assigned
     std::vector<EdgeRoute> routes;
     Time idleTimeout = 0; ///< flows that have been idle for longer may be dropped from memory
+    /// Names of routes that can't be decoded, and their addresses in text form where they can. The last valid version of these
+    /// routes stays in force.
+    std::vector<std::string> unreadableRoutes;
+    std::vector<ConfigProblem> problems; ///< invalid parts that were left out or replaced by defaults
 };
 
 /// Whether a target accepts new flows.
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -68,7 +68,8 @@
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
 };
 
-/// Replaces the configuration. Routes that are not part of @p config are removed.
+/// Replaces the configuration. Routes that are not part of @p config are removed; those that it contains in an unreadable
+/// form stay as they are.
 /// @return false when @p config is not newer than the configuration in force; nothing changes then
 bool applyConfig(TargetTable &table, const EdgeConfig &config);
 
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -30,10 +30,16 @@
     return {static_cast<std::uint32_t>(ip), static_cast<std::uint16_t>(port)};
 }
 
-/// @return nothing for a route without services or with an unknown kind of work
+/// A type that only newer nodes know is treated as the strictest one.
+RouteType routeTypeFromWire(std::int8_t value)
+{
+    return value < 0 || value > static_cast<int>(RouteType::Upload) ? strictestRouteType : static_cast<RouteType>(value);
+}
+
+/// @return nothing for a route without services
 std::optional<EdgeRoute> fromWire(const wire::EdgeRoute &route)
 {
-    if (route.shares.empty() || route.kind < 0 || route.kind > static_cast<int>(RouteType::Download)) {
+    if (route.shares.empty()) {
         return std::nullopt;
     }
     EdgeRoute result;
@@ -42,7 +48,7 @@
     for (const wire::EdgeShare &it : route.shares) {
         result.weightedServices.push_back({it.serviceName, it.weight});
     }
-    result.type = static_cast<RouteType>(route.kind);
+    result.type = routeTypeFromWire(route.kind);
     result.urgency = route.urgency;
     result.responseTimeGoal = route.aim;
     return result;
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -82,6 +82,13 @@
     table.idleTimeout = config.idleTimeout;
 }
 
+/// @return whether a configuration contains the route in a form that can't be decoded
+bool isUnreadable(const EdgeConfig &config, const EdgeRoute &route)
+{
+    const auto names = [&](const std::string &it) { return it == route.name || it == toString(route.address); };
+    return !config.unreadableRoutes.empty() && std::ranges::any_of(config.unreadableRoutes, names);
+}
+
 bool hasService(const EdgeRoute &route, const std::string &service)
 {
     return std::ranges::any_of(route.weightedServices, [&](const WeightedService &it) { return it.service == service; });
@@ -103,7 +110,7 @@
         storeRoute(table, it, config.revision);
     }
     for (auto &[key, entry] : table.routes) {
-        if (!entry.removed && !present.contains(key)) {
+        if (!entry.removed && !present.contains(key) && !isUnreadable(config, entry.route)) {
             entry.removed = true;
             entry.revision = config.revision;
         }
--- a/src/libpimentofold/targettable_test.cpp
+++ b/src/libpimentofold/targettable_test.cpp
@@ -24,6 +24,30 @@
     CHECK(table.configRevision == 8);
 }
 
+// Guards against a route that goes out of force because of an invalid field in its next version.
+TEST_CASE("a route that a new configuration holds in unreadable form stays in force")
+{
+    struct Row {
+        std::vector<std::string> unreadable;
+        bool stays;
+    };
+    const Row rows[] = {
+        {{}, false},
+        {{"r-shop"}, true},
+        {{toString(shopAddress)}, true},
+        {{"r-other", toString(otherAddress)}, false},
+    };
+    for (const Row &row : rows) {
+        TargetTable table;
+        applyConfig(table, makeConfig(5, {makeRoute(shopAddress, "shop")}));
+        EdgeConfig changed = makeConfig(6, {makeRoute(otherAddress, "other")});
+        changed.unreadableRoutes = row.unreadable;
+        CHECK(applyConfig(table, changed));
+        CHECK((findRoute(table, shopAddress) != nullptr) == row.stays);
+        CHECK(findRoute(table, otherAddress) != nullptr);
+    }
+}
+
 // Guards against target entries that arrive late or twice, and against targets that reuse an id or an address.
 TEST_CASE("target entries are applied in the order of their revisions")
 {
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -102,6 +102,7 @@
     setGauge(m_metrics, "ready", readinessResponse().status == statusOk ? 1 : 0);
     setGauge(m_metrics, "config_version", static_cast<double>(table.configVersion));
     setGauge(m_metrics, "config_revision", static_cast<double>(table.configRevision));
+    setGauge(m_metrics, "config_problems", static_cast<double>(m_store.configProblemCount()));
     setGauge(m_metrics, "store_targets_revision", static_cast<double>(m_replication.known.targets));
     setGauge(m_metrics, "store_confirmed_seconds", m_replication.confirmedAt == 0 ? -1 : toSeconds(now - m_replication.confirmedAt));
     setGauge(m_metrics, "store_following", m_replication.leading ? 1 : 0);
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -167,6 +167,7 @@
             logEvent(m_log,
                      "config_applied",
                      {{"source", "store"}, {"version", config->version}, {"revision", config->revision}, {"routes", config->routes.size()}});
+            logConfigProblems(config->problems);
         }
     } else if (const auto *record = std::get_if<TargetRecord>(&object)) {
         applyTargetRecord(reader, *record, now);
@@ -178,6 +179,22 @@
     }
 }
 
+void StoreClient::logConfigProblems(const std::vector<ConfigProblem> &problems)
+{
+    std::set<ConfigProblem> current(problems.begin(), problems.end());
+    for (const ConfigProblem &it : current) {
+        if (!m_configProblems.contains(it)) {
+            logEvent(m_log, "config_problem", {{"route", it.route}, {"problem", it.problem}});
+        }
+    }
+    m_configProblems = std::move(current);
+}
+
+std::size_t StoreClient::configProblemCount() const
+{
+    return m_configProblems.size();
+}
+
 void StoreClient::applyTargetRecord(KindReader &reader, const TargetRecord &record, Time now)
 {
     reader.listWatch.listedIds.insert(record.id);
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <libnet/loop.h>
 #include <libnet/streamhttp.h>
@@ -40,6 +42,8 @@
     KnownRevisions known() const;
     /// @return number of calls since the process started
     std::int64_t callCount() const;
+    /// @return number of invalid parts of the configuration that this node read last from the store
+    std::size_t configProblemCount() const;
 
 private:
     /// List-and-watch of one kind, with its connection.
@@ -58,6 +62,8 @@
     void onAnswer(KindReader &reader, const HttpResult &result);
     void logFailure(const KindReader &reader, const HttpResult &result);
     void applyObject(KindReader &reader, const platform::StoreObject &object, Time now);
+    /// Logs the problems that the previous configuration didn't have.
+    void logConfigProblems(const std::vector<ConfigProblem> &problems);
     void applyTargetRecord(KindReader &reader, const TargetRecord &record, Time now);
     /// Removes a target that the store no longer holds in readable form.
     void removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, std::int64_t revision, Time now);
@@ -70,6 +76,7 @@
     std::function<void()> m_onAnswered;
     KindReader m_configReader;
     KindReader m_targetsReader;
+    std::set<ConfigProblem> m_configProblems; ///< of the configuration that was read last
     bool m_watching = false;
 };
 
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -164,6 +164,75 @@
     }
 }
 
+// Guards against one invalid route that keeps the whole configuration out of force, so that no caller is served.
+TEST_CASE("an invalid field of a route affects that route only")
+{
+    struct Row {
+        std::string from;
+        std::string to;
+        std::size_t routes; ///< decoded routes; the sample has two
+        std::vector<std::string> unreadable;
+    };
+    const Row rows[] = {
+        {R"("type":"safe")", R"("type":"upload")", 2, {}},
+        {R"("type":"safe")", R"("type":"a-later-one")", 2, {}},
+        {R"("type":"safe")", R"("type":17)", 2, {}},
+        {R"("type":"safe",)", "", 2, {}},
+        {R"("aim_ms":200)", R"("aim_ms":"soon")", 2, {}},
+        {R"("aim_ms":200)", R"("aim_ms":-1)", 2, {}},
+        {R"("priority":2)", R"("priority":null)", 2, {}},
+        {R"("priority":2)", R"("priority":99999999999999999999)", 2, {}},
+        {R"("idle_timeout_ms":15000)", R"("idle_timeout_ms":[])", 2, {}},
+        {R"("weight":90)", R"("weight":"most")", 2, {}},
+        {R"("max_attempts":2)", R"("max_attempts":{})", 2, {}},
+        {R"("host":"198.18.0.1")", R"("host":"a.name")", 1, {"a"}},
+        {R"("path_prefix":"/8443/")", R"("path_prefix":8443)", 1, {"a"}},
+        {R"("path_prefix":"/8443/",)", "", 1, {"a"}},
+        {R"({"service":"x","weight":90})", R"({"weight":90})", 1, {"198.18.0.1:8443", "a"}},
+        {R"({"service":"x","weight":90})", "null", 1, {"198.18.0.1:8443", "a"}},
+        {R"("name":"a")", R"("name":[])", 1, {"198.18.0.1:8443"}},
+        {R"({"name":"b","host":"198.18.0.2","path_prefix":"/80/","type":"unsafe","service":"x"})", "7", 1, {}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.to);
+        std::string text = config;
+        text.replace(text.find(row.from), row.from.size(), row.to);
+        const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Config, list(text));
+        REQUIRE(response);
+        REQUIRE(std::holds_alternative<EdgeConfig>(response->objects.at(0)));
+        const auto &read = std::get<EdgeConfig>(response->objects[0]);
+        CHECK(read.version == 7);
+        CHECK(read.routes.size() == row.routes);
+        CHECK(read.unreadableRoutes == row.unreadable);
+        const bool isValid = row.to.find("upload") != std::string::npos || row.to.find("most") != std::string::npos || row.to.find("max_") != std::string::npos;
+        CHECK(read.problems.empty() == isValid);
+    }
+}
+
+TEST_CASE("a route of an unknown type is treated as one that is never repeated")
+{
+    struct Row {
+        std::string name;
+        RouteType type;
+    };
+    const Row rows[] = {
+        {"safe", RouteType::Safe},
+        {"unsafe", RouteType::Unsafe},
+        {"download", RouteType::Download},
+        {"upload", RouteType::Upload},
+        {"stream", RouteType::Unsafe},
+        {"", RouteType::Unsafe},
+    };
+    for (const Row &row : rows) {
+        std::string text = config;
+        const std::string from = R"("type":"safe")";
+        text.replace(text.find(from), from.size(), R"("type":")" + row.name + "\"");
+        const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Config, list(text));
+        REQUIRE(response);
+        CHECK(std::get<EdgeConfig>(response->objects.at(0)).routes.at(0).type == row.type);
+    }
+}
+
 // Guards against responses that crash the process: valid ones are truncated at each position or changed at random.
 TEST_CASE("truncated and corrupted responses don't crash the decoder")
 {
@@ -223,6 +292,7 @@
         {"listen.packets=10.1.0.10:8172", "listen.packets=here", "listen.packets"},
         {"port_range=7720,7735", "port_range=x", "port_range"},
         {"port_range=7720,7735", "port_range=", "port_range"},
+        {"port_range=7720,7735", "port_range=,", "port_range"},
         {"seeds=10.1.0.10:8166", "seeds=10.1.0:8166", "seeds"},
         {"bounds.grace_s=6", "bounds.grace_s=soon", "bounds.grace_s"},
         {"bounds.grace_s=6", "bounds.grace_s=-1", "bounds.grace_s"},
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -93,7 +93,7 @@
 {
     const std::vector<std::string> parts = split(requiredValue(lines, "port_range"));
     int port = 0;
-    const std::string &first = parts.at(0);
+    const std::string first = parts.empty() ? std::string() : parts.front();
     const auto result = std::from_chars(first.data(), first.data() + first.size(), port);
     constexpr int maxPort = 65'535;
     if (result.ec != std::errc() || result.ptr != first.data() + first.size() || port < 1 || port > maxPort) {
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -72,14 +72,27 @@
 
 constexpr std::int64_t maxMilliseconds = 86'400'000;
 
-RouteType routeTypeFromName(const std::string &text)
+/// Decodes the type of a route's requests. The configuration may use types that this version doesn't know.
+RouteType routeType(const json &route, std::vector<std::string> &problems)
 {
-    for (const RouteType it : {RouteType::Safe, RouteType::Unsafe, RouteType::Download}) {
-        if (name(it) == text) {
-            return it;
-        }
+    const auto it = route.find("type");
+    const std::string text = it != route.end() && it->is_string() ? it->get<std::string>() : "";
+    if (const std::optional<RouteType> type = routeTypeFromName(text)) {
+        return *type;
+    }
+    problems.push_back("type is unknown, treated as " + std::string(name(strictestRouteType)));
+    return strictestRouteType;
+}
+
+/// Decodes a number that a route can do without.
+std::int64_t optionalField(const json &object, const char *field, std::int64_t max, std::vector<std::string> &problems)
+{
+    try {
+        return integerField(object, field, 0, max, 0);
+    } catch (const FieldError &error) {
+        problems.push_back(error.problem + ", treated as not set");
+        return 0;
     }
-    throw FieldError{"type is not safe, unsafe or download"};
 }
 
 /// Decodes a route's address, which the platform stores in two fields: the IP address in `host`, and the port between
@@ -100,6 +113,9 @@
     std::vector<WeightedService> shares;
     if (route.contains("backends") && route["backends"].is_array()) {
         for (const json &it : route["backends"]) {
+            if (!it.is_object()) {
+                throw FieldError{"backends has an entry that is not an object"};
+            }
             const auto weight = it.find("weight");
             const double share = weight != it.end() && weight->is_number() ? weight->get<double>() : 1;
             if (share > 0) {
@@ -113,19 +129,55 @@
     return shares;
 }
 
-EdgeRoute decodeRoute(const json &value)
+/// @param problems gets a description of each invalid field for which a default is used
+EdgeRoute decodeRoute(const json &value, std::vector<std::string> &problems)
 {
     EdgeRoute route;
     route.name = stringField(value, "name");
     route.address = routeAddress(value);
     route.weightedServices = routeShares(value);
-    route.type = routeTypeFromName(stringField(value, "type"));
+    route.type = routeType(value, problems);
     constexpr int maxUrgency = 1000;
-    route.urgency = static_cast<int>(integerField(value, "priority", 0, maxUrgency, 0));
-    route.responseTimeGoal = integerField(value, "aim_ms", 0, maxMilliseconds, 0) * millisecond;
+    route.urgency = static_cast<int>(optionalField(value, "priority", maxUrgency, problems));
+    route.responseTimeGoal = optionalField(value, "aim_ms", maxMilliseconds, problems) * millisecond;
     return route;
 }
 
+/// Records a route that can't be decoded by whatever identifies it.
+void addUnreadableRoute(EdgeConfig &config, const json &value, const std::string &problem)
+{
+    std::string label;
+    try {
+        label = toString(routeAddress(value));
+        config.unreadableRoutes.push_back(label);
+    } catch (const FieldError &) {
+        label.clear();
+    }
+    const auto routeName = value.find("name");
+    if (value.is_object() && routeName != value.end() && routeName->is_string()) {
+        label = routeName->get<std::string>();
+        config.unreadableRoutes.push_back(label);
+    }
+    config.problems.push_back({label, problem});
+}
+
+void addRoute(EdgeConfig &config, const json &value)
+{
+    std::vector<std::string> problems;
+    try {
+        if (!value.is_object()) {
+            throw FieldError{"route is not an object"};
+        }
+        EdgeRoute route = decodeRoute(value, problems);
+        for (std::string &it : problems) {
+            config.problems.push_back({route.name, std::move(it)});
+        }
+        config.routes.push_back(std::move(route));
+    } catch (const FieldError &error) {
+        addUnreadableRoute(config, value, error.problem);
+    }
+}
+
 EdgeConfig decodeConfig(const json &spec, std::int64_t revision)
 {
     EdgeConfig config;
@@ -137,11 +189,15 @@
     }
     config.routes.reserve(routes.size());
     for (const json &it : routes) {
-        config.routes.push_back(decodeRoute(it));
+        addRoute(config, it);
     }
     const auto limits = spec.find("limits");
     if (limits != spec.end() && limits->is_object()) {
-        config.idleTimeout = integerField(*limits, "idle_timeout_ms", 0, maxMilliseconds, 0) * millisecond;
+        std::vector<std::string> problems;
+        config.idleTimeout = optionalField(*limits, "idle_timeout_ms", maxMilliseconds, problems) * millisecond;
+        for (std::string &it : problems) {
+            config.problems.push_back({"", std::move(it)});
+        }
     }
     return config;
 }
