Count flows with a request at work as load, not all open flows

Cause: a dispatcher counted each open flow as a request in a slot. Callers who keep a flow open for a shift and pause between requests filled the room of all targets, and further flows waited 1.3 s beside idle targets and were dropped. Change: flowactivity tells from the sequence numbers of the caller's packets when a request starts and when the caller has received the start of the answer. The node that receives the packets reports both to the dispatcher of the target (messages WorkStarted and WorkEnded; older nodes ignore them). Room depends on requests at work; idle flows add the share of time that the flows of their route are at work, sampled each second. A node that becomes the dispatcher of a target learns of its kept flows with their next request. Idle flows are forgotten after the configuration's idle timeout.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -10,7 +10,9 @@
   Held = 5,      // the dispatcher keeps the opening packet until a target has room
   Ended = 6,     // a flow that the dispatcher placed has ended
   Opened = 7,    // a flow that the dispatcher placed has gone on through a node that didn't ask for it
-  Settled = 8    // the flow needs no further offer
+  Settled = 8,   // the flow needs no further offer
+  WorkStarted = 9, // a further request was sent on a flow that the dispatcher counts
+  WorkEnded = 10 // the answer to the flow's last request has started
 }
 
 struct EdgeShare {
@@ -91,6 +93,6 @@
   15: optional list<EdgeEndpoint> relayTo  // Beat, Changes: nodes to which the receiver passes it on
   8: optional binary packet       // Place
   9: i32 attempt = 0              // Place: from 1
-  10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled
-  11: i64 target = 0              // Ended, Opened: where the flow was; 0 when the sender doesn't know
+  10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled, WorkStarted, WorkEnded
+  11: i64 target = 0              // Ended, Opened, WorkStarted, WorkEnded: where the flow was; 0 when the sender doesn't know
 }
--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -32,25 +32,36 @@
 struct DispatchSettings {
     PlacementSettings placement;
     std::string dataCentre; ///< data centre of this node
-    /// A target has room for a new flow while it has fewer open flows than this number times its slots, plus one. A further
-    /// flow would wait longer in the target's queue than in the dispatcher's, where more urgent flows can overtake and the
-    /// first target with room serves the flow.
+    /// A target has room for a new flow while it has fewer flows with a request at work than this number times its slots, plus
+    /// one. A further flow would wait longer in the target's queue than in the dispatcher's, where more urgent flows can
+    /// overtake and the first target with room serves the flow.
     double flowsPerSlot = 2;
     Time maxWaitTime = 1300 * millisecond; ///< waiting flows are dropped after this time; callers give up shortly later
     std::size_t maxWaitingFlows = 500;
-    Time placedFlowTimeout = 3 * second; ///< a placed flow counts as ended after this time when no node reports its end
+    Time workTimeout = 3 * second; ///< a request counts as answered after this time when no node reports an answer
+    Time idleFlowTimeout = minute; ///< an idle flow counts as ended after this time, unless the configuration sets an idle timeout
     std::size_t maxFlows = 50'000; ///< placed flows that are remembered; further ones are placed without being counted
 };
 
-/// A flow that this node has placed on a target.
+/// How a flow counts as load of its target.
+enum class FlowLoad {
+    None, ///< not at all
+    Working, ///< a request is at work, or is expected right after the opening packet
+    Idle, ///< open without a request
+};
+
+/// A flow that this node has placed on a target, or that another node has reported to it as the target's dispatcher.
 struct PlacedFlow {
     std::array<std::uint64_t, maxOffersPerFlow> offeredTargets{}; ///< ids of the targets that the flow was offered to, in order
     std::size_t offerCount = 0; ///< number of valid elements of `offeredTargets`
     std::uint64_t target = 0; ///< id of the target of the last offer
-    bool countedAsLoad = false; ///< part of the open flows of `target`
+    FlowLoad load = FlowLoad::None; ///< how the flow is counted at `target`
+    double idleLoad = 0; ///< Idle: what the flow adds to the target's idleLoad
+    bool answered = false; ///< the target has answered a request of the flow
     bool waitedLong = false; ///< waited so long for room that the caller may have given up before the offer
     bool openedElsewhere = false; ///< the caller has continued the flow through another node than the one that requested placement
-    Time placedAt = 0; ///< time of the last offer
+    Time placedAt = 0; ///< time of the last offer, or of the first report
+    Time loadChangedAt = 0; ///< when `load` was last changed or confirmed
 };
 
 /// A request to place a flow.
@@ -98,7 +109,7 @@
     std::uint64_t target = 0; ///< id; 0 when the event concerns no target
     FlowToken token = 0;
     int attempts = 0; ///< placement attempts of the flow so far
-    int load = 0; ///< open flows that this node has placed on the target
+    int load = 0; ///< flows on the target with a request at work, as known to this node
     Id node = 0; ///< Relayed: the dispatcher
     Time elapsed = 0; ///< since the flow's first packet at this node
 };
@@ -136,9 +147,17 @@
     FlowKey flow;
 };
 
-/// Notifies the dispatcher that a flow has ended, or that its caller has continued it through another node than the one
-/// that requested placement.
+/// What a node that receives a flow's packets reports to the flow's dispatcher.
+enum class FlowNoticeKind {
+    Opened, ///< the caller has continued the flow through another node than the one that requested placement
+    WorkStarted, ///< the caller has sent a further request on the flow
+    WorkEnded, ///< the caller has received the start of the answer
+    Ended, ///< the flow has ended
+};
+
+/// Notifies the dispatcher of a flow.
 struct FlowNotice {
+    FlowNoticeKind kind = FlowNoticeKind::Ended;
     Id dispatcher = 0;
     FlowKey flow;
     std::uint64_t target = 0; ///< id; 0 when the sender doesn't know the flow's target
@@ -152,19 +171,31 @@
     std::vector<RelayedOpening> relayedOpenings;
     std::vector<HeldNotice> heldNotices;
     std::vector<SettledNotice> settledNotices;
-    std::vector<FlowNotice> openedNotices;
-    std::vector<FlowNotice> endedNotices;
+    std::vector<FlowNotice> flowNotices;
     std::vector<ForwardEventRecord> events;
 };
 
+/// How much of the time the open flows of a route have a request at work. Flows that are open for the first request only
+/// are left out, since a flow is opened to send it.
+struct RouteActivity {
+    /// A flow that waits for its next request adds this much to a target's load before any measurement.
+    static constexpr double initialWorkingShare = 0.1;
+
+    double workingShare = initialWorkingShare; ///< moving average, 0 to 1
+    int working = 0; ///< flows with a request at work in the current sample
+    int open = 0; ///< all flows in the current sample
+};
+
 /// State of flow placement at one node.
 struct Dispatcher {
     DispatchSettings settings;
     Random random;
     std::unordered_map<FlowKey, PlacedFlow> placedFlows;
     std::unordered_map<FlowKey, WaitingFlow> waitingFlows;
-    double meanServiceTime = 0; ///< moving average of the time from placement to end of flows, in microseconds
-    Time nextSweepAt = 0; ///< when tickDispatcher() next checks placed and waiting flows
+    std::map<Address, RouteActivity> routeActivity; ///< by service address
+    double meanServiceTime = 0; ///< moving average of the time from placement to the first answer of flows, in microseconds
+    Time nextSweepAt = 0; ///< when tickDispatcher() next checks waiting flows
+    Time nextPlacedSweepAt = 0; ///< when tickDispatcher() next checks placed flows
 };
 
 /// Result of a placement request.
@@ -180,17 +211,12 @@
 /// another target if there is one, and the target of the last offer is recorded as not answering.
 PlaceResult placeFlow(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, Time now, ForwardOutput &out);
 
-/// Handles the report that a flow's caller has continued the flow through another node than the one that requested
-/// placement.
-/// @param target id of the flow's target
-void markPlacedFlowOpened(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now);
-
-/// Removes an ended flow and places waiting flows in the freed room.
-/// @param target id of the flow's target; 0 when it isn't known
-void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now, ForwardOutput &out);
+/// Handles a notice about a flow, from this or another node. Places waiting flows when the flow's target gets room. A flow
+/// that isn't known, because this node has become the target's dispatcher only now, is recorded.
+void handleFlowNotice(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out);
 
-/// Removes flows that were placed longer than placedFlowTimeout ago, drops flows that have waited longer than maxWaitTime,
-/// and places waiting flows for which a target has room.
+/// Counts requests and flows without further notices as answered or ended after their timeouts, drops flows that have waited
+/// longer than maxWaitTime, and places waiting flows for which a target has room.
 void tickDispatcher(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out);
 
 /// @return when tickDispatcher() has to be called next
--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -53,4 +53,10 @@
 /// Converts a flow's key from a message.
 FlowKey fromWire(const wire::EdgeFlowEnds &ends);
 
+/// Converts the kind of a notice for a message.
+wire::EdgeKind::type toWire(FlowNoticeKind kind);
+
+/// @return the kind of notice that a message holds; nothing for other messages
+std::optional<FlowNoticeKind> noticeKindFromWire(wire::EdgeKind::type kind);
+
 } // namespace pimentofold
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <pimentofold/dispatch.h>
+#include <pimentofold/flowactivity.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
 #include <pimentofold/targetchoice.h>
@@ -61,7 +62,9 @@
 /// A flow whose packets arrive at this node.
 struct EdgeFlow {
     FlowStage stage = FlowStage::Opening;
-    Id dispatcher = 0; ///< node that places the flow; 0: this node
+    Id dispatcher = 0; ///< node that counts the flow as load of its target, at first the one that places it; 0: this node
+    FlowActivity activity;
+    bool countedAsWorking = true; ///< the dispatcher counts the flow as one with a request at work
     std::uint64_t target = 0; ///< id of the target that the caller's packets name; 0 before the flow is open
     int attempts = 0; ///< placement attempts so far
     Time startedAt = 0; ///< time of the flow's first packet at this node
@@ -121,15 +124,6 @@
 /// Handles a dispatcher's notice that a flow must not be offered again.
 void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow);
 
-/// Handles another node's notice that the caller of a flow which this node has placed has continued the flow through that
-/// node.
-/// @param target id of the flow's target
-void handleOpenedNotice(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now);
-
-/// Handles another node's notice that a flow which this node has placed has ended.
-/// @param target id of the flow's target; 0 when it isn't known
-void handleEndedNotice(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out);
-
 /// Selects the nodes that may become dispatchers: those that started at least a few seconds before the newest node, because
 /// a node that has just joined doesn't know the load of the targets. When all nodes have started at about the same time, the
 /// oldest ones are selected, so that few services change their dispatcher while further nodes join. All nodes with the same
--- a/src/include/pimentofold/flowpacket.h
+++ b/src/include/pimentofold/flowpacket.h
@@ -30,6 +30,8 @@
     bool resets = false; ///< RST: the caller has aborted the flow
     FlowToken token = 0; ///< the token that the caller received last on this flow
     Time openingAge = 0; ///< only for opening packets: time since the caller sent the first one of this flow
+    std::uint32_t sequence = 0; ///< of the first byte of the payload
+    std::uint32_t acknowledgement = 0; ///< only for packets after the opening one: the next byte that the caller expects from the target
     std::uint16_t payloadBytes = 0;
     std::string_view bytes; ///< the whole packet as received
 };
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -7,8 +7,8 @@
 #include <pimentofold/targettable.h>
 
 /// Selection of the target for a new flow on an edge node: the target with the least load per slot. Load is estimated from
-/// the target's entry in the store, the open flows that this node has placed on the target, and the signs of answers in
-/// callers' packets.
+/// the target's entry in the store, the flows on the target with a request at work, the expected requests of its idle flows,
+/// and the signs of answers in callers' packets.
 namespace pimentofold {
 
 /// Parameters of target selection.
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -38,8 +38,10 @@
     Time drainingSince = never; ///< when this node learned that the target is draining
     Time warmupEndsAt = 0;
     // Observations from callers' packets.
-    int openFlows = 0; ///< open flows that this node has placed on the target
-    bool owned = true; ///< this node is the dispatcher that places the target's flows
+    int openFlows = 0; ///< open flows on the target that this node knows of as a dispatcher
+    int workingFlows = 0; ///< those of openFlows with a request at work
+    double idleLoad = 0; ///< expected number of requests at work that the other open flows add
+    Id owner = 0; ///< dispatcher that places the target's flows; 0: this node
     Time lastFlowAt = 0; ///< when a flow was last placed on the target
     Time lastAnswerAt = 0; ///< last sign of an answer: a caller sent a further packet on a flow to this target
     int unansweredOpenings = 0; ///< consecutive opening packets without a sign of an answer
@@ -109,6 +111,15 @@
 /// @return the target of the token, which may already be removed from the store; nullptr when the token is unknown
 EdgeTarget *findTargetByToken(TargetTable &table, FlowToken token, const EdgeRoute *route);
 
+/// Flows that this node counts on targets as their dispatcher.
+struct FlowCounts {
+    int working = 0; ///< with a request at work
+    int idle = 0; ///< open without a request
+};
+
+/// @return the sum over all targets
+FlowCounts countFlows(const TargetTable &table);
+
 /// @return the token of a target, a 32-bit hash of its id; never 0
 FlowToken tokenOf(std::uint64_t id);
 
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -29,18 +29,48 @@
 
 void removeFromLoad(TargetTable &table, PlacedFlow &flow)
 {
-    if (!flow.countedAsLoad) {
+    EdgeTarget *target = flow.load == FlowLoad::None ? nullptr : findTarget(table, flow.target);
+    if (target != nullptr) {
+        target->openFlows = std::max(target->openFlows - 1, 0);
+        if (flow.load == FlowLoad::Working) {
+            target->workingFlows = std::max(target->workingFlows - 1, 0);
+        } else {
+            target->idleLoad = std::max(target->idleLoad - flow.idleLoad, 0.0);
+        }
+    }
+    flow.load = FlowLoad::None;
+    flow.idleLoad = 0;
+}
+
+/// Counts the flow at its target in another way than before.
+/// @param idleLoad what the flow adds to the target's idleLoad if @p load is Idle
+void setLoad(TargetTable &table, PlacedFlow &flow, FlowLoad load, double idleLoad, Time now)
+{
+    removeFromLoad(table, flow);
+    flow.loadChangedAt = now;
+    EdgeTarget *target = findTarget(table, flow.target);
+    if (target == nullptr) {
         return;
     }
-    flow.countedAsLoad = false;
-    if (EdgeTarget *target = findTarget(table, flow.target)) {
-        target->openFlows = std::max(target->openFlows - 1, 0);
+    flow.load = load;
+    ++target->openFlows;
+    if (load == FlowLoad::Working) {
+        ++target->workingFlows;
+    } else {
+        flow.idleLoad = idleLoad;
+        target->idleLoad += idleLoad;
     }
 }
 
+double idleLoadOf(const Dispatcher &dispatcher, const FlowKey &key)
+{
+    const auto it = dispatcher.routeActivity.find(key.service);
+    return it == dispatcher.routeActivity.end() ? RouteActivity::initialWorkingShare : it->second.workingShare;
+}
+
 bool hasRoom(const EdgeTarget &target, const DispatchSettings &settings)
 {
-    return target.openFlows < target.record.slots * settings.flowsPerSlot + 1;
+    return target.workingFlows < target.record.slots * settings.flowsPerSlot + 1;
 }
 
 void offerTo(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, PlacedFlow &placed, EdgeTarget &target, Time now, ForwardOutput &out)
@@ -50,9 +80,8 @@
         placed.offeredTargets[placed.offerCount++] = target.record.id;
     }
     placed.target = target.record.id;
-    placed.countedAsLoad = true;
     placed.placedAt = now;
-    ++target.openFlows;
+    setLoad(table, placed, FlowLoad::Working, 0, now);
     target.lastFlowAt = now;
     if (isSuspected(target, dispatcher.settings.placement)) {
         // A single flow at a time probes whether the target answers again.
@@ -148,6 +177,107 @@
     dispatcher.meanServiceTime = dispatcher.meanServiceTime == 0 ? value : dispatcher.meanServiceTime + gain * (value - dispatcher.meanServiceTime);
 }
 
+/// @return the record of the flow, which is added if it is unknown; nullptr when the target is unknown or too many flows are recorded
+PlacedFlow *recordOf(Dispatcher &dispatcher, const TargetTable &table, const FlowNotice &notice, Time now)
+{
+    if (findTarget(table, notice.target) == nullptr) {
+        return nullptr;
+    }
+    const auto known = dispatcher.placedFlows.find(notice.flow);
+    if (known != dispatcher.placedFlows.end()) {
+        return &known->second;
+    }
+    if (dispatcher.placedFlows.size() >= dispatcher.settings.maxFlows) {
+        return nullptr;
+    }
+    PlacedFlow &added = dispatcher.placedFlows[notice.flow];
+    added.openedElsewhere = true;
+    added.placedAt = now;
+    return &added;
+}
+
+void startWork(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now)
+{
+    PlacedFlow *placed = recordOf(dispatcher, table, notice, now);
+    if (placed == nullptr) {
+        return;
+    }
+    removeFromLoad(table, *placed);
+    placed->target = notice.target;
+    setLoad(table, *placed, FlowLoad::Working, 0, now);
+}
+
+void endWork(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out)
+{
+    PlacedFlow *placed = recordOf(dispatcher, table, notice, now);
+    if (placed == nullptr) {
+        return;
+    }
+    if (placed->offerCount > 0 && !placed->answered) {
+        updateMeanServiceTime(dispatcher, now - placed->placedAt);
+    }
+    removeFromLoad(table, *placed);
+    placed->target = notice.target;
+    placed->answered = true;
+    setLoad(table, *placed, FlowLoad::Idle, idleLoadOf(dispatcher, notice.flow), now);
+    placeWaiting(dispatcher, table, now, out);
+}
+
+void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out)
+{
+    dispatcher.waitingFlows.erase(notice.flow);
+    const auto it = dispatcher.placedFlows.find(notice.flow);
+    if (it == dispatcher.placedFlows.end()) {
+        return;
+    }
+    if (notice.target != 0 && it->second.offerCount > 0 && !it->second.answered) {
+        updateMeanServiceTime(dispatcher, now - it->second.placedAt);
+    }
+    removeFromLoad(table, it->second);
+    dispatcher.placedFlows.erase(it);
+    placeWaiting(dispatcher, table, now, out);
+}
+
+/// Takes a sample of how many flows of each route have a request at work.
+void updateRouteActivity(Dispatcher &dispatcher)
+{
+    constexpr double gain = 0.2;
+    for (auto &[service, it] : dispatcher.routeActivity) {
+        if (it.open > 0) {
+            it.workingShare += gain * (static_cast<double>(it.working) / it.open - it.workingShare);
+        }
+        it.open = 0;
+        it.working = 0;
+    }
+}
+
+/// Counts requests and flows without further notices as answered or ended, and samples the activity of the others.
+void sweepPlacedFlows(Dispatcher &dispatcher, TargetTable &table, Time now)
+{
+    const Time idleTimeout = table.idleTimeout > 0 ? table.idleTimeout : dispatcher.settings.idleFlowTimeout;
+    for (auto it = dispatcher.placedFlows.begin(); it != dispatcher.placedFlows.end();) {
+        PlacedFlow &flow = it->second;
+        const Time unchanged = now - flow.loadChangedAt;
+        const bool isWorking = flow.load == FlowLoad::Working;
+        const bool unanswered = isWorking && unchanged >= dispatcher.settings.workTimeout;
+        if ((unanswered && !flow.answered) || (!isWorking && unchanged >= idleTimeout)) {
+            removeFromLoad(table, flow);
+            it = dispatcher.placedFlows.erase(it);
+            continue;
+        }
+        if (unanswered) {
+            setLoad(table, flow, FlowLoad::Idle, idleLoadOf(dispatcher, it->first), now);
+        }
+        if (flow.answered) {
+            RouteActivity &activity = dispatcher.routeActivity[it->first.service];
+            ++activity.open;
+            activity.working += isWorking ? 1 : 0;
+        }
+        ++it;
+    }
+    updateRouteActivity(dispatcher);
+}
+
 } // namespace
 
 std::string_view name(ForwardEvent event)
@@ -163,7 +293,7 @@
     if (target != nullptr) {
         result.target = target->record.id;
         result.token = target->token;
-        result.load = target->openFlows;
+        result.load = target->workingFlows;
     }
     result.attempts = attempts;
     result.elapsed = elapsed;
@@ -224,33 +354,27 @@
     return PlaceResult::Placed;
 }
 
-void markPlacedFlowOpened(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now)
+void handleFlowNotice(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out)
 {
-    if (EdgeTarget *answered = findTarget(table, target)) {
+    if (EdgeTarget *answered = findTarget(table, notice.target); answered != nullptr && notice.kind != FlowNoticeKind::WorkStarted) {
         recordAnswer(*answered, now);
     }
-    const auto it = dispatcher.placedFlows.find(key);
-    if (it != dispatcher.placedFlows.end()) {
-        it->second.openedElsewhere = true;
-    }
-}
-
-void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, std::uint64_t target, Time now, ForwardOutput &out)
-{
-    if (EdgeTarget *answered = findTarget(table, target)) {
-        recordAnswer(*answered, now);
-    }
-    dispatcher.waitingFlows.erase(key);
-    const auto it = dispatcher.placedFlows.find(key);
-    if (it == dispatcher.placedFlows.end()) {
-        return;
-    }
-    if (target != 0) {
-        updateMeanServiceTime(dispatcher, now - it->second.placedAt);
+    switch (notice.kind) {
+    case FlowNoticeKind::Opened:
+        if (const auto it = dispatcher.placedFlows.find(notice.flow); it != dispatcher.placedFlows.end()) {
+            it->second.openedElsewhere = true;
+        }
+        break;
+    case FlowNoticeKind::WorkStarted:
+        startWork(dispatcher, table, notice, now);
+        break;
+    case FlowNoticeKind::WorkEnded:
+        endWork(dispatcher, table, notice, now, out);
+        break;
+    case FlowNoticeKind::Ended:
+        endPlacedFlow(dispatcher, table, notice, now, out);
+        break;
     }
-    removeFromLoad(table, it->second);
-    dispatcher.placedFlows.erase(it);
-    placeWaiting(dispatcher, table, now, out);
 }
 
 void tickDispatcher(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
@@ -258,13 +382,9 @@
     if (now < dispatcher.nextSweepAt) {
         return;
     }
-    for (auto it = dispatcher.placedFlows.begin(); it != dispatcher.placedFlows.end();) {
-        if (now - it->second.placedAt < dispatcher.settings.placedFlowTimeout) {
-            ++it;
-            continue;
-        }
-        removeFromLoad(table, it->second);
-        it = dispatcher.placedFlows.erase(it);
+    if (now >= dispatcher.nextPlacedSweepAt) {
+        dispatcher.nextPlacedSweepAt = now + sweepInterval;
+        sweepPlacedFlows(dispatcher, table, now);
     }
     dropExpiredWaiting(dispatcher, now, out);
     placeWaiting(dispatcher, table, now, out);
--- a/src/libpimentofold/dispatch_test.cpp
+++ b/src/libpimentofold/dispatch_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include <libpimentofold/edgetestdata.h>
 
 using namespace pimentofold;
@@ -46,7 +48,7 @@
     std::uint16_t ended = 0;
     for (const std::uint16_t port : order) {
         ForwardOutput afterEnd;
-        endPlacedFlow(dispatcher, node.table, makeKey(++ended), 1, millisecond, afterEnd);
+        handleFlowNotice(dispatcher, node.table, {FlowNoticeKind::Ended, 0, makeKey(++ended), 1}, millisecond, afterEnd);
         REQUIRE(afterEnd.packets.size() == 1);
         CHECK(dispatcher.placedFlows.contains(makeKey(port)));
     }
@@ -63,7 +65,7 @@
         placeFlow(node.dispatcher, node.table, makeFlow(port), 0, out);
     }
     ForwardOutput afterEnd;
-    endPlacedFlow(node.dispatcher, node.table, makeKey(1), 1, millisecond, afterEnd);
+    handleFlowNotice(node.dispatcher, node.table, {FlowNoticeKind::Ended, 0, makeKey(1), 1}, millisecond, afterEnd);
     CHECK(afterEnd.packets.size() == 1);
     CHECK(node.dispatcher.waitingFlows.size() == 199);
     ForwardOutput expired;
@@ -77,7 +79,7 @@
     EdgeForwarder node = makeFullNode();
     CHECK(findTarget(node.table, 1)->openFlows == 5);
     ForwardOutput out;
-    tickDispatcher(node.dispatcher, node.table, node.dispatcher.settings.placedFlowTimeout, out);
+    tickDispatcher(node.dispatcher, node.table, node.dispatcher.settings.workTimeout, out);
     CHECK(findTarget(node.table, 1)->openFlows == 0);
 }
 
@@ -103,7 +105,7 @@
         const std::uint64_t target = out.packets.front().target;
         node.dispatcher.placedFlows.at(makeKey(1)).waitedLong = row.waitedLong;
         if (row.openedElsewhere) {
-            markPlacedFlowOpened(node.dispatcher, node.table, makeKey(1), target, millisecond);
+            handleFlowNotice(node.dispatcher, node.table, {FlowNoticeKind::Opened, 0, makeKey(1), target}, millisecond, out);
         }
         OpeningFlow again = makeFlow(1);
         again.attempt = 2;
@@ -115,8 +117,8 @@
 TEST_CASE("a dispatcher prefers its own targets")
 {
     EdgeForwarder node = makeForwarder(3, 0);
-    findTarget(node.table, 1)->owned = false;
-    findTarget(node.table, 2)->owned = false;
+    findTarget(node.table, 1)->owner = 7;
+    findTarget(node.table, 2)->owner = 7;
     ForwardOutput out;
     for (std::uint16_t port = 1; port <= 4; ++port) {
         placeFlow(node.dispatcher, node.table, makeFlow(port), 0, out);
@@ -125,3 +127,122 @@
         CHECK(it.target == 3);
     }
 }
+
+namespace {
+
+void notify(EdgeForwarder &node, FlowNoticeKind kind, std::uint16_t port, std::uint64_t target, Time now)
+{
+    ForwardOutput out;
+    handleFlowNotice(node.dispatcher, node.table, {kind, 0, makeKey(port), target}, now, out);
+}
+
+} // namespace
+
+// Load pattern: callers open a flow each at the same moment, send a short request and keep the flow open. Guards against
+// counting the idle flows as load, which made further callers wait beside idle targets until they gave up.
+TEST_CASE("flows that stay open without a request leave room for others")
+{
+    constexpr int targets = 4;
+    constexpr std::uint16_t flows = 300;
+    EdgeForwarder node = makeForwarder(targets, 0);
+    std::map<std::uint64_t, int> perTarget;
+    for (std::uint16_t port = 1; port <= flows; ++port) {
+        ForwardOutput out;
+        REQUIRE(placeFlow(node.dispatcher, node.table, makeFlow(port), port * millisecond, out) == PlaceResult::Placed);
+        REQUIRE(out.packets.size() == 1);
+        ++perTarget[out.packets.front().target];
+        notify(node, FlowNoticeKind::WorkEnded, port, out.packets.front().target, port * millisecond);
+    }
+    REQUIRE(perTarget.size() == targets);
+    for (const auto &[id, n] : perTarget) {
+        CHECK(n == flows / targets);
+        CHECK(findTarget(node.table, id)->workingFlows == 0);
+        CHECK(findTarget(node.table, id)->openFlows == n);
+    }
+}
+
+// Load pattern: one target holds kept flows whose callers send requests, another one as many flows whose callers pause.
+TEST_CASE("new flows go to the target with the fewest requests at work")
+{
+    EdgeForwarder node = makeForwarder(2, 0);
+    for (std::uint16_t port = 1; port <= 6; ++port) {
+        const std::uint64_t target = port % 2 == 0 ? 1 : 2;
+        notify(node, FlowNoticeKind::WorkStarted, port, target, 0);
+        if (target == 2) {
+            notify(node, FlowNoticeKind::WorkEnded, port, target, millisecond);
+        }
+    }
+    ForwardOutput out;
+    placeFlow(node.dispatcher, node.table, makeFlow(20), 2 * millisecond, out);
+    REQUIRE(out.packets.size() == 1);
+    CHECK(out.packets.front().target == 2);
+}
+
+// Guards against load that is forgotten or counted twice when notices are lost or repeated, or when the target gets another
+// dispatcher.
+TEST_CASE("the load of a target follows the notices")
+{
+    using enum FlowNoticeKind;
+    struct Row {
+        std::vector<FlowNoticeKind> notices;
+        int working;
+        int open;
+    };
+    const Row rows[] = {
+        {{}, 0, 0},
+        {{WorkStarted}, 1, 1},
+        {{WorkStarted, WorkStarted}, 1, 1},
+        {{WorkStarted, WorkEnded}, 0, 1},
+        {{WorkEnded}, 0, 1},
+        {{WorkEnded, WorkEnded}, 0, 1},
+        {{WorkStarted, WorkEnded, WorkStarted}, 1, 1},
+        {{WorkStarted, Ended}, 0, 0},
+        {{WorkStarted, WorkEnded, Ended, Ended}, 0, 0},
+        {{Opened}, 0, 0},
+        {{Ended}, 0, 0},
+    };
+    for (const Row &row : rows) {
+        EdgeForwarder node = makeForwarder(1, 0);
+        for (const FlowNoticeKind it : row.notices) {
+            notify(node, it, 1, 1, 0);
+        }
+        CHECK(findTarget(node.table, 1)->workingFlows == row.working);
+        CHECK(findTarget(node.table, 1)->openFlows == row.open);
+        ForwardOutput out;
+        tickDispatcher(node.dispatcher, node.table, node.dispatcher.settings.workTimeout, out);
+        CHECK(findTarget(node.table, 1)->workingFlows == 0);
+        for (Time now = 0; now <= 2 * node.dispatcher.settings.idleFlowTimeout; now += second) {
+            tickDispatcher(node.dispatcher, node.table, now, out);
+        }
+        CHECK(findTarget(node.table, 1)->openFlows == 0);
+        CHECK(findTarget(node.table, 1)->idleLoad == doctest::Approx(0));
+        CHECK(node.dispatcher.placedFlows.empty());
+    }
+}
+
+// Load patterns: callers who send a request most of the time, and callers who mostly pause.
+TEST_CASE("the expected load of an idle flow follows its route's traffic")
+{
+    struct Row {
+        int working; ///< flows of 20 with a request at work
+        double minShare;
+        double maxShare;
+    };
+    const Row rows[] = {{1, 0.03, 0.07}, {10, 0.45, 0.55}, {19, 0.9, 1}};
+    for (const Row &row : rows) {
+        EdgeForwarder node = makeForwarder(2, 0);
+        for (Time now = 0; now < minute; now += second) {
+            for (std::uint16_t port = 1; port <= 20; ++port) {
+                notify(node, FlowNoticeKind::WorkEnded, port, 1, now);
+                if (port <= row.working) {
+                    notify(node, FlowNoticeKind::WorkStarted, port, 1, now);
+                }
+            }
+            ForwardOutput out;
+            tickDispatcher(node.dispatcher, node.table, now, out);
+        }
+        const double share = node.dispatcher.routeActivity.at(shopAddress).workingShare;
+        CHECK(share >= row.minShare);
+        CHECK(share <= row.maxShare);
+    }
+}
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -1,6 +1,7 @@
 #include <pimentofold/edgecodec.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace pimentofold {
@@ -171,6 +172,18 @@
     return partial;
 }
 
+struct NoticeKindPair {
+    FlowNoticeKind kind;
+    wire::EdgeKind::type wireKind;
+};
+
+constexpr std::array<NoticeKindPair, 4> noticeKinds{{
+    {FlowNoticeKind::Opened, wire::EdgeKind::Opened},
+    {FlowNoticeKind::WorkStarted, wire::EdgeKind::WorkStarted},
+    {FlowNoticeKind::WorkEnded, wire::EdgeKind::WorkEnded},
+    {FlowNoticeKind::Ended, wire::EdgeKind::Ended},
+}};
+
 } // namespace
 
 std::vector<wire::EdgeChanges> toWire(const StoreChanges &changes)
@@ -254,4 +267,15 @@
     return {toAddress(ends.callerIp, ends.callerPort), toAddress(ends.serviceIp, ends.servicePort)};
 }
 
+wire::EdgeKind::type toWire(FlowNoticeKind kind)
+{
+    return std::ranges::find(noticeKinds, kind, &NoticeKindPair::kind)->wireKind;
+}
+
+std::optional<FlowNoticeKind> noticeKindFromWire(wire::EdgeKind::type kind)
+{
+    const auto it = std::ranges::find(noticeKinds, kind, &NoticeKindPair::wireKind);
+    return it == noticeKinds.end() ? std::nullopt : std::optional(it->kind);
+}
+
 } // namespace pimentofold
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -83,12 +83,22 @@
     }
 }
 
+/// Sends a notice to a flow's dispatcher, or handles it at once if this node is the dispatcher.
+void notifyDispatcher(EdgeForwarder &forwarder, const FlowNotice &notice, Time now, ForwardOutput &out)
+{
+    if (notice.dispatcher != 0) {
+        out.flowNotices.push_back(notice);
+    } else {
+        handleFlowNotice(forwarder.dispatcher, forwarder.table, notice, now, out);
+    }
+}
+
 void retryPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
     if (flow.dispatcher != 0 && flow.attempts >= 2) {
         // Neither the first nor the second target that the dispatcher chose has answered, so the dispatcher itself may be at fault.
         recordDispatcherMiss(forwarder, flow.dispatcher, now);
-        out.endedNotices.push_back({flow.dispatcher, key, 0});
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
         flow.dispatcher = 0;
     }
     attemptPlacement(forwarder, key, flow, now, out);
@@ -118,10 +128,11 @@
     flow.stage = FlowStage::Ended;
     const EdgeTarget *target = findTarget(forwarder.table, flow.target);
     appendEvent(out, ForwardEvent::Ended, key, target, flow.attempts, now - flow.startedAt);
+    notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, flow.target}, now, out);
     if (flow.dispatcher != 0) {
-        out.endedNotices.push_back({flow.dispatcher, key, flow.target});
+        // This node may have offered the flow itself as well, when the dispatcher didn't answer.
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, key, flow.target}, now, out);
     }
-    endPlacedFlow(forwarder.dispatcher, forwarder.table, key, flow.target, now, out);
 }
 
 void handleOpeningPacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
@@ -183,9 +194,11 @@
 }
 
 /// Stores a flow that was opened through another node, and reports to its dispatcher that the flow is open.
+/// @param packet the first packet of the flow that this node has received
 /// @return nullptr when too many flows are stored
-EdgeFlow *storeOpenFlow(EdgeForwarder &forwarder, const FlowKey &key, const EdgeTarget &target, Time now, ForwardOutput &out)
+EdgeFlow *storeOpenFlow(EdgeForwarder &forwarder, const FlowPacket &packet, const EdgeTarget &target, Time now, ForwardOutput &out)
 {
+    const FlowKey &key = packet.flow;
     if (forwarder.flows.size() >= forwarder.settings.maxFlows) {
         return nullptr;
     }
@@ -194,14 +207,29 @@
     flow.startedAt = now;
     flow.target = target.record.id;
     flow.dispatcher = dispatcherOf(forwarder, key);
-    if (flow.dispatcher != 0) {
-        out.openedNotices.push_back({flow.dispatcher, key, flow.target});
-    } else {
-        markPlacedFlowOpened(forwarder.dispatcher, forwarder.table, key, flow.target, now);
-    }
+    // Whether the dispatcher counts a request isn't known here, so the first packet's activity is reported in any case.
+    flow.countedAsWorking = packet.payloadBytes == 0;
+    notifyDispatcher(forwarder, {FlowNoticeKind::Opened, flow.dispatcher, key, flow.target}, now, out);
     return &forwarder.flows.emplace(key, std::move(flow)).first->second;
 }
 
+/// Reports to the dispatcher when a request on the flow starts or is answered. A flow whose target got another dispatcher is
+/// reported to the new one from its next request on.
+void reportActivity(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, const EdgeTarget &target, ActivityChange change, Time now, ForwardOutput &out)
+{
+    const bool starts = change == ActivityChange::RequestStarted;
+    if (change == ActivityChange::None || starts == flow.countedAsWorking) {
+        return;
+    }
+    flow.countedAsWorking = starts;
+    if (starts && flow.dispatcher != target.owner) {
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
+        flow.dispatcher = target.owner;
+    }
+    const FlowNoticeKind kind = starts ? FlowNoticeKind::WorkStarted : FlowNoticeKind::WorkEnded;
+    notifyDispatcher(forwarder, {kind, flow.dispatcher, key, flow.target}, now, out);
+}
+
 void handleLaterPacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
 {
     const auto existing = forwarder.flows.find(packet.flow);
@@ -213,15 +241,18 @@
         return;
     }
     if (flow == nullptr) {
-        flow = storeOpenFlow(forwarder, packet.flow, *target, now, out);
+        flow = storeOpenFlow(forwarder, packet, *target, now, out);
     }
     if (flow != nullptr) {
         flow->lastPacketAt = now;
         if (flow->stage == FlowStage::Opening) {
             markFlowOpen(forwarder, packet.flow, *flow, *target, now, out);
         }
+        const ActivityChange change = observePacket(flow->activity, packet);
         if (packet.finishes || packet.resets) {
             endFlow(forwarder, packet.flow, *flow, now, out);
+        } else if (flow->stage == FlowStage::Open) {
+            reportActivity(forwarder, packet.flow, *flow, *target, change, now, out);
         }
     }
     out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
@@ -250,7 +281,7 @@
         }
         if (isOverdue || it->second.attempts >= forwarder.settings.maxAttempts) {
             // The flow no longer counts as load. A retransmission of the caller may place it again.
-            endPlacedFlow(forwarder.dispatcher, forwarder.table, key, 0, now, out);
+            notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, key, 0}, now, out);
             continue;
         }
         if (now - it->second.lastOfferAt >= forwarder.settings.minAnswerTimeout) {
@@ -326,16 +357,6 @@
     }
 }
 
-void handleOpenedNotice(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now)
-{
-    markPlacedFlowOpened(forwarder.dispatcher, forwarder.table, flow, target, now);
-}
-
-void handleEndedNotice(EdgeForwarder &forwarder, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out)
-{
-    endPlacedFlow(forwarder.dispatcher, forwarder.table, flow, target, now, out);
-}
-
 std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members)
 {
     constexpr Time minAgeDifference = 3 * second;
@@ -383,7 +404,7 @@
         const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatcherTable(idOf(service), entries, candidates, count);
         for (const std::uint64_t id : ids) {
             const std::optional<InstanceKey> owner = ownerOfTarget(static_cast<Id>(id), table.dispatchers);
-            findTarget(forwarder.table, id)->owned = !owner || owner->instance == forwarder.self.instance;
+            findTarget(forwarder.table, id)->owner = !owner || owner->instance == forwarder.self.instance ? 0 : owner->instance;
         }
     }
 }
--- a/src/libpimentofold/edgeforward_test.cpp
+++ b/src/libpimentofold/edgeforward_test.cpp
@@ -236,8 +236,9 @@
     tickForwarder(forwarder, 100 * millisecond, own);
     CHECK(own.relayedOpenings.empty());
     CHECK(own.packets.size() == 1);
-    REQUIRE(own.endedNotices.size() == 1);
-    CHECK(own.endedNotices.front().target == 0);
+    REQUIRE(own.flowNotices.size() == 1);
+    CHECK(own.flowNotices.front().kind == FlowNoticeKind::Ended);
+    CHECK(own.flowNotices.front().target == 0);
 
     // After a second flow without an answer the dispatcher is avoided, so the next flows aren't delayed.
     ForwardOutput next;
@@ -273,3 +274,54 @@
         CHECK(dispatcherCandidates(row.members) == row.candidates);
     }
 }
+
+// Guards against a dispatcher that doesn't learn of requests on kept flows, and against notices to a dispatcher that no longer
+// places the target's flows.
+TEST_CASE("requests on a kept flow are reported to the dispatcher of its target")
+{
+    EdgeForwarder forwarder = makeForwarder(1, 0);
+    const InstanceKey older{99, -60 * second};
+    forwarder.members = {forwarder.self, older};
+    updateDispatchers(forwarder, 0);
+    struct Step {
+        std::uint32_t sequence;
+        std::uint16_t payloadBytes;
+        std::uint32_t acknowledgement;
+        std::vector<FlowNoticeKind> notices;
+    };
+    using enum FlowNoticeKind;
+    const Step steps[] = {
+        {1, 180, 900, {Opened, WorkStarted}}, // opened through another node
+        {181, 0, 2100, {WorkEnded}},
+        {181, 0, 2900, {}},
+        {181, 180, 2900, {WorkStarted}},
+        {181, 180, 2900, {}},
+        {361, 0, 4100, {WorkEnded}},
+    };
+    for (const Step &it : steps) {
+        CAPTURE(it.sequence);
+        FlowPacket packet = makeData(1, tokenOf(1));
+        packet.sequence = it.sequence;
+        packet.payloadBytes = it.payloadBytes;
+        packet.acknowledgement = it.acknowledgement;
+        ForwardOutput out;
+        handlePacket(forwarder, packet, millisecond, out);
+        std::vector<FlowNoticeKind> kinds;
+        for (const FlowNotice &notice : out.flowNotices) {
+            kinds.push_back(notice.kind);
+            CHECK(notice.dispatcher == 99);
+        }
+        CHECK(kinds == it.notices);
+    }
+    // This node becomes the only one, so that it counts the flow itself from the next request on.
+    forwarder.members = {forwarder.self};
+    updateDispatchers(forwarder, second);
+    FlowPacket next = makeData(1, tokenOf(1));
+    next.sequence = 361;
+    next.acknowledgement = 4100;
+    ForwardOutput out;
+    handlePacket(forwarder, next, second, out);
+    REQUIRE(out.flowNotices.size() == 1);
+    CHECK(out.flowNotices.front().kind == Ended);
+    CHECK(findTarget(forwarder.table, 1)->workingFlows == 1);
+}
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -33,7 +33,7 @@
     if (isSuspected(target, settings) && now < target.nextProbeAt) {
         return Preference::Suspected;
     }
-    return query.preferOwned && !target.owned ? Preference::OwnedElsewhere : Preference::Preferred;
+    return query.preferOwned && target.owner != 0 ? Preference::OwnedElsewhere : Preference::Preferred;
 }
 
 double costOf(const EdgeTarget &target, const PlacementSettings &settings, std::string_view dataCentre, Time now)
@@ -42,7 +42,7 @@
     // Once a probe of a suspected target is due, its unanswered packets must not raise its cost, or it would not get the probe.
     const double unansweredPenalty = isSuspected(target, settings) ? 0 : settings.unansweredCost * target.unansweredOpenings;
     const double distancePenalty = target.record.dataCentre == dataCentre ? 0 : settings.otherDataCentreCost;
-    return ((target.openFlows + 1) * slowdown + unansweredPenalty + distancePenalty) / std::max(target.record.slots, 1);
+    return ((target.workingFlows + target.idleLoad + 1) * slowdown + unansweredPenalty + distancePenalty) / std::max(target.record.slots, 1);
 }
 
 const std::string &drawService(const EdgeRoute &route, Random &random)
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -45,7 +45,7 @@
     EdgeTarget fresh;
     fresh.record = target.record;
     fresh.token = target.token;
-    fresh.owned = target.owned;
+    fresh.owner = target.owner;
     target = fresh;
 }
 
@@ -227,6 +227,16 @@
     return found;
 }
 
+FlowCounts countFlows(const TargetTable &table)
+{
+    FlowCounts counts;
+    for (const auto &[id, target] : table.targets) {
+        counts.working += target.workingFlows;
+        counts.idle += target.openFlows - target.workingFlows;
+    }
+    return counts;
+}
+
 FlowToken tokenOf(std::uint64_t id)
 {
     const auto token = static_cast<FlowToken>(mix(id, 0));
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -109,6 +109,9 @@
     setGauge(m_metrics, "members", static_cast<double>(m_forwarder.members.size()));
     setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
     setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.waitingFlows.size()));
+    const FlowCounts counts = countFlows(table);
+    setGauge(m_metrics, "target_flows_working", counts.working);
+    setGauge(m_metrics, "target_flows_idle", counts.idle);
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
     counter(m_metrics, "store_calls_total") = m_store.callCount();
@@ -163,11 +166,8 @@
     for (const SettledNotice &it : out.settledNotices) {
         sendFlowNotice(wire::EdgeKind::Settled, it.originNode, it.flow, 0);
     }
-    for (const FlowNotice &it : out.openedNotices) {
-        sendFlowNotice(wire::EdgeKind::Opened, it.dispatcher, it.flow, it.target);
-    }
-    for (const FlowNotice &it : out.endedNotices) {
-        sendFlowNotice(wire::EdgeKind::Ended, it.dispatcher, it.flow, it.target);
+    for (const FlowNotice &it : out.flowNotices) {
+        sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
@@ -245,6 +245,8 @@
     case wire::EdgeKind::Held:
     case wire::EdgeKind::Settled:
     case wire::EdgeKind::Opened:
+    case wire::EdgeKind::WorkStarted:
+    case wire::EdgeKind::WorkEnded:
     case wire::EdgeKind::Ended:
         onFlowNotice(message, now);
         break;
@@ -260,16 +262,14 @@
         return;
     }
     const FlowKey flow = fromWire(message.flow);
-    const auto target = static_cast<std::uint64_t>(message.target);
     if (message.kind == wire::EdgeKind::Held) {
         handleHeldNotice(m_forwarder, flow, now);
     } else if (message.kind == wire::EdgeKind::Settled) {
         handleSettledNotice(m_forwarder, flow);
-    } else if (message.kind == wire::EdgeKind::Opened) {
-        handleOpenedNotice(m_forwarder, flow, target, now);
-    } else {
+    } else if (const std::optional<FlowNoticeKind> kind = noticeKindFromWire(message.kind)) {
+        const FlowNotice notice{*kind, 0, flow, static_cast<std::uint64_t>(message.target)};
         ForwardOutput out;
-        handleEndedNotice(m_forwarder, flow, target, now, out);
+        handleFlowNotice(m_forwarder.dispatcher, m_forwarder.table, notice, now, out);
         send(out, now);
     }
 }
--- a/src/platform/packetcodec.cpp
+++ b/src/platform/packetcodec.cpp
@@ -65,7 +65,10 @@
     packet.flow.caller = {readNumber(bytes, sourceOffset, 4), static_cast<std::uint16_t>(readNumber(bytes, sourcePortOffset, 2))};
     packet.flow.service = {readNumber(bytes, destinationOffset, 4), static_cast<std::uint16_t>(readNumber(bytes, destinationPortOffset, 2))};
     packet.token = readNumber(bytes, tokenEchoOffset, 4);
-    if (packet.opens) {
+    packet.sequence = readNumber(bytes, sequenceOffset, 4);
+    if (!packet.opens) {
+        packet.acknowledgement = readNumber(bytes, acknowledgementOffset, 4);
+    } else {
         // The acknowledgement field of an opening packet holds the number of the retransmission, 0 for the first packet.
         packet.openingAge = openingAges[std::min<std::size_t>(readNumber(bytes, acknowledgementOffset, 4), openingAges.size() - 1)];
     }
