Keep one message from ending a process

Cause: an address in a member's entry was parsed only when the member was to be probed. An entry with an unusable address spread through the membership and ended each node that learned of it (std::invalid_argument left the loop). In general any exception of a callback ended the process. Change: entries with unusable addresses are ignored. Edge node, agent and balancer log and count an unexpected exception and go on; a datagram that fails doesn't take the rest of its batch along; the edge node's periodic update is scheduled before anything in it can fail.

--- a/src/libnet/libnet_test.cpp
+++ b/src/libnet/libnet_test.cpp
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -321,3 +323,31 @@
         CHECK(call.result.status == 0);
     }
 }
+
+// Guards against one message that ends the whole process, and against messages of the same batch that are lost with it.
+TEST_CASE("an exception while a message is handled costs that message only")
+{
+    std::vector<std::string> handled;
+    std::vector<std::string> errors;
+    setLoopErrorHandler([&](const std::exception &error) { errors.emplace_back(error.what()); });
+    UdpSocket receiver(anyPort, [&](std::string_view bytes, const Address &) {
+        if (bytes == "bad") {
+            throw std::runtime_error("unexpected");
+        }
+        handled.emplace_back(bytes);
+    });
+    UdpSocket sender(anyPort, [](std::string_view, const Address &) {});
+    int ticks = 0;
+    Timer tick([&] {
+        ++ticks;
+        throw std::out_of_range("tick");
+    });
+    tick.start(millisecond, millisecond);
+    for (const char *it : {"one", "bad", "two", "bad", "three"}) {
+        sender.send(it, receiver.localAddress());
+    }
+    runUntil([&] { return handled.size() == 3 && ticks > 2; });
+    CHECK(handled == std::vector<std::string>{"one", "two", "three"});
+    CHECK(std::ranges::count(errors, "unexpected") == 2);
+    setLoopErrorHandler({});
+}
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -14,6 +14,12 @@
     return static_cast<double>(duration) / static_cast<double>(second);
 }
 
+std::function<void(const std::exception &)> &errorHandler()
+{
+    static std::function<void(const std::exception &)> handler;
+    return handler;
+}
+
 } // namespace
 
 Time monotonicNow()
@@ -27,7 +33,7 @@
 {
     ev_init(&m_watcher, [](struct ev_loop *, ev_timer *watcher, int) {
         // The callback may destroy or restart the timer, so that nothing of it is touched afterwards.
-        static_cast<Timer *>(watcher->data)->m_callback();
+        runGuarded(static_cast<Timer *>(watcher->data)->m_callback);
     });
     m_watcher.data = this;
 }
@@ -53,7 +59,8 @@
 IoWatcher::IoWatcher(std::function<void(int)> callback)
     : m_callback(std::move(callback))
 {
-    ev_init(&m_watcher, [](struct ev_loop *, ev_io *watcher, int revents) { static_cast<IoWatcher *>(watcher->data)->m_callback(revents); });
+    ev_init(&m_watcher,
+            [](struct ev_loop *, ev_io *watcher, int revents) { runGuarded([&] { static_cast<IoWatcher *>(watcher->data)->m_callback(revents); }); });
     m_watcher.data = this;
 }
 
@@ -139,6 +146,24 @@
     ev_signal_stop(EV_DEFAULT, &m_watcher);
 }
 
+void setLoopErrorHandler(std::function<void(const std::exception &)> handler)
+{
+    errorHandler() = std::move(handler);
+}
+
+void runGuarded(const std::function<void()> &callback)
+{
+    if (!errorHandler()) {
+        callback();
+        return;
+    }
+    try {
+        callback();
+    } catch (const std::exception &error) {
+        errorHandler()(error);
+    }
+}
+
 void runLoop()
 {
     ev_run(EV_DEFAULT, 0);
--- a/src/libnet/loop.h
+++ b/src/libnet/loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <functional>
 
 #include <ev.h>
@@ -86,6 +87,13 @@
     std::function<void()> m_onReload;
 };
 
+/// Lets the process go on after an unexpected exception of a callback, so that one message can't end it.
+/// @param handler gets each exception, for the log; must not throw. Without a handler an exception leaves runLoop().
+void setLoopErrorHandler(std::function<void(const std::exception &)> handler);
+
+/// Calls @p callback, and the error handler if it throws. For callbacks that handle one of several messages.
+void runGuarded(const std::function<void()> &callback);
+
 /// Runs the default loop until stopLoop().
 void runLoop();
 void stopLoop();
--- a/src/libnet/udpsocket.cpp
+++ b/src/libnet/udpsocket.cpp
@@ -141,7 +141,7 @@
                 ++m_oversized;
                 continue;
             }
-            m_handler({&m_in[slot * slotBytes()], headers[slot].msg_len}, fromSockaddr(addresses[slot]));
+            runGuarded([&] { m_handler({&m_in[slot * slotBytes()], headers[slot].msg_len}, fromSockaddr(addresses[slot])); });
         }
         if (n < static_cast<int>(udpBatch)) {
             return;
--- a/src/libpimentofold/memberupdates.cpp
+++ b/src/libpimentofold/memberupdates.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include <pimentofold/codec.h>
+#include <pimentofold/settings.h>
 
 namespace pimentofold::memberupdates {
 
@@ -241,6 +242,10 @@
         return mergeClaimAboutSelf(state, claim, now);
     }
     const auto it = state.members.find(claim.key.instance);
+    if (!claim.address.empty() && !(isAddress(claim.address) && isAddress(claim.balancerAddress))) {
+        // An entry that can't be contacted must not spread: each node that knew it would fail when it sends to the member.
+        return false;
+    }
     if (it == state.members.end()) {
         if (claim.address.empty() || claim.state == State::Dead) {
             return false;
--- a/src/pimentofold-agent/agent.cpp
+++ b/src/pimentofold-agent/agent.cpp
@@ -66,6 +66,12 @@
     logEvent(m_log, "start", {{"team", settings.team}, {"data_centre", settings.dataCentre}, {"peer_address", settings.peerAddress}});
 }
 
+void Agent::logUnexpectedError(const std::exception &error)
+{
+    count(m_metrics, "unexpected_errors_total");
+    logEvent(m_log, "unexpected_error", {{"problem", error.what()}});
+}
+
 void Agent::stop()
 {
     logEvent(m_log, "stop", {});
--- a/src/pimentofold-agent/agent.h
+++ b/src/pimentofold-agent/agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +34,9 @@
     /// the announcement is delivered.
     void stop();
 
+    /// Logs and counts an exception that ended the handling of a message or timer.
+    void logUnexpectedError(const std::exception &error);
+
 private:
     void tick();
     void receive(std::string_view datagram, const Address &from);
--- a/src/pimentofold-agent/main.cpp
+++ b/src/pimentofold-agent/main.cpp
@@ -23,6 +23,7 @@
         holdStopSignals();
         setUpLogging();
         Agent agent(settings);
+        setLoopErrorHandler([&](const std::exception &error) { agent.logUnexpectedError(error); });
         const StopSignals stop([&] { agent.stop(); });
         runLoop();
         return 0;
--- a/src/pimentofold-balancer/balancer.cpp
+++ b/src/pimentofold-balancer/balancer.cpp
@@ -257,6 +257,12 @@
     expireSilentMembers();
 }
 
+void Balancer::logUnexpectedError(const std::exception &error)
+{
+    count(m_metrics, "unexpected_errors_total");
+    logEvent(m_log, "unexpected_error", {{"problem", error.what()}});
+}
+
 void Balancer::stop()
 {
     const Time now = monotonicNow();
--- a/src/pimentofold-balancer/balancer.h
+++ b/src/pimentofold-balancer/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -90,6 +91,9 @@
     /// balancers. The event loop ends when this is complete, at the latest after the drain limit.
     void stop();
 
+    /// Logs and counts an exception that ended the handling of a message or timer.
+    void logUnexpectedError(const std::exception &error);
+
 private:
     // balancer.cpp: view, silent members, timers, reports, graceful stop
 
--- a/src/pimentofold-balancer/main.cpp
+++ b/src/pimentofold-balancer/main.cpp
@@ -18,6 +18,7 @@
     holdStopSignals();
     setUpLogging();
     Balancer balancer(settings);
+    setLoopErrorHandler([&balancer](const std::exception &error) { balancer.logUnexpectedError(error); });
     const StopSignals signals([&balancer] { balancer.stop(); });
     runLoop();
     return 0;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -312,6 +312,12 @@
     logEvent(m_log, "reload_refused", {{"problem", problem}});
 }
 
+void Edge::logUnexpectedError(const std::exception &error)
+{
+    count(m_metrics, "unexpected_errors_total");
+    logEvent(m_log, "unexpected_error", {{"problem", error.what()}});
+}
+
 void Edge::stop()
 {
     m_stopStartedAt = monotonicNow();
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <map>
 #include <memory>
 
@@ -35,6 +36,9 @@
     /// Logs that changed settings are invalid. The previous ones stay in force.
     void refuseReload(const std::string &problem);
 
+    /// Logs and counts an exception that ended the handling of a message or timer.
+    void logUnexpectedError(const std::exception &error);
+
     /// Starts the planned stop: the readiness check fails from now on, and the node forwards packets until the fabric sends no
     /// more or the stop limit is near. Then the event loop ends.
     void stop();
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -140,10 +140,11 @@
 void Edge::onReplicationTick()
 {
     const Time now = monotonicNow();
+    // Started before anything can fail, so that one failure doesn't end all further updates.
+    m_replicationTimer.start(now - m_replication.startedAt < startupTime ? startupInterval : replicationInterval);
     checkForPause(now);
     m_peers.tick(now);
     updateReplication(now);
-    m_replicationTimer.start(now - m_replication.startedAt < startupTime ? startupInterval : replicationInterval);
 }
 
 void Edge::refreshStoreHealth(Time now)
--- a/src/pimentofold-edge/main.cpp
+++ b/src/pimentofold-edge/main.cpp
@@ -75,6 +75,7 @@
         setUpLogging();
         LogWriter log(STDOUT_FILENO);
         Edge edge(settings, options);
+        setLoopErrorHandler([&](const std::exception &error) { edge.logUnexpectedError(error); });
         const StopSignals stop([&] { edge.stop(); });
         std::string text = readFile(file.getValue());
         const ReloadSignal reload([&] { reloadSettings(edge, file.getValue(), text, true); });
