Rank dispatchers for targets once for each change

Cause: each change of members or targets ranked all dispatchers for each target four times, and hashed each member in each comparison of a sort. Change: one rank for each pair of target and dispatcher, kept in the table as the owner's index, and one for each member. Result: the tests of dispatchers pass unchanged; not measured on its own.

--- a/src/include/pimentofold/targetchoice.h
+++ b/src/include/pimentofold/targetchoice.h
@@ -208,6 +208,7 @@
 struct DispatcherTable {
     std::vector<InstanceKey> dispatchers; ///< highest rank first
     std::vector<std::int64_t> cumulativeSlots; ///< for each dispatcher, its slots plus those of the dispatchers before it
+    std::vector<std::size_t> owners; ///< for each target that the table was built from, the index of its dispatcher; 0 when there is none
 };
 
 /// Finds the dispatcher that owns a target: the one with the highest rendezvous hash for the target. Each target
--- a/src/libpimentofold/dispatchers.cpp
+++ b/src/libpimentofold/dispatchers.cpp
@@ -16,16 +16,41 @@
     return mix(static_cast<std::uint64_t>(key), static_cast<std::uint64_t>(member.instance));
 }
 
+/// @return index of the dispatcher that owns the target; 0 when there is none
+std::size_t ownerIndex(Id target, std::span<const InstanceKey> dispatchers)
+{
+    std::size_t best = 0;
+    std::uint64_t bestRank = 0;
+    for (std::size_t i = 0; i < dispatchers.size(); ++i) {
+        const std::uint64_t it = rank(target, dispatchers[i]);
+        if (i == 0 || it > bestRank) {
+            best = i;
+            bestRank = it;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 std::vector<InstanceKey> rankForService(Id service, std::span<const InstanceKey> members)
 {
-    std::vector<InstanceKey> ranked(members.begin(), members.end());
-    std::sort(ranked.begin(), ranked.end(), [service](const InstanceKey &a, const InstanceKey &b) {
-        const std::uint64_t rankA = rank(service, a);
-        const std::uint64_t rankB = rank(service, b);
-        return rankA != rankB ? rankA > rankB : a.instance < b.instance;
-    });
+    struct RankedMember {
+        std::uint64_t rank = 0;
+        InstanceKey key;
+    };
+    std::vector<RankedMember> byRank;
+    byRank.reserve(members.size());
+    for (const InstanceKey &it : members) {
+        byRank.push_back({rank(service, it), it});
+    }
+    std::ranges::sort(byRank,
+                      [](const RankedMember &a, const RankedMember &b) { return a.rank != b.rank ? a.rank > b.rank : a.key.instance < b.key.instance; });
+    std::vector<InstanceKey> ranked;
+    ranked.reserve(byRank.size());
+    for (const RankedMember &it : byRank) {
+        ranked.push_back(it.key);
+    }
     return ranked;
 }
 
@@ -44,9 +69,7 @@
 
 std::optional<InstanceKey> ownerOfTarget(Id target, std::span<const InstanceKey> dispatchers)
 {
-    const auto it = std::max_element(
-        dispatchers.begin(), dispatchers.end(), [target](const InstanceKey &a, const InstanceKey &b) { return rank(target, a) < rank(target, b); });
-    return it == dispatchers.end() ? std::nullopt : std::optional(*it);
+    return dispatchers.empty() ? std::nullopt : std::optional(dispatchers[ownerIndex(target, dispatchers)]);
 }
 
 DispatcherTable makeDispatcherTable(Id service, std::span<const TargetEntry> targets, std::span<const InstanceKey> members, int count)
@@ -55,10 +78,12 @@
     table.dispatchers = rankForService(service, members);
     table.dispatchers.resize(std::min(table.dispatchers.size(), static_cast<std::size_t>(std::max(1, count))));
     table.cumulativeSlots.resize(table.dispatchers.size());
+    table.owners.reserve(targets.size());
     for (const TargetEntry &it : targets) {
-        const auto owner = std::find(table.dispatchers.begin(), table.dispatchers.end(), ownerOfTarget(it.id, table.dispatchers));
-        if (it.serving && owner != table.dispatchers.end()) {
-            table.cumulativeSlots[static_cast<std::size_t>(owner - table.dispatchers.begin())] += it.slots;
+        const std::size_t owner = ownerIndex(it.id, table.dispatchers);
+        table.owners.push_back(owner);
+        if (it.serving && owner < table.dispatchers.size()) {
+            table.cumulativeSlots[owner] += it.slots;
         }
     }
     std::partial_sum(table.cumulativeSlots.begin(), table.cumulativeSlots.end(), table.cumulativeSlots.begin());
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -402,9 +402,9 @@
         }
         const int count = std::max((slots + forwarder.settings.slotsPerDispatcher - 1) / forwarder.settings.slotsPerDispatcher, 1);
         const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatcherTable(idOf(service), entries, candidates, count);
-        for (const std::uint64_t id : ids) {
-            const std::optional<InstanceKey> owner = ownerOfTarget(static_cast<Id>(id), table.dispatchers);
-            findTarget(forwarder.table, id)->owner = !owner || owner->instance == forwarder.self.instance ? 0 : owner->instance;
+        for (std::size_t i = 0; i < ids.size(); ++i) {
+            const Id owner = table.dispatchers.empty() ? 0 : table.dispatchers[table.owners[i]].instance;
+            findTarget(forwarder.table, ids[i])->owner = owner == forwarder.self.instance ? 0 : owner;
         }
     }
 }
