--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -63,7 +63,7 @@
 struct EdgeFlow {
     FlowStage stage = FlowStage::Opening;
     Id dispatcher = 0; ///< node that counts the flow as load of its target, at first the one that places it; 0: this node
-    FlowActivity activity;
+    FlowActivity activity; ///< of the packets that this node has received
     bool countedAsWorking = true; ///< the dispatcher counts the flow as one with a request at work
     std::uint64_t target = 0; ///< id of the target that the caller's packets name; 0 before the flow is open
     int attempts = 0; ///< placement attempts so far
