--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -38,9 +38,9 @@
         self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
 
-    def note(self, what, **fields):
+    def note(self, event_, **fields):
         rest = " ".join(f"{key}={value}" for key, value in fields.items())
-        self.file.write(f"{time.monotonic() - self.start:9.4f} {what} {rest}\n")
+        self.file.write(f"{time.monotonic() - self.start:9.4f} {event_} {rest}\n")
         self.file.flush()
 
 
@@ -84,6 +84,11 @@
             return
         self.sockets[key[0]].sendto(data, (node.ip, PACKETS))
 
+    def reset_seen(self, caller, sender):
+        home = self.homes.get(caller.key)
+        self.record.note("caller_got_reset", caller=f"{caller.key[0] & 0xffff}:{caller.port}", sender=sender, target=home[0] if home else "none", stage=caller.stage)
+        super().reset_seen(caller, sender)
+
     def ran(self, request, target):
         self.record.note("target_ran", caller=f"{request[0][0] & 0xffff}:{request[0][1]}", request=request[1], target=target)
         self.run_list.append((request[0], target))
@@ -106,6 +111,7 @@
         self.process = None
         self.ready = False
         self.log = os.path.join(deployment.folder, f"{name}.log")
+        self.store_port = STORE_PORT  # at the node's own address, where its proxy to the store listens
         self.ended_alone = 0
         self.expected = False
 
@@ -122,7 +128,7 @@
                 "bounds.stable_window_ms=4000\nbounds.ack_ms=5000\nbounds.catch_up_s=4\nbounds.drain_ms=3000\nbounds.grace_s=6\n"
                 "bounds.loss_slack_ms=200\nbounds.config_apply_ms=3000\nbounds.rollback_slack_ms=250\nbounds.max_stretch_ms=12000\n"
                 "bounds.recovery_s=12\nbounds.flow_ms=2000\nbounds.flow_max_s=60\nhash=steady\nforwarding_mode=echo\n"
-                f"platform.address={self.ip}:{STORE_PORT}\nplatform.forwarding_mode=objects\nplatform.writes_per_s=400\n"
+                f"platform.address={self.ip}:{self.store_port}\nplatform.forwarding_mode=objects\nplatform.writes_per_s=400\n"
                 "platform.reads_per_s=2000\nplatform.history_s=20\nplatform.value_bytes=1048576\nplatform.min_ttl_ms=1000\n")
         with open(os.path.join(d.folder, f"{self.name}.conf"), "w", encoding="utf-8") as file:
             file.write(text)
@@ -212,6 +218,7 @@
         self.routes = {}
         self.version = 0
         self.next_target = 1
+        self.old_store_servers = []  # those that listen at STORE_PORT
         self.servers, self.helpers, self.traffic_tasks = [], [], set()
         self.outcomes = []  # (sent at, seconds or None, route)
         self.port = random.randint(1024, 20000)
@@ -275,7 +282,8 @@
             for i in range(count):
                 await self.add_target(service, ZONES[i % len(ZONES)])
         for node in self.nodes:
-            self.servers.append(await asyncio.start_server(node.proxy.serve, node.ip, STORE_PORT))
+            self.old_store_servers.append(await asyncio.start_server(node.proxy.serve, node.ip, STORE_PORT))
+            self.servers.append(self.old_store_servers[-1])
             self.helpers.append(asyncio.create_task(node.probe()))
 
     async def start_all(self, first=True):
