--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -286,15 +286,17 @@
             self.servers.append(self.old_store_servers[-1])
             self.helpers.append(asyncio.create_task(node.probe()))
 
-    async def start_all(self, first=True):
-        order = list(self.nodes)
-        random.shuffle(order)
+    async def start_all(self, first=True, order=None):
+        """Starts all nodes within 0.3 s: in this order, or in any."""
 
-        async def one(node):
-            await asyncio.sleep(random.uniform(0, 0.3))
+        async def one(node, wait):
+            await asyncio.sleep(wait)
             await node.start(first)
 
-        await asyncio.gather(*(one(node) for node in order))
+        if order:
+            await asyncio.gather(*(one(node, 0.3 * i / len(order)) for i, node in enumerate(order)))
+        else:
+            await asyncio.gather(*(one(node, random.uniform(0, 0.3)) for node in self.nodes))
 
     async def until(self, condition, limit):
         end = time.monotonic() + limit
