--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -320,11 +320,11 @@
         self.world.callers.pop((number(ip), port), None)
         return caller
 
-    async def traffic(self, rate, routes):
-        """Requests at this rate, each in a flow of its own, until it is cancelled."""
+    async def traffic(self, rate, routes, **request):
+        """New flows at this rate until it is cancelled; request: see request()."""
         try:
             while True:
-                task = asyncio.create_task(self.request(random.choice(routes)))
+                task = asyncio.create_task(self.request(random.choice(routes), **request))
                 self.traffic_tasks.add(task)
                 task.add_done_callback(self.traffic_tasks.discard)
                 await asyncio.sleep(random.expovariate(rate))
@@ -348,10 +348,13 @@
 
     async def run():
         deployment = Deployment(case_folder, **options)
+        task = asyncio.current_task()
+        for number_ in (signal.SIGTERM, signal.SIGINT):  # whoever ends the script ends its processes too
+            asyncio.get_running_loop().add_signal_handler(number_, task.cancel)
         try:
             async with asyncio.timeout(limit):
                 status = await case(deployment)
-        except Exception as error:  # the case couldn't run
+        except (Exception, asyncio.CancelledError) as error:  # the case couldn't run
             deployment.record.note("could_not_run", error=repr(error).replace(" ", "_"))
             print(f"could not run: {error!r}", file=sys.stderr)
             status = NO_RUN
