--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -12,7 +12,13 @@
   Opened = 7,    // a flow that the dispatcher placed has gone on through a node that didn't ask for it
   Settled = 8,   // the flow needs no further offer
   WorkStarted = 9, // a further request was sent on a flow that the dispatcher counts
-  WorkEnded = 10 // the answer to the flow's last request has started
+  WorkEnded = 10, // the answer to the flow's last request has started
+  TargetSuspected = 11, // targets that give no sign of life on flows at the sender, for their owner
+  TargetLost = 12, // targets that their owner has declared lost
+  Locate = 13,   // asks the flow's dispatcher which target has the flow
+  Located = 14,  // answers a Locate
+  DispatchLoad = 15, // load of the sender's data centre, for the dispatchers of other data centres
+  Refused = 16   // no target may get the flow: the node that asked for its placement refuses it
 }
 
 struct EdgeShare {
@@ -54,6 +60,45 @@
   2: i64 revision
 }
 
+// All data centres that the operators have evacuated, as of a revision of the store.
+struct EdgeEvacuations {
+  1: i64 revision
+  2: list<string> dataCentres
+}
+
+// Slow start of a service's targets.
+struct EdgeService {
+  1: string name
+  2: i64 coldTime         // microseconds that a target is cold after its start
+  3: double coldRate      // openings a second that a cold target bears
+}
+
+// What the sender has seen of a target that gives no sign of life.
+struct EdgeTargetEvidence {
+  1: i64 target
+  2: i64 startedAt        // incarnation
+  3: i32 stalledFlows     // flows with packets repeated without progress
+  4: i32 retransmissions  // most of one flow
+  5: i64 stalledFor       // microseconds since the oldest of these packets was forwarded first
+  6: i64 progressAge      // microseconds since a flow has last made progress on the target; -1: never
+}
+
+struct EdgeLostTarget {
+  1: i64 target
+  2: i64 startedAt        // incarnation
+  3: string dataCentre    // empty: lost for all; else: out of reach from this data centre
+}
+
+// Load of one service in one data centre.
+struct EdgeDispatchLoad {
+  1: string serviceName
+  2: string dataCentre
+  3: i32 slots
+  4: i32 working          // flows with a request at work
+  5: i32 waiting          // flows that wait for room
+  6: i64 expectedWait     // microseconds until a further flow gets room
+}
+
 // Everything that changed in the store after the base revisions and up to the newer ones.
 struct EdgeChanges {
   1: i64 configBase
@@ -69,6 +114,7 @@
   11: i32 part            // from 0
   12: i32 parts
   13: i64 configKnown     // revision of the store up to which the sender knows the configuration
+  14: optional list<EdgeService> services  // all services of the configuration
 }
 
 struct EdgeFlowEnds {
@@ -93,6 +139,11 @@
   15: optional list<EdgeEndpoint> relayTo  // Beat, Changes: nodes to which the receiver passes it on
   8: optional binary packet       // Place
   9: i32 attempt = 0              // Place: from 1
-  10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled, WorkStarted, WorkEnded
-  11: i64 target = 0              // Ended, Opened, WorkStarted, WorkEnded: where the flow was; 0 when the sender doesn't know
+  10: optional EdgeFlowEnds flow  // Held, Ended, Opened, Settled, WorkStarted, WorkEnded, Locate, Located, Refused
+  11: i64 target = 0              // Ended, Opened, WorkStarted, WorkEnded, Located: where the flow is or was; 0 when the sender doesn't know
+  16: optional EdgeEvacuations evacuations  // Beat, Changes
+  17: optional list<EdgeTargetEvidence> evidence  // TargetSuspected
+  18: optional list<EdgeLostTarget> lostTargets  // TargetLost
+  19: optional list<EdgeDispatchLoad> loads  // DispatchLoad
+  20: i64 evacuationsKnown = 0    // Beat, Fetch: revision of the store up to which the sender knows the evacuations
 }
--- a/src/include/pimentofold/agentcore.h
+++ b/src/include/pimentofold/agentcore.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/configreplication.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/configreplication/configreplication.h>
+#include <pimentofold/membership/membership.h>
 #include <pimentofold/statusobject.h>
 #include <pimentofold/viewpublisher.h>
 
--- a/src/include/pimentofold/configrange.h
+++ b/src/include/pimentofold/configreplication/configrange.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/configstore.h>
+#include <pimentofold/configreplication/configstore.h>
 #include <pimentofold/types.h>
 
 #include "peer_types.h"
--- a/src/include/pimentofold/configreplication.h
+++ b/src/include/pimentofold/configreplication/configreplication.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/configrange.h>
-#include <pimentofold/configstore.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/configreplication/configrange.h>
+#include <pimentofold/configreplication/configstore.h>
+#include <pimentofold/membership/membership.h>
 #include <pimentofold/platformwatch.h>
 #include <pimentofold/random.h>
 #include <pimentofold/types.h>
--- a/src/include/pimentofold/loadmetrics.h
+++ b/src/include/pimentofold/loadmetrics.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 #include <pimentofold/ingress.h>
 #include <pimentofold/metrics.h>
 #include <pimentofold/targetchoice.h>
--- a/src/include/pimentofold/nodeview.h
+++ b/src/include/pimentofold/nodeview.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/configstore.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/configreplication/configstore.h>
+#include <pimentofold/membership/membership.h>
 #include <pimentofold/template.h>
 #include <pimentofold/types.h>
 
--- a/src/include/pimentofold/platformwatch.h
+++ b/src/include/pimentofold/platformwatch.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include <pimentofold/configstore.h>
+#include <pimentofold/configreplication/configstore.h>
 #include <pimentofold/random.h>
 #include <pimentofold/types.h>
 
--- a/src/include/pimentofold/relay.h
+++ b/src/include/pimentofold/relay.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 #include <pimentofold/types.h>
 
 /// Relays requests that must run at most once to a balancer that can answer them: first to their home, then to their witness,
--- a/src/include/pimentofold/statusobject.h
+++ b/src/include/pimentofold/statusobject.h
@@ -9,8 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <pimentofold/configstore.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/configreplication/configstore.h>
+#include <pimentofold/membership/membership.h>
 #include <pimentofold/platformwatch.h>
 #include <pimentofold/random.h>
 #include <pimentofold/types.h>
--- a/src/libpimentofold/admission.cpp
+++ b/src/libpimentofold/admission/admission.cpp
@@ -1,11 +1,11 @@
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 
 #include <algorithm>
 #include <climits>
 #include <cmath>
 #include <limits>
 
-#include <libpimentofold/admissionlimit.h>
+#include <libpimentofold/admission/admissionlimit.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/admission_test.cpp
+++ b/src/libpimentofold/admission/admission_test.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 
 #include <algorithm>
 #include <array>
--- a/src/libpimentofold/admissionlimit.cpp
+++ b/src/libpimentofold/admission/admissionlimit.cpp
@@ -1,4 +1,4 @@
-#include <libpimentofold/admissionlimit.h>
+#include <libpimentofold/admission/admissionlimit.h>
 
 #include <algorithm>
 #include <cmath>
--- a/src/libpimentofold/admissionlimit.h
+++ b/src/libpimentofold/admission/admissionlimit.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 
 /// The adaptive concurrency limit of admission control.
 namespace pimentofold {
--- a/src/libpimentofold/configmessages.cpp
+++ b/src/libpimentofold/configreplication/configmessages.cpp
@@ -1,4 +1,4 @@
-#include <libpimentofold/configmessages.h>
+#include <libpimentofold/configreplication/configmessages.h>
 
 #include <algorithm>
 #include <set>
--- a/src/libpimentofold/configmessages.h
+++ b/src/libpimentofold/configreplication/configmessages.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/configreplication.h>
+#include <pimentofold/configreplication/configreplication.h>
 
 /// Functions shared by configreplication and configrepair: message envelopes, packing into datagrams, rate limits and
 /// the selection of peers. Internal to the library.
--- a/src/libpimentofold/configrange.cpp
+++ b/src/libpimentofold/configreplication/configrange.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/configrange.h>
+#include <pimentofold/configreplication/configrange.h>
 
 #include <algorithm>
 #include <utility>
--- a/src/libpimentofold/configrepair.cpp
+++ b/src/libpimentofold/configreplication/configrepair.cpp
@@ -1,10 +1,10 @@
-#include <libpimentofold/configrepair.h>
+#include <libpimentofold/configreplication/configrepair.h>
 
 #include <algorithm>
 #include <cstring>
 #include <utility>
 
-#include <libpimentofold/configmessages.h>
+#include <libpimentofold/configreplication/configmessages.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/configrepair.h
+++ b/src/libpimentofold/configreplication/configrepair.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include <pimentofold/configreplication.h>
+#include <pimentofold/configreplication/configreplication.h>
 
 /// Anti-entropy: finds and repairs differences between the stores of two agents by comparing digests.
 ///
--- a/src/libpimentofold/configreplication.cpp
+++ b/src/libpimentofold/configreplication/configreplication.cpp
@@ -1,10 +1,10 @@
-#include <pimentofold/configreplication.h>
+#include <pimentofold/configreplication/configreplication.h>
 
 #include <algorithm>
 #include <utility>
 
-#include <libpimentofold/configmessages.h>
-#include <libpimentofold/configrepair.h>
+#include <libpimentofold/configreplication/configmessages.h>
+#include <libpimentofold/configreplication/configrepair.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/configreplication_test.cpp
+++ b/src/libpimentofold/configreplication/configreplication_test.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/configreplication.h>
+#include <pimentofold/configreplication/configreplication.h>
 
 #include <deque>
 
--- a/src/libpimentofold/configstore.cpp
+++ b/src/libpimentofold/configreplication/configstore.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/configstore.h>
+#include <pimentofold/configreplication/configstore.h>
 
 #include <algorithm>
 #include <utility>
--- a/src/libpimentofold/memberqueries.cpp
+++ b/src/libpimentofold/membership/memberqueries.cpp
@@ -1,9 +1,9 @@
-#include <pimentofold/membership.h>
+#include <pimentofold/membership/membership.h>
 
 #include <algorithm>
 #include <cmath>
 
-#include <libpimentofold/memberupdates.h>
+#include <libpimentofold/membership/memberupdates.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/membership.cpp
+++ b/src/libpimentofold/membership/membership.cpp
@@ -1,10 +1,10 @@
-#include <pimentofold/membership.h>
+#include <pimentofold/membership/membership.h>
 
 #include <algorithm>
 
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 
-#include <libpimentofold/memberupdates.h>
+#include <libpimentofold/membership/memberupdates.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/memberupdates.cpp
+++ b/src/libpimentofold/membership/memberupdates.cpp
@@ -1,4 +1,4 @@
-#include <libpimentofold/memberupdates.h>
+#include <libpimentofold/membership/memberupdates.h>
 
 #include <algorithm>
 #include <cmath>
--- a/src/libpimentofold/memberupdates.h
+++ b/src/libpimentofold/membership/memberupdates.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <pimentofold/membership.h>
+#include <pimentofold/membership/membership.h>
 
 /// Piggybacked updates and digests of the membership protocol. Internal to the library.
 namespace pimentofold::memberupdates {
--- a/src/libpimentofold/once.cpp
+++ b/src/libpimentofold/once/once.cpp
@@ -1,8 +1,8 @@
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 
 #include <algorithm>
 
-#include <libpimentofold/onceinternal.h>
+#include <libpimentofold/once/onceinternal.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/onceinternal.h
+++ b/src/libpimentofold/once/onceinternal.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 
 /// Declarations shared by the source files of the at-most-once records. Not part of the library's interface.
 namespace pimentofold::onceinternal {
--- a/src/libpimentofold/oncesuccessor.cpp
+++ b/src/libpimentofold/once/oncesuccessor.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 
-#include <pimentofold/membership.h>
+#include <pimentofold/membership/membership.h>
 
-#include <libpimentofold/onceinternal.h>
+#include <libpimentofold/once/onceinternal.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/oncetable.cpp
+++ b/src/libpimentofold/once/oncetable.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include <libpimentofold/onceinternal.h>
+#include <libpimentofold/once/onceinternal.h>
 
 namespace pimentofold::onceinternal {
 
--- a/src/pimentofold-balancer/balancer.h
+++ b/src/pimentofold-balancer/balancer.h
@@ -23,7 +23,7 @@
 #include <pimentofold/eventlog.h>
 #include <pimentofold/flowroute.h>
 #include <pimentofold/metrics.h>
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 #include <pimentofold/random.h>
 #include <pimentofold/relay.h>
 #include <pimentofold/retry.h>
--- a/src/pimentofold-balancer/serviceload.h
+++ b/src/pimentofold-balancer/serviceload.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 #include <pimentofold/ingress.h>
 #include <pimentofold/refusalcache.h>
 #include <pimentofold/retry.h>
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -11,7 +11,7 @@
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/edgesettings.h>
 #include <pimentofold/eventlog.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/membership/membership.h>
 
 #include "edge_types.h"
 
--- a/src/pimentofold-measure/capacitycontrol.cpp
+++ b/src/pimentofold-measure/capacitycontrol.cpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <utility>
 
-#include <pimentofold/configstore.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/configreplication/configstore.h>
+#include <pimentofold/membership/membership.h>
 #include <pimentofold/nodeview.h>
 #include <pimentofold/view.h>
 
--- a/src/pimentofold-measure/capacitydata.cpp
+++ b/src/pimentofold-measure/capacitydata.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include <pimentofold/flowroute.h>
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 #include <pimentofold/random.h>
 #include <pimentofold/token.h>
 #include <pimentofold/view.h>
--- a/src/pimentofold-measure/controlsim.h
+++ b/src/pimentofold-measure/controlsim.h
@@ -13,8 +13,8 @@
 #include <libstandin/platformstore.h>
 
 #include <pimentofold/codec.h>
-#include <pimentofold/configreplication.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/configreplication/configreplication.h>
+#include <pimentofold/membership/membership.h>
 #include <pimentofold/random.h>
 #include <pimentofold/types.h>
 
--- a/src/pimentofold-measure/floodmodel.h
+++ b/src/pimentofold-measure/floodmodel.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include <pimentofold-measure/simulation.h>
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 #include <pimentofold/ingress.h>
 #include <pimentofold/refusalcache.h>
 
--- a/src/pimentofold-measure/simulation.h
+++ b/src/pimentofold-measure/simulation.h
@@ -7,7 +7,7 @@
 #include <queue>
 #include <vector>
 
-#include <pimentofold/admission.h>
+#include <pimentofold/admission/admission.h>
 #include <pimentofold/types.h>
 
 /// A small queueing simulation on virtual time, shared by the measurements of load.
--- a/src/pimentofoldctl/platformobject.h
+++ b/src/pimentofoldctl/platformobject.h
@@ -8,7 +8,7 @@
 
 #include <libnet/httpclient.h>
 
-#include <pimentofold/configstore.h>
+#include <pimentofold/configreplication/configstore.h>
 
 /// Objects on the platform, and the calls and responses of the platform's object API.
 namespace pimentofold::ctl {
--- a/src/testsupport/membersim.h
+++ b/src/testsupport/membersim.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include <pimentofold/codec.h>
-#include <pimentofold/membership.h>
+#include <pimentofold/membership/membership.h>
 
 #include <testsupport/virtualnet.h>
 
--- a/src/testsupport/oncerun.h
+++ b/src/testsupport/oncerun.h
@@ -13,7 +13,7 @@
 
 #include <pimentofold/codec.h>
 #include <pimentofold/datagramauth.h>
-#include <pimentofold/once.h>
+#include <pimentofold/once/once.h>
 #include <pimentofold/relay.h>
 
 #include <testsupport/virtualnet.h>
