Place no new flow in an evacuated data centre

Cause: objects of kind "evacuations" in the store are ignored, so targets of an evacuated data centre keep getting opening packets. Change: where the settings have bounds.evacuate_ms, the leader lists and watches the kind, and heartbeats and answers to Fetch carry the evacuated data centres with their store revision. Their targets are left out of every placement; an opening for which no other target is left is refused, also through a dispatcher (Refused). A node that starts waits up to a second for the state. Not yet run: nodes with a store that has evacuations.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -147,6 +147,12 @@
     FlowKey flow;
 };
 
+/// Notifies the node that requested placement that only evacuated targets are left, so that it refuses the flow.
+struct RefusedNotice {
+    Id originNode = 0; ///< 0: this node, whose flow waited here; to be passed to handleRefusedNotice()
+    FlowKey flow;
+};
+
 /// What a node that receives a flow's packets reports to the flow's dispatcher.
 enum class FlowNoticeKind {
     Opened, ///< the caller has continued the flow through another node than the one that requested placement
@@ -171,6 +177,7 @@
     std::vector<RelayedOpening> relayedOpenings;
     std::vector<HeldNotice> heldNotices;
     std::vector<SettledNotice> settledNotices;
+    std::vector<RefusedNotice> refusedNotices;
     std::vector<FlowNotice> flowNotices;
     std::vector<ForwardEventRecord> events;
 };
@@ -205,6 +212,7 @@
     Settled, ///< the flow must not be offered again: it is open, or its caller has probably given up while the flow waited
     NoRoute,
     NoTarget, ///< no target accepts new flows, or too many flows are waiting
+    Evacuated, ///< only targets in evacuated data centres would accept the flow; it has to be refused
 };
 
 /// Offers a flow to a target, or lets the flow wait when no target has room. A flow that was offered before is offered to
--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -41,6 +41,12 @@
 /// is invalid or was received before
 std::optional<StoreChanges> addPart(ChangesAssembler &assembler, Id sender, const wire::EdgeChanges &part);
 
+/// Converts the evacuated data centres for a message.
+wire::EdgeEvacuations toWire(const EvacuationState &state);
+
+/// Converts the evacuated data centres from a message. Names that are too long are left out.
+EvacuationState fromWire(const wire::EdgeEvacuations &evacuations);
+
 /// Converts an address for a message.
 wire::EdgeEndpoint toWire(const Address &address);
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <pimentofold/dispatch.h>
+#include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowactivity.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
@@ -72,6 +73,7 @@
     Time lastPacketAt = 0; ///< time of the caller's last packet
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
+    bool refused = false; ///< refused because of an evacuation; a retransmission of the opening packet counts as a new flow
 };
 
 /// A packet that arrived before the configuration and the targets were known.
@@ -104,6 +106,7 @@
     double meanAnswerTime = 0; ///< moving average of the time from an offer to the caller's next packet, in microseconds
     double answerTimeDeviation = 0; ///< moving average of the deviation from meanAnswerTime, in microseconds
     Time nextSweepAt = 0; ///< when flows and targets are next checked for removal
+    EvacuationGate evacuationGate;
 };
 
 /// Detects that this process was paused. Has to be called at each packet and timer event, before the event is handled.
@@ -124,6 +127,10 @@
 /// Handles a dispatcher's notice that a flow must not be offered again.
 void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow);
 
+/// Handles a dispatcher's notice that only evacuated targets are left for a flow: resets the flow if it hasn't opened.
+/// @param dispatcher that sent the notice; 0: this node. A notice from a dispatcher that the flow no longer waits for is ignored.
+void handleRefusedNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out);
+
 /// Selects the nodes that may become dispatchers: those that started at least a few seconds before the newest node, because
 /// a node that has just joined doesn't know the load of the targets. When all nodes have started at about the same time, the
 /// oldest ones are selected, so that few services change their dispatcher while further nodes join. All nodes with the same
@@ -148,7 +155,10 @@
 ///         deviation times four, within the bounds of the settings
 Time answerTimeout(const EdgeForwarder &forwarder);
 
-/// @return whether flows can be placed: the configuration and the complete list of targets are known
+/// @return whether the configuration and the complete list of targets are known
+bool knowsTargets(const EdgeForwarder &forwarder);
+
+/// @return whether flows can be placed: the configuration, the complete list of targets and the evacuations are known
 bool canPlaceFlows(const EdgeForwarder &forwarder);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -21,6 +21,7 @@
     std::vector<Address> seeds; ///< peer addresses of a few nodes, some of which may no longer exist
     Address storeAddress; ///< of the platform's store
     bool firstStart = false; ///< all nodes of the system start for the first time, a few seconds before any traffic
+    Time evacuationBound = 0; ///< an evacuation of a data centre has to be in force within this time; 0: evacuations are off
     Time stopGracePeriod = 6 * second; ///< the platform kills a process that is still running this long after the request to stop
 };
 
--- a/src/include/pimentofold/storereplication.h
+++ b/src/include/pimentofold/storereplication.h
@@ -69,6 +69,7 @@
 struct KnownRevisions {
     std::int64_t config = 0; ///< 0: no configuration is known
     std::int64_t targets = 0; ///< 0: the targets are not known yet
+    std::int64_t evacuations = 0; ///< 0: the evacuations are not known yet
 
     friend bool operator==(const KnownRevisions &, const KnownRevisions &) = default;
 };
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <pimentofold/edgeconfig.h>
+#include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/types.h>
 
@@ -68,6 +69,7 @@
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by target id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< target ids by token
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
+    EvacuationState evacuations;
 };
 
 /// Replaces the configuration. Routes that are not part of @p config are removed; those that it contains in an unreadable
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <span>
 
+#include <pimentofold/evacuation/evacuation.h>
+
 namespace pimentofold {
 
 namespace {
@@ -146,6 +148,12 @@
             continue;
         }
         EdgeTarget *target = chooseTargetFor(dispatcher, table, next->second.flow, nullptr, *route, now);
+        if (target == nullptr && hasEvacuatedTargets(table, *route, now)) {
+            appendEvent(out, ForwardEvent::NoTarget, next->first, nullptr, next->second.flow.attempt, now - next->second.waitingSince);
+            out.refusedNotices.push_back({next->second.flow.originNode, next->first});
+            dispatcher.waitingFlows.erase(next);
+            continue;
+        }
         if (target == nullptr || !hasRoom(*target, dispatcher.settings)) {
             return;
         }
@@ -278,6 +286,21 @@
     updateRouteActivity(dispatcher);
 }
 
+/// Forgets a flow for which only evacuated targets are left, and notifies the node that asked for its placement.
+PlaceResult refuseEvacuated(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, ForwardOutput &out)
+{
+    const auto known = dispatcher.placedFlows.find(flow.key);
+    if (known != dispatcher.placedFlows.end()) {
+        removeFromLoad(table, known->second);
+        dispatcher.placedFlows.erase(known);
+    }
+    appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
+    if (flow.originNode != 0) {
+        out.refusedNotices.push_back({flow.originNode, flow.key});
+    }
+    return PlaceResult::Evacuated;
+}
+
 } // namespace
 
 std::string_view name(ForwardEvent event)
@@ -335,6 +358,9 @@
         }
     }
     EdgeTarget *target = chooseTargetFor(dispatcher, table, flow, placed, *route, now);
+    if (target == nullptr && hasEvacuatedTargets(table, *route, now)) {
+        return refuseEvacuated(dispatcher, table, flow, out);
+    }
     if (target == nullptr) {
         appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
         return PlaceResult::NoTarget;
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -239,6 +239,26 @@
     return result;
 }
 
+wire::EdgeEvacuations toWire(const EvacuationState &state)
+{
+    wire::EdgeEvacuations evacuations;
+    evacuations.revision = state.revision;
+    evacuations.dataCentres.assign(state.dataCentres.begin(), state.dataCentres.end());
+    return evacuations;
+}
+
+EvacuationState fromWire(const wire::EdgeEvacuations &evacuations)
+{
+    EvacuationState state;
+    state.revision = evacuations.revision;
+    for (const std::string &it : evacuations.dataCentres) {
+        if (it.size() <= maxDataCentreNameBytes) {
+            state.dataCentres.insert(it);
+        }
+    }
+    return state;
+}
+
 wire::EdgeEndpoint toWire(const Address &address)
 {
     wire::EdgeEndpoint endpoint;
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <pimentofold/evacuation/evacuation.h>
+
 namespace pimentofold {
 
 namespace {
@@ -50,6 +52,14 @@
     appendEvent(out, ForwardEvent::Refused, key, nullptr, 0, 0);
 }
 
+/// Refuses a flow for which only evacuated targets are left. Its caller may open another flow at once.
+void refuseEvacuatedFlow(const FlowKey &key, EdgeFlow &flow, ForwardOutput &out)
+{
+    flow.stage = FlowStage::Ended;
+    flow.refused = true;
+    refuseFlow(key, out);
+}
+
 /// Starts a placement attempt: relays the opening packet to the flow's dispatcher, or places the flow at this node.
 void attemptPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
@@ -67,6 +77,8 @@
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
         refuseFlow(key, out);
+    } else if (result == PlaceResult::Evacuated) {
+        refuseEvacuatedFlow(key, flow, out);
     } else if (result == PlaceResult::Waiting) {
         handleHeldNotice(forwarder, key, now);
     } else if (result == PlaceResult::Settled) {
@@ -114,8 +126,8 @@
         }
         return;
     }
-    // A retransmission that arrived after later packets of the flow.
-    if (const EdgeTarget *target = findTarget(forwarder.table, flow.target)) {
+    // A retransmission that arrived after later packets of the flow. An evacuated target gets no opening packet, whatever the flow.
+    if (const EdgeTarget *target = findTarget(forwarder.table, flow.target); target != nullptr && !isEvacuated(forwarder.table, *target)) {
         out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
     }
 }
@@ -143,7 +155,7 @@
     }
     const auto existing = forwarder.flows.find(packet.flow);
     if (existing != forwarder.flows.end()) {
-        if (packet.openingAge > 0 || existing->second.stage == FlowStage::Opening) {
+        if ((packet.openingAge > 0 && !existing->second.refused) || existing->second.stage == FlowStage::Opening) {
             handleRetransmission(forwarder, packet, existing->second, now, out);
             return;
         }
@@ -159,7 +171,9 @@
     if (forwarder.flows.size() >= forwarder.settings.maxFlows) {
         flow.dispatcher = 0;
         flow.attempts = 1;
-        placeFlow(forwarder.dispatcher, forwarder.table, toOpeningFlow(packet.flow, flow), now, out);
+        if (placeFlow(forwarder.dispatcher, forwarder.table, toOpeningFlow(packet.flow, flow), now, out) == PlaceResult::Evacuated) {
+            refuseFlow(packet.flow, out);
+        }
         return;
     }
     EdgeFlow &stored = forwarder.flows.emplace(packet.flow, std::move(flow)).first->second;
@@ -292,11 +306,16 @@
 
 } // namespace
 
-bool canPlaceFlows(const EdgeForwarder &forwarder)
+bool knowsTargets(const EdgeForwarder &forwarder)
 {
     return forwarder.table.configRevision > 0 && forwarder.table.targetHistoryStart > 0 && !forwarder.table.targets.empty();
 }
 
+bool canPlaceFlows(const EdgeForwarder &forwarder)
+{
+    return knowsTargets(forwarder) && !isGateClosed(forwarder.evacuationGate, forwarder.table.evacuations);
+}
+
 Time detectPause(EdgeForwarder &forwarder, Time now)
 {
     const Time pause = forwarder.lastRunAt == 0 ? 0 : now - forwarder.lastRunAt;
@@ -357,6 +376,16 @@
     }
 }
 
+void handleRefusedNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out)
+{
+    const auto it = forwarder.flows.find(flow);
+    if (it != forwarder.flows.end() && it->second.stage == FlowStage::Opening && it->second.dispatcher == dispatcher) {
+        // This node may have offered the flow itself before.
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, flow, 0}, now, out);
+        refuseEvacuatedFlow(flow, it->second, out);
+    }
+}
+
 std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members)
 {
     constexpr Time minAgeDifference = 3 * second;
@@ -396,7 +425,7 @@
         int slots = 0;
         for (const std::uint64_t id : ids) {
             const EdgeTarget &target = *findTarget(forwarder.table, id);
-            const bool accepting = acceptsNewFlows(target, now);
+            const bool accepting = acceptsNewFlows(target, now) && !isEvacuated(forwarder.table, target);
             entries.push_back({static_cast<Id>(id), target.record.slots, accepting});
             slots += accepting ? target.record.slots : 0;
         }
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include <pimentofold/evacuation/evacuation.h>
+
 namespace pimentofold {
 
 namespace {
@@ -74,6 +76,9 @@
     double bestCost = std::numeric_limits<double>::max();
     for (const std::uint64_t id : ids->second) {
         EdgeTarget &target = *findTarget(table, id);
+        if (isEvacuated(table, target)) {
+            continue;
+        }
         const Preference preference = preferenceOf(target, settings, query, now);
         if (preference == Preference::Excluded || preference > bestPreference) {
             continue;
--- a/src/libpimentofold/storereplication.cpp
+++ b/src/libpimentofold/storereplication.cpp
@@ -171,7 +171,7 @@
 
 bool isAheadOf(const StoreReplication &replication, const KnownRevisions &peer)
 {
-    return replication.known.config > peer.config || replication.known.targets > peer.targets;
+    return replication.known.config > peer.config || replication.known.targets > peer.targets || replication.known.evacuations > peer.evacuations;
 }
 
 bool isHeartbeatDue(const StoreReplication &replication, Time now)
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -76,6 +76,7 @@
     m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
     m_forwarder.self = m_peers.self();
     configureReplication();
+    configureEvacuations();
     logEvent(m_log,
              "started",
              {{"data_centre", settings.dataCentre},
@@ -113,6 +114,7 @@
     setGauge(m_metrics, "target_flows_working", counts.working);
     setGauge(m_metrics, "target_flows_idle", counts.idle);
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
+    setGauge(m_metrics, "evacuated_data_centres", static_cast<double>(table.evacuations.dataCentres.size()));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
     counter(m_metrics, "store_calls_total") = m_store.callCount();
     counter(m_metrics, "packet_bytes_received_total") = static_cast<std::int64_t>(m_packets.bytesReceived());
@@ -166,6 +168,15 @@
     for (const SettledNotice &it : out.settledNotices) {
         sendFlowNotice(wire::EdgeKind::Settled, it.originNode, it.flow, 0);
     }
+    for (const RefusedNotice &it : out.refusedNotices) {
+        if (it.originNode == 0) {
+            ForwardOutput refused;
+            handleRefusedNotice(m_forwarder, 0, it.flow, now, refused);
+            send(refused, now);
+        } else {
+            sendFlowNotice(wire::EdgeKind::Refused, it.originNode, it.flow, 0);
+        }
+    }
     for (const FlowNotice &it : out.flowNotices) {
         sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
@@ -234,6 +245,7 @@
         break;
     case wire::EdgeKind::Changes:
         m_peers.relayBroadcast(message);
+        onEvacuations(message);
         if (message.large) {
             onChangesTooLarge(from, now);
         }
@@ -244,6 +256,7 @@
         break;
     case wire::EdgeKind::Held:
     case wire::EdgeKind::Settled:
+    case wire::EdgeKind::Refused:
     case wire::EdgeKind::Opened:
     case wire::EdgeKind::WorkStarted:
     case wire::EdgeKind::WorkEnded:
@@ -266,6 +279,10 @@
         handleHeldNotice(m_forwarder, flow, now);
     } else if (message.kind == wire::EdgeKind::Settled) {
         handleSettledNotice(m_forwarder, flow);
+    } else if (message.kind == wire::EdgeKind::Refused) {
+        ForwardOutput out;
+        handleRefusedNotice(m_forwarder, message.sender, flow, now, out);
+        send(out, now);
     } else if (const std::optional<FlowNoticeKind> kind = noticeKindFromWire(message.kind)) {
         const FlowNotice notice{*kind, 0, flow, static_cast<std::uint64_t>(message.target)};
         ForwardOutput out;
@@ -304,6 +321,8 @@
     logEvent(m_log, "reloaded", {{"seeds", joinAddresses(settings.seeds)}, {"needs_restart", static_cast<int>(addressChanged)}});
     m_settings.seeds = settings.seeds;
     m_settings.stopGracePeriod = settings.stopGracePeriod;
+    m_settings.evacuationBound = settings.evacuationBound;
+    configureEvacuations();
     m_peers.contactNodes(settings.seeds, monotonicNow());
 }
 
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -58,6 +58,15 @@
     void onMembersChanged();
     void onHeartbeat(const wire::EdgeMessage &message, const Address &from, Time now);
     void onFetch(const wire::EdgeMessage &message, const Address &from, Time now);
+    void onEvacuations(const wire::EdgeMessage &message);
+    /// Turns evacuations on or off, as the settings say.
+    void configureEvacuations();
+    /// Takes over the evacuations of the table after an update: logs the differences and derives the dispatchers again.
+    /// @param source "store" or "peer"
+    /// @param age time since the leader's state was confirmed by the store
+    void announceEvacuations(std::string_view source, Time age);
+    /// Adds the evacuations to a message.
+    void addEvacuations(wire::EdgeMessage &message) const;
     void onChanges(const wire::EdgeMessage &message, Time now);
     void onPlaceRequest(const wire::EdgeMessage &message, Time now);
     void onFlowNotice(const wire::EdgeMessage &message, Time now);
@@ -108,6 +117,7 @@
     Time m_stopStartedAt = never; ///< never: no stop was requested
     Time m_lastPacketAt = 0;
     std::int64_t m_heartbeatConfigRevision = 0; ///< revision of the configuration at this node's last heartbeat
+    EvacuationState m_announcedEvacuations; ///< as of the last announceEvacuations()
     std::size_t m_initialFetches = 0; ///< number of requests for an initial state
     std::size_t m_heartbeatsSent = 0; ///< selects the relays of a broadcast
     Time m_storeReadAt = 0; ///< when the store was last read because a peer had too many changes to send
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include <pimentofold/evacuation/evacuation.h>
+
 namespace pimentofold {
 
 namespace {
@@ -40,6 +42,7 @@
 void Edge::onHeartbeat(const wire::EdgeMessage &message, const Address &from, Time now)
 {
     m_peers.relayBroadcast(message);
+    onEvacuations(message);
     if (message.__isset.changes) {
         onChanges(message, now);
     }
@@ -64,6 +67,7 @@
     message.__set_configRevision(m_forwarder.table.configRevision);
     message.__set_configKnown(m_replication.known.config);
     message.__set_targetsKnown(m_replication.known.targets);
+    message.__set_evacuationsKnown(m_replication.known.evacuations);
     message.__set_large(acceptLarge);
     return message;
 }
@@ -73,13 +77,18 @@
     if (!canPlaceFlows(m_forwarder)) {
         return;
     }
-    const KnownRevisions base{message.configKnown, message.targetsKnown};
+    const KnownRevisions base{message.configKnown, message.targetsKnown, message.evacuationsKnown};
     if (!isAheadOf(m_replication, base)) {
         return;
     }
+    wire::EdgeMessage response = newMessage(wire::EdgeKind::Changes);
+    addEvacuations(response);
+    if (m_replication.known.config <= base.config && m_replication.known.targets <= base.targets) {
+        m_peers.send(response, from);
+        return;
+    }
     const StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_replication.known, now);
     const std::vector<wire::EdgeChanges> parts = toWire(changes);
-    wire::EdgeMessage response = newMessage(wire::EdgeKind::Changes);
     if (parts.size() > maxParts && !message.large) {
         response.__set_large(true);
         m_peers.send(response, from);
@@ -88,6 +97,7 @@
     for (const wire::EdgeChanges &it : parts) {
         response.__set_changes(it);
         m_peers.send(response, from);
+        response.__isset.evacuations = false; // the first part has carried them
     }
 }
 
@@ -183,7 +193,13 @@
             m_store.stop();
         }
     }
-    if (m_replication.known.targets == 0 || m_replication.known.config == 0) {
+    const bool couldPlace = canPlaceFlows(m_forwarder);
+    updateGate(m_forwarder.evacuationGate, knowsTargets(m_forwarder), now);
+    if (!couldPlace && canPlaceFlows(m_forwarder)) {
+        onStateChanged();
+    }
+    const bool knowsEvacuations = !isGateClosed(m_forwarder.evacuationGate, m_forwarder.table.evacuations);
+    if (m_replication.known.targets == 0 || m_replication.known.config == 0 || !knowsEvacuations) {
         fetchInitialState(now);
     } else if (isBehind(m_replication) && !lead && now >= m_replication.nextFetchAt) {
         m_replication.nextFetchAt = now + m_replication.settings.fetchInterval;
@@ -229,6 +245,7 @@
     message.configKnown = m_replication.known.config;
     message.targetsKnown = m_replication.known.targets;
     message.configRevision = m_forwarder.table.configRevision;
+    addEvacuations(message);
     message.age = m_replication.confirmedAt == 0 ? 0 : now - m_replication.confirmedAt;
     const bool changed =
         m_replication.known != m_replication.heartbeatSentKnown && m_replication.heartbeatSentKnown.config > 0 && m_replication.heartbeatSentKnown.targets > 0;
@@ -249,12 +266,69 @@
     ++m_heartbeatsSent;
 }
 
+void Edge::configureEvacuations()
+{
+    m_forwarder.evacuationGate.enabled = m_settings.evacuationBound > 0;
+    m_store.setEvacuationBound(m_settings.evacuationBound);
+    if (m_settings.evacuationBound == 0) {
+        announceEvacuations("settings", 0);
+    }
+}
+
+void Edge::onEvacuations(const wire::EdgeMessage &message)
+{
+    if (!message.__isset.evacuations || m_settings.evacuationBound == 0) {
+        return;
+    }
+    if (replaceEvacuations(m_forwarder.table.evacuations, fromWire(message.evacuations))) {
+        announceEvacuations("peer", message.age);
+    }
+}
+
+void Edge::announceEvacuations(std::string_view source, Time age)
+{
+    const EvacuationState &state = m_forwarder.table.evacuations;
+    if (state == m_announcedEvacuations) {
+        return;
+    }
+    const bool first = m_announcedEvacuations.revision == 0;
+    const EvacuationDifference difference = differenceOf(m_announcedEvacuations, state);
+    m_announcedEvacuations = state;
+    m_replication.known.evacuations = state.revision;
+    for (const std::string &it : difference.started) {
+        logEvent(m_log, "evacuation_started", {{"data_centre", it}, {"revision", state.revision}, {"source", source}, {"age_us", age}});
+    }
+    for (const std::string &it : difference.ended) {
+        logEvent(m_log, "evacuation_ended", {{"data_centre", it}, {"revision", state.revision}, {"source", source}, {"age_us", age}});
+    }
+    const bool changed = !difference.started.empty() || !difference.ended.empty();
+    if (!changed) {
+        // The revision alone goes with the next heartbeat that is due anyway.
+        m_replication.heartbeatSentKnown.evacuations = state.revision;
+    }
+    if (changed) {
+        recordDuration(m_metrics, "evacuation_apply_seconds", static_cast<double>(age) / static_cast<double>(second));
+    }
+    if (changed || first) {
+        onStateChanged();
+    }
+}
+
+void Edge::addEvacuations(wire::EdgeMessage &message) const
+{
+    if (m_forwarder.table.evacuations.revision > 0) {
+        message.__set_evacuations(toWire(evacuationsToSend(m_forwarder.table)));
+        message.__set_evacuationsKnown(m_forwarder.table.evacuations.revision);
+    }
+}
+
 void Edge::onStoreAnswer()
 {
     const Time now = monotonicNow();
     const KnownRevisions known = m_store.known();
     m_replication.known.config = std::max(m_replication.known.config, known.config);
     m_replication.known.targets = std::max(m_replication.known.targets, known.targets);
+    announceEvacuations("store", 0);
     if (m_store.isWatching()) {
         refreshStoreHealth(now);
     }
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -15,7 +15,15 @@
 
 std::string_view kindName(platform::StoreKind kind)
 {
-    return kind == platform::StoreKind::Config ? "config" : "targets";
+    switch (kind) {
+    case platform::StoreKind::Config:
+        return "config";
+    case platform::StoreKind::Targets:
+        return "targets";
+    case platform::StoreKind::Evacuations:
+        break;
+    }
+    return "evacuations";
 }
 
 } // namespace
@@ -34,10 +42,42 @@
     , m_onAnswered(std::move(onAnswered))
     , m_configReader(platform::StoreKind::Config, store, [this] { startCall(m_configReader); })
     , m_targetsReader(platform::StoreKind::Targets, store, [this] { startCall(m_targetsReader); })
+    , m_evacuationsReader(platform::StoreKind::Evacuations, store, [this] { startCall(m_evacuationsReader); })
 {
     m_targetsReader.listWatch.settings.batchDelay = targetBatchDelay;
 }
 
+void StoreClient::setEvacuationBound(Time bound)
+{
+    const bool wasEnabled = std::exchange(m_evacuationsEnabled, bound > 0);
+    if (wasEnabled && !m_evacuationsEnabled) {
+        resetEvacuations();
+    }
+    m_evacuationsReader.listWatch.settings.watchTimeout = evacuationWatchTimeout(bound);
+    if (m_evacuationsEnabled && m_watching) {
+        startCall(m_evacuationsReader);
+    }
+}
+
+void StoreClient::resetEvacuations()
+{
+    m_evacuationsReader.timer.stop();
+    ListWatch fresh;
+    fresh.callInFlight = m_evacuationsReader.listWatch.callInFlight;
+    fresh.callCount = m_evacuationsReader.listWatch.callCount;
+    m_evacuationsReader.listWatch = fresh;
+    m_table.evacuations = {};
+}
+
+std::vector<StoreClient::KindReader *> StoreClient::readers()
+{
+    std::vector<KindReader *> result{&m_configReader, &m_targetsReader};
+    if (m_evacuationsEnabled) {
+        result.push_back(&m_evacuationsReader);
+    }
+    return result;
+}
+
 void StoreClient::start(const KnownRevisions &known)
 {
     if (m_watching) {
@@ -47,7 +87,8 @@
     const Time now = monotonicNow();
     advanceTo(m_configReader.listWatch, known.config, 0);
     advanceTo(m_targetsReader.listWatch, known.targets, 0);
-    for (KindReader *it : {&m_configReader, &m_targetsReader}) {
+    advanceTo(m_evacuationsReader.listWatch, known.evacuations, 0);
+    for (KindReader *it : readers()) {
         it->singleRead = false;
         it->listWatch.consecutiveFailures = 0;
         it->listWatch.probe = true;
@@ -61,6 +102,7 @@
     m_watching = false;
     m_configReader.timer.stop();
     m_targetsReader.timer.stop();
+    m_evacuationsReader.timer.stop();
 }
 
 void StoreClient::readOnce(const KnownRevisions &known)
@@ -97,17 +139,18 @@
 
 KnownRevisions StoreClient::known() const
 {
-    return {m_configReader.listWatch.revision, m_targetsReader.listWatch.revision};
+    return {m_configReader.listWatch.revision, m_targetsReader.listWatch.revision, m_table.evacuations.revision};
 }
 
 std::int64_t StoreClient::callCount() const
 {
-    return m_configReader.listWatch.callCount + m_targetsReader.listWatch.callCount;
+    return m_configReader.listWatch.callCount + m_targetsReader.listWatch.callCount + m_evacuationsReader.listWatch.callCount;
 }
 
 void StoreClient::startCall(KindReader &reader)
 {
-    if (!m_watching && !reader.singleRead) {
+    const bool isOff = reader.kind == platform::StoreKind::Evacuations && !m_evacuationsEnabled;
+    if (isOff || (!m_watching && !reader.singleRead)) {
         return;
     }
     const Time now = monotonicNow();
@@ -120,6 +163,7 @@
     }
     const std::string target =
         call->watch ? platform::watchPath(reader.kind, call->revision, call->watchTimeout) : platform::listPath(reader.kind, call->startAfter);
+    reader.listCall = !call->watch;
     reader.connection.start("GET", target, "", call->timeout, [this, &reader](const HttpResult &result) { onAnswer(reader, result); });
 }
 
@@ -138,6 +182,17 @@
         for (const platform::StoreObject &it : answer->objects) {
             applyObject(reader, it, now);
         }
+        if (reader.kind == platform::StoreKind::Evacuations) {
+            applyEvacuations(*answer);
+        }
+        if (reader.listCall && !reader.listWatch.listing) {
+            // A list that was in flight when this node got the state from a peer doesn't show what was removed since then, so the
+            // watch has to start from the peer's revision.
+            call.revision = 0;
+            call.changeCount = 0;
+        } else if (!reader.listCall && reader.listWatch.listing) {
+            call.outcome = StoreCallOutcome::Failed;
+        }
     } else {
         logFailure(reader, result);
     }
@@ -220,8 +275,35 @@
     }
 }
 
+void StoreClient::applyEvacuations(const platform::StoreResponse &response)
+{
+    const ListWatch &listWatch = m_evacuationsReader.listWatch;
+    if (!m_evacuationsEnabled || m_evacuationsReader.listCall != listWatch.listing) {
+        return;
+    }
+    std::vector<EvacuationChange> changes;
+    for (const platform::StoreObject &it : response.objects) {
+        if (const auto *record = std::get_if<platform::EvacuationRecord>(&it)) {
+            changes.push_back({record->dataCentre, record->revision, false});
+        } else if (const auto *deleted = std::get_if<platform::DeletedObject>(&it)) {
+            changes.push_back({deleted->name, deleted->revision, true});
+        }
+    }
+    if (!listWatch.listing) {
+        applyEvacuationChanges(m_table.evacuations, changes, response.revision);
+        return;
+    }
+    if (listWatch.startAfter.empty()) {
+        m_listedEvacuations = {};
+    }
+    addListedEvacuations(m_listedEvacuations, changes, response.revision);
+}
+
 void StoreClient::finishList(KindReader &reader, Time now)
 {
+    if (reader.kind == platform::StoreKind::Evacuations) {
+        replaceEvacuations(m_table.evacuations, std::move(m_listedEvacuations));
+    }
     if (reader.kind != platform::StoreKind::Targets) {
         return;
     }
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -16,7 +16,8 @@
 
 namespace pimentofold {
 
-/// Reads the platform's store: lists and watches the configuration and the targets, and applies them to a table.
+/// Reads the platform's store: lists and watches the configuration, the targets and, where they are on, the evacuations, and
+/// applies them to a table.
 class StoreClient
 {
 public:
@@ -26,6 +27,10 @@
     /// @param onAnswered called after each call has ended, also after a failed one
     StoreClient(const Address &store, TargetTable &table, Random &random, EventLog &log, std::function<void()> onAnswered);
 
+    /// Turns the calls for evacuations on, or off if @p bound is 0, as they are at first.
+    /// @param bound time within which an evacuation has to be in force
+    void setEvacuationBound(Time bound);
+
     /// Starts to watch the store, after a list of each kind that is unknown.
     /// @param known revisions that this node knows already; the watches start there
     void start(const KnownRevisions &known);
@@ -36,7 +41,8 @@
     void readOnce(const KnownRevisions &known);
 
     bool isWatching() const;
-    /// @return whether the last calls of both kinds succeeded; unknown before the first ones since start() have ended
+    /// @return whether the last calls for the configuration and the targets succeeded; unknown before the first ones since
+    ///         start() have ended
     StoreHealth health() const;
     /// @return revisions up to which the store's contents have been read or were reported as known
     KnownRevisions known() const;
@@ -52,6 +58,7 @@
         ListWatch listWatch;
         HttpConnection connection;
         Timer timer;
+        bool listCall = false; ///< the call in flight is a list
         bool singleRead = false; ///< a readOnce() is under way: stop after one watch or one complete list
 
         KindReader(platform::StoreKind storeKind, const Address &store, std::function<void()> onTimer);
@@ -69,6 +76,12 @@
     void removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, std::int64_t revision, Time now);
     /// Removes the targets that a complete list doesn't contain.
     void finishList(KindReader &reader, Time now);
+    /// Applies the evacuations of a response, or collects those of a list until its last page.
+    void applyEvacuations(const platform::StoreResponse &response);
+    /// Starts again with a list, and forgets the evacuations.
+    void resetEvacuations();
+    /// @return the readers of the kinds that are on
+    std::vector<KindReader *> readers();
 
     TargetTable &m_table;
     Random &m_random;
@@ -76,6 +89,9 @@
     std::function<void()> m_onAnswered;
     KindReader m_configReader;
     KindReader m_targetsReader;
+    KindReader m_evacuationsReader;
+    EvacuationState m_listedEvacuations; ///< of the pages of the current list
+    bool m_evacuationsEnabled = false;
     std::set<ConfigProblem> m_configProblems; ///< of the configuration that was read last
     bool m_watching = false;
 };
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -124,6 +124,27 @@
     CHECK(std::get<DeletedObject>(response->objects.at(0)).id == 0x7f3a91c2);
 }
 
+// Guards against an evacuation that is ignored because of its spec, which carries no meaning.
+TEST_CASE("evacuations are decoded whatever their spec is")
+{
+    for (const std::string spec : {R"({"meta":{"name":"attica-a","revision":7},"spec":{}})",
+                                   R"({"meta":{"name":"attica-a","revision":7},"spec":null})",
+                                   R"({"meta":{"name":"attica-a","revision":7}})"}) {
+        const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Evacuations, list(spec));
+        REQUIRE(response);
+        const auto &record = std::get<EvacuationRecord>(response->objects.at(0));
+        CHECK(record.dataCentre == "attica-a");
+        CHECK(record.revision == 7);
+        const std::optional<StoreResponse> watch =
+            decodeStoreResponse(StoreKind::Evacuations, R"({"events":[{"deleted":true,"object":)" + spec + R"(}],"store_revision":60})");
+        REQUIRE(watch);
+        CHECK(std::get<DeletedObject>(watch->objects.at(0)).name == "attica-a");
+    }
+    const std::optional<StoreResponse> invalid = decodeStoreResponse(StoreKind::Evacuations, list(R"({"meta":{"revision":7},"spec":{}})"));
+    REQUIRE(invalid);
+    CHECK(std::holds_alternative<UnreadableObject>(invalid->objects.at(0)));
+}
+
 // Guards against using invalid objects of other writers as targets, and against invalid objects that prevent the use of the
 // valid ones in the same response.
 TEST_CASE("an invalid object doesn't affect the other objects of a response")
@@ -258,6 +279,8 @@
 {
     CHECK(listPath(StoreKind::Targets, "") == "/-/objects/servers");
     CHECK(listPath(StoreKind::Targets, "i-1 &") == "/-/objects/servers?after=i-1%20%26");
+    CHECK(listPath(StoreKind::Evacuations, "") == "/-/objects/evacuations");
+    CHECK(watchPath(StoreKind::Evacuations, 9, second) == "/-/objects/evacuations?watch=9&wait_ms=1000");
     CHECK(watchPath(StoreKind::Config, 530, 2 * second) == "/-/objects/config?watch=530&wait_ms=2000");
     const Roster roster{{{0x0a010006, 7500}}, 0};
     CHECK(rosterWriteRequest(roster).method == "POST");
@@ -278,6 +301,8 @@
     REQUIRE(settings.seeds.size() == 2);
     CHECK(toString(settings.seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.stopGracePeriod == 6 * second);
+    CHECK(settings.evacuationBound == 0);
+    CHECK(parseSettingsLines(settingsText + "bounds.evacuate_ms=5000\n", "f").evacuationBound == 5 * second);
     CHECK_FALSE(settings.firstStart);
     CHECK(parseSettingsLines(settingsText + "bootstrap=true\n", "f").firstStart);
     CHECK_FALSE(parseSettingsLines(settingsText + "bootstrap=maybe\n", "f").firstStart);
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -124,6 +124,7 @@
     }
     const auto bootstrap = lines.values.find("bootstrap");
     settings.firstStart = bootstrap != lines.values.end() && bootstrap->second == "true";
+    settings.evacuationBound = optionalDuration(lines, "bounds.evacuate_ms", millisecond, 0);
     settings.stopGracePeriod = optionalDuration(lines, "bounds.grace_s", second, settings.stopGracePeriod);
     return settings;
 }
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -249,6 +249,9 @@
         if (deleted) {
             return DeletedObject{kind == StoreKind::Targets ? idFromName(objectName).value_or(0) : 0, objectName, revision};
         }
+        if (kind == StoreKind::Evacuations) {
+            return EvacuationRecord{objectName, revision};
+        }
         const json &spec = requiredField(object, "spec");
         if (!spec.is_object()) {
             throw FieldError{"spec is not an object"};
@@ -268,7 +271,15 @@
 
 constexpr const char *kindPath(StoreKind kind)
 {
-    return kind == StoreKind::Config ? "/-/objects/config" : "/-/objects/servers";
+    switch (kind) {
+    case StoreKind::Config:
+        return "/-/objects/config";
+    case StoreKind::Targets:
+        return "/-/objects/servers";
+    case StoreKind::Evacuations:
+        break;
+    }
+    return "/-/objects/evacuations";
 }
 
 void appendQuery(std::string &path, char separator, const std::string &key, const std::string &value)
--- a/src/platform/storecalls.h
+++ b/src/platform/storecalls.h
@@ -15,6 +15,7 @@
 enum class StoreKind {
     Config, ///< one object with the whole configuration
     Targets, ///< one object for each target
+    Evacuations, ///< one object for each evacuated data centre, with the data centre's name
 };
 
 /// Request for one page of the list of all objects of a kind.
@@ -43,7 +44,13 @@
     std::int64_t revision = 0;
 };
 
-using StoreObject = std::variant<EdgeConfig, TargetRecord, DeletedObject, UnreadableObject>;
+/// An evacuated data centre. The object's name is all that counts.
+struct EvacuationRecord {
+    std::string dataCentre;
+    std::int64_t revision = 0;
+};
+
+using StoreObject = std::variant<EdgeConfig, TargetRecord, EvacuationRecord, DeletedObject, UnreadableObject>;
 
 /// A decoded response to a list or a watch request.
 struct StoreResponse {
