Slow start of cold targets: limits, budget at the owner, placement

Cause: targets that had just started got as many flows as others, above what the configuration and the settings allow. Change: services are decoded (an invalid field is a config problem and leaves the previous limits of the service in force) and replicated, also with configuration differences. Flows wait while no target may be used. Off without bounds.cold_overshoot and bounds.cold_slack.

--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -61,6 +61,15 @@
     friend auto operator<=>(const ConfigProblem &, const ConfigProblem &) = default;
 };
 
+/// Slow start of a service's targets.
+struct ServiceLimits {
+    std::string name;
+    Time coldTime = 0; ///< a target is cold for this long after its start; 0: never
+    double coldRate = 0; ///< openings per second that a cold target can take
+
+    friend bool operator==(const ServiceLimits &, const ServiceLimits &) = default;
+};
+
 /// One version of the whole configuration.
 struct EdgeConfig {
     std::int64_t revision = 0; ///< store revision of this version; later versions have higher revisions
@@ -71,6 +80,10 @@
     /// routes stays in force.
     std::vector<std::string> unreadableRoutes;
     std::vector<ConfigProblem> problems; ///< invalid parts that were left out or replaced by defaults
+    /// Limits of all services. Nothing: as in the previous version, or unknown because the sender has an earlier version.
+    std::optional<std::vector<ServiceLimits>> services;
+    /// Names of services with invalid limits. Their last valid limits stay in force; `services` has what could be decoded.
+    std::vector<std::string> unreadableServices;
 };
 
 /// Whether a target accepts new flows.
--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -21,6 +21,9 @@
     std::vector<Address> seeds; ///< peer addresses of a few nodes, some of which may no longer exist
     Address storeAddress; ///< of the platform's store
     bool firstStart = false; ///< all nodes of the system start for the first time, a few seconds before any traffic
+    std::optional<double> coldOvershoot; ///< factor on the openings per second that a cold target can take; nothing: not set
+    std::optional<double> coldSlack; ///< openings in any second beyond this product; nothing: not set
+    Time targetHeartbeat = 1200 * millisecond; ///< interval at which targets renew their entries in the store
     Time stopGracePeriod = 6 * second; ///< the platform kills a process that is still running this long after the request to stop
 };
 
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -29,6 +29,7 @@
     std::span<const std::uint64_t> triedTargets; ///< targets that the flow was already offered to; they are chosen only when there is no other
     std::string_view dataCentre; ///< data centre of this node
     bool preferOwned = false; ///< prefer targets that this node owns as a dispatcher
+    double flowsPerSlot = 2; ///< see hasRoom() and DispatchSettings; affects only whether cold targets are used
 };
 
 /// Draws one of the route's services by weight and selects one of its targets.
@@ -36,6 +37,13 @@
 ///         ago; nullptr when no target of the drawn service accepts new flows
 EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random);
 
+/// @return whether the route has a target that accepts new flows but is cold and must not get this flow now. To be called when
+///         choosePlacementTarget() has found none: the flow waits then until the limit of the cold target allows it.
+bool isHeldBackByColdLimit(const TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now);
+
+/// @return whether the target has fewer flows with a request at work than @p flowsPerSlot times its slots, plus one
+bool hasRoom(const EdgeTarget &target, double flowsPerSlot);
+
 /// Records that an opening packet to the target got no sign of an answer in time, and schedules the next probe.
 void recordUnanswered(EdgeTarget &target, const PlacementSettings &settings, Time now);
 
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -9,6 +9,7 @@
 
 #include <pimentofold/edgeconfig.h>
 #include <pimentofold/flowpacket.h>
+#include <pimentofold/slowstart/slowstart.h>
 #include <pimentofold/types.h>
 
 /// Routes and targets of an edge node, and the tokens from which any node derives a flow's target.
@@ -68,6 +69,7 @@
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by target id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< target ids by token
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
+    SlowStart slowStart; ///< limits of cold targets and what this node has sent to them
 };
 
 /// Replaces the configuration. Routes that are not part of @p config are removed; those that it contains in an unreadable
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -68,11 +68,6 @@
     return it == dispatcher.routeActivity.end() ? RouteActivity::initialWorkingShare : it->second.workingShare;
 }
 
-bool hasRoom(const EdgeTarget &target, const DispatchSettings &settings)
-{
-    return target.workingFlows < target.record.slots * settings.flowsPerSlot + 1;
-}
-
 void offerTo(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, PlacedFlow &placed, EdgeTarget &target, Time now, ForwardOutput &out)
 {
     removeFromLoad(table, placed);
@@ -87,6 +82,7 @@
         // A single flow at a time probes whether the target answers again.
         target.nextProbeAt = now + dispatcher.settings.placement.maxProbeInterval;
     }
+    recordColdOpening(table, target, now);
     out.packets.push_back({target.record.address, target.record.id, target.token, flow.openingPacket});
     appendEvent(out, placed.offerCount > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, flow.key, &target, static_cast<int>(placed.offerCount), 0);
 }
@@ -103,14 +99,36 @@
     return PlaceResult::Waiting;
 }
 
+PlacementQuery queryFor(const Dispatcher &dispatcher, const OpeningFlow &flow, std::span<const std::uint64_t> tried, const EdgeRoute &route)
+{
+    return {route, tried, dispatcher.settings.dataCentre, flow.preferOwned, dispatcher.settings.flowsPerSlot};
+}
+
 EdgeTarget *chooseTargetFor(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const PlacedFlow *placed, const EdgeRoute &route, Time now)
 {
     const std::span<const std::uint64_t> tried =
         placed == nullptr ? std::span<const std::uint64_t>() : std::span<const std::uint64_t>(placed->offeredTargets.data(), placed->offerCount);
-    PlacementQuery query{route, tried, dispatcher.settings.dataCentre, flow.preferOwned};
+    const PlacementQuery query = queryFor(dispatcher, flow, tried, route);
     return choosePlacementTarget(table, dispatcher.settings.placement, query, now, dispatcher.random);
 }
 
+/// Lets a flow wait for which no target was found, if a cold target may get it later.
+/// @return the result of the placement
+PlaceResult waitForColdTarget(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
+{
+    if (!isHeldBackByColdLimit(table, dispatcher.settings.placement, queryFor(dispatcher, flow, {}, route), now)) {
+        appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
+        return PlaceResult::NoTarget;
+    }
+    ++table.slowStart.limited;
+    const auto placed = dispatcher.placedFlows.find(flow.key);
+    if (placed != dispatcher.placedFlows.end()) {
+        removeFromLoad(table, placed->second);
+        dispatcher.placedFlows.erase(placed);
+    }
+    return enqueueFlow(dispatcher, flow, route, now, out);
+}
+
 /// Order in which waiting flows are placed. Flows that can still meet their response time goal come first, the most urgent
 /// and then the oldest ones before the others. Late flows follow, those with the fewest retransmissions first, since their
 /// callers are the least likely to have given up.
@@ -133,21 +151,45 @@
     return a.waitingSince < b.waitingSince;
 }
 
-/// Places waiting flows in the order of hasPrecedence() until no target has room for the next one.
-void placeWaiting(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
+/// @param held addresses of routes whose flows are passed over
+/// @return the waiting flow that comes first in the order of hasPrecedence(); the end of the list when there is none
+auto nextWaiting(Dispatcher &dispatcher, std::span<const Address> held, Time now)
 {
     const auto serviceTime = static_cast<Time>(dispatcher.meanServiceTime);
-    while (!dispatcher.waitingFlows.empty()) {
-        const auto next = std::ranges::min_element(dispatcher.waitingFlows,
-                                                   [&](const auto &a, const auto &b) { return hasPrecedence(a.second, b.second, now, serviceTime); });
+    auto best = dispatcher.waitingFlows.end();
+    for (auto it = dispatcher.waitingFlows.begin(); it != dispatcher.waitingFlows.end(); ++it) {
+        if (std::ranges::find(held, it->first.service) != held.end()) {
+            continue;
+        }
+        if (best == dispatcher.waitingFlows.end() || hasPrecedence(it->second, best->second, now, serviceTime)) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+/// Places waiting flows in the order of hasPrecedence() until no target has room for the next one. With slow start, flows of
+/// other routes follow then, since flows for cold targets may wait for a long time.
+void placeWaiting(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
+{
+    std::vector<Address> held;
+    while (true) {
+        const auto next = nextWaiting(dispatcher, held, now);
+        if (next == dispatcher.waitingFlows.end()) {
+            return;
+        }
         const EdgeRoute *route = findRoute(table, next->first.service);
         if (route == nullptr) {
             dispatcher.waitingFlows.erase(next);
             continue;
         }
         EdgeTarget *target = chooseTargetFor(dispatcher, table, next->second.flow, nullptr, *route, now);
-        if (target == nullptr || !hasRoom(*target, dispatcher.settings)) {
-            return;
+        if (target == nullptr || !hasRoom(*target, dispatcher.settings.flowsPerSlot)) {
+            if (!table.slowStart.settings.enabled) {
+                return;
+            }
+            held.push_back(next->first.service);
+            continue;
         }
         const OpeningFlow flow = std::move(next->second.flow);
         const Time since = next->second.waitingSince;
@@ -336,11 +378,10 @@
     }
     EdgeTarget *target = chooseTargetFor(dispatcher, table, flow, placed, *route, now);
     if (target == nullptr) {
-        appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
-        return PlaceResult::NoTarget;
+        return waitForColdTarget(dispatcher, table, flow, *route, now, out);
     }
     const bool isFirst = placed == nullptr || placed->offerCount == 0;
-    if (isFirst && !hasRoom(*target, dispatcher.settings)) {
+    if (isFirst && !hasRoom(*target, dispatcher.settings.flowsPerSlot)) {
         return enqueueFlow(dispatcher, flow, *route, now, out);
     }
     if (placed == nullptr && dispatcher.placedFlows.size() >= dispatcher.settings.maxFlows) {
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -125,6 +125,21 @@
     return bytes;
 }
 
+wire::EdgeService toWire(const ServiceLimits &limits)
+{
+    wire::EdgeService result;
+    result.name = limits.name;
+    result.coldTime = limits.coldTime;
+    result.coldRate = limits.coldRate;
+    return result;
+}
+
+std::size_t estimatedSize(const ServiceLimits &limits)
+{
+    constexpr std::size_t fixedBytes = 20;
+    return fixedBytes + limits.name.size();
+}
+
 std::size_t estimatedSize(const TargetRecord &target)
 {
     constexpr std::size_t fixedBytes = 64;
@@ -141,6 +156,12 @@
     for (const wire::EdgeEndpoint &it : part.removedRoutes) {
         changes.removedRoutes.push_back(pimentofold::fromWire(it));
     }
+    if (part.__isset.services) {
+        std::vector<ServiceLimits> &services = changes.config.services ? *changes.config.services : changes.config.services.emplace();
+        for (const wire::EdgeService &it : part.services) {
+            services.push_back({it.name, it.coldTime, it.coldRate});
+        }
+    }
     for (const wire::EdgeTarget &it : part.targets) {
         changes.targets.push_back(fromWire(it));
     }
@@ -198,6 +219,14 @@
     for (const Address &it : changes.removedRoutes) {
         writer.reserve(addressBytes).removedRoutes.push_back(toWire(it));
     }
+    if (changes.config.services) {
+        writer.reserve(0).__isset.services = true;
+        for (const ServiceLimits &it : *changes.config.services) {
+            wire::EdgeChanges &part = writer.reserve(estimatedSize(it));
+            part.services.push_back(toWire(it));
+            part.__isset.services = true;
+        }
+    }
     for (const TargetRecord &it : changes.targets) {
         writer.reserve(estimatedSize(it)).targets.push_back(toWire(it));
     }
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -116,6 +116,11 @@
     }
     // A retransmission that arrived after later packets of the flow.
     if (const EdgeTarget *target = findTarget(forwarder.table, flow.target)) {
+        if (isCold(forwarder.table, *target, now)) {
+            // It would count as a further opening, and the target has the flow already.
+            ++forwarder.table.slowStart.limited;
+            return;
+        }
         out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
     }
 }
@@ -290,6 +295,16 @@
     }
 }
 
+MemberView memberView(const EdgeForwarder &forwarder, bool avoiding)
+{
+    MemberView view;
+    view.avoiding = avoiding;
+    for (const InstanceKey &it : forwarder.members) {
+        view.members.push_back(it.instance);
+    }
+    return view;
+}
+
 } // namespace
 
 bool canPlaceFlows(const EdgeForwarder &forwarder)
@@ -305,6 +320,7 @@
         return 0;
     }
     forwarder.dropOpeningsUntil = now + forwarder.settings.backlogDropTime;
+    restartOwnership(forwarder.table, now);
     return pause;
 }
 
@@ -400,6 +416,7 @@
             entries.push_back({static_cast<Id>(id), target.record.slots, accepting});
             slots += accepting ? target.record.slots : 0;
         }
+        weighColdTargets(forwarder.table, entries, now);
         const int count = std::max((slots + forwarder.settings.slotsPerDispatcher - 1) / forwarder.settings.slotsPerDispatcher, 1);
         const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatcherTable(idOf(service), entries, candidates, count);
         for (std::size_t i = 0; i < ids.size(); ++i) {
@@ -407,6 +424,7 @@
             findTarget(forwarder.table, ids[i])->owner = owner == forwarder.self.instance ? 0 : owner;
         }
     }
+    updateColdOwners(forwarder.table, memberView(forwarder, members.size() < forwarder.members.size()), now);
 }
 
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
@@ -419,6 +437,7 @@
     if (now >= forwarder.nextSweepAt) {
         forwarder.nextSweepAt = now + sweepInterval;
         removeExpired(forwarder, now);
+        tickSlowStart(forwarder.table, now);
     }
 }
 
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -36,15 +36,39 @@
     return query.preferOwned && target.owner != 0 ? Preference::OwnedElsewhere : Preference::Preferred;
 }
 
-double costOf(const EdgeTarget &target, const PlacementSettings &settings, std::string_view dataCentre, Time now)
+double costOf(const EdgeTarget &target, const PlacementSettings &settings, std::string_view dataCentre, bool cold, Time now)
 {
-    const double slowdown = now < target.warmupEndsAt ? 1 + settings.warmupSlowdown : 1;
+    const double slowdown = cold || now < target.warmupEndsAt ? 1 + settings.warmupSlowdown : 1;
     // Once a probe of a suspected target is due, its unanswered packets must not raise its cost, or it would not get the probe.
     const double unansweredPenalty = isSuspected(target, settings) ? 0 : settings.unansweredCost * target.unansweredOpenings;
     const double distancePenalty = target.record.dataCentre == dataCentre ? 0 : settings.otherDataCentreCost;
     return ((target.workingFlows + target.idleLoad + 1) * slowdown + unansweredPenalty + distancePenalty) / std::max(target.record.slots, 1);
 }
 
+/// @return whether a target of this class is expected to answer a new flow
+bool isUsual(Preference preference)
+{
+    return preference <= Preference::OwnedElsewhere;
+}
+
+/// The best target found so far.
+struct Candidate {
+    EdgeTarget *target = nullptr;
+    Preference preference = Preference::Excluded;
+    double cost = std::numeric_limits<double>::max();
+};
+
+void considerTarget(Candidate &best, EdgeTarget &target, Preference preference, double cost)
+{
+    if (preference > best.preference) {
+        return;
+    }
+    const bool better = preference < best.preference || cost < best.cost || (cost == best.cost && target.lastFlowAt < best.target->lastFlowAt);
+    if (better) {
+        best = {&target, preference, cost};
+    }
+}
+
 const std::string &drawService(const EdgeRoute &route, Random &random)
 {
     double sum = 0;
@@ -69,24 +93,58 @@
     if (ids == table.services.end()) {
         return nullptr;
     }
-    EdgeTarget *best = nullptr;
-    Preference bestPreference = Preference::Excluded;
-    double bestCost = std::numeric_limits<double>::max();
+    Candidate best;
+    Candidate bestCold; // used when no warm target has room
     for (const std::uint64_t id : ids->second) {
         EdgeTarget &target = *findTarget(table, id);
         const Preference preference = preferenceOf(target, settings, query, now);
-        if (preference == Preference::Excluded || preference > bestPreference) {
+        if (preference == Preference::Excluded) {
             continue;
         }
-        const double cost = costOf(target, settings, query.dataCentre, now);
-        const bool better = preference < bestPreference || cost < bestCost || (cost == bestCost && target.lastFlowAt < best->lastFlowAt);
-        if (better) {
-            best = &target;
-            bestPreference = preference;
-            bestCost = cost;
+        const ColdUse use = coldUseOf(table, target, now);
+        if (use == ColdUse::Excluded || (use != ColdUse::Warm && !hasRoom(target, query.flowsPerSlot))) {
+            continue;
+        }
+        const double cost = costOf(target, settings, query.dataCentre, use != ColdUse::Warm, now);
+        if (use != ColdUse::AboveRate) {
+            considerTarget(best, target, preference, cost);
+        }
+        if (use != ColdUse::Warm) {
+            considerTarget(bestCold, target, preference, cost);
         }
     }
-    return best;
+    if (best.target == nullptr || bestCold.target == nullptr) {
+        return best.target == nullptr ? bestCold.target : best.target;
+    }
+    // A target that is suspected, has been tried before or is draining counts as one without room.
+    const bool bestHasRoom = isUsual(best.preference) && hasRoom(*best.target, query.flowsPerSlot);
+    return !bestHasRoom && isUsual(bestCold.preference) ? bestCold.target : best.target;
+}
+
+bool isHeldBackByColdLimit(const TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now)
+{
+    if (!table.slowStart.settings.enabled) {
+        return false;
+    }
+    for (const WeightedService &service : query.route.weightedServices) {
+        const auto ids = table.services.find(service.service);
+        if (ids == table.services.end() || service.weight <= 0) {
+            continue;
+        }
+        const auto isHeldBack = [&](std::uint64_t id) {
+            const EdgeTarget &target = *findTarget(table, id);
+            return isCold(table, target, now) && preferenceOf(target, settings, query, now) != Preference::Excluded;
+        };
+        if (std::ranges::any_of(ids->second, isHeldBack)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool hasRoom(const EdgeTarget &target, double flowsPerSlot)
+{
+    return target.workingFlows < target.record.slots * flowsPerSlot + 1;
 }
 
 void recordUnanswered(EdgeTarget &target, const PlacementSettings &settings, Time now)
--- a/src/libpimentofold/storereplication.cpp
+++ b/src/libpimentofold/storereplication.cpp
@@ -192,6 +192,9 @@
     changes.config.revision = table.configRevision;
     changes.config.version = table.configVersion;
     changes.config.idleTimeout = table.idleTimeout;
+    if (changes.configBase == 0 || table.slowStart.servicesRevision > changes.configBase) {
+        changes.config.services = servicesOf(table.slowStart);
+    }
     for (const auto &[key, entry] : table.routes) {
         if (entry.revision <= changes.configBase) {
             continue;
@@ -205,7 +208,7 @@
     for (const auto &[id, target] : table.targets) {
         if (target.registered && target.record.revision > changes.base.targets) {
             changes.targets.push_back(target.record);
-            changes.targets.back().warmup = std::max<Time>(target.warmupEndsAt - now, 0);
+            changes.targets.back().warmup = coldTimeLeft(table, target, now);
         } else if (!target.registered && target.removedRevision > changes.base.targets && changes.base.targets > 0) {
             changes.removedTargets.push_back({id, target.removedRevision});
         }
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -80,6 +80,7 @@
     table.configRevision = config.revision;
     table.configVersion = config.version;
     table.idleTimeout = config.idleTimeout;
+    applyServices(table.slowStart, config);
 }
 
 /// @return whether a configuration contains the route in a form that can't be decoded
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -74,6 +74,7 @@
     }
     m_forwarder.dispatcher.random.state = randomSeed();
     m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
+    m_forwarder.table.slowStart.settings = slowStartSettings(settings);
     m_forwarder.self = m_peers.self();
     configureReplication();
     logEvent(m_log,
@@ -113,7 +114,10 @@
     setGauge(m_metrics, "target_flows_working", counts.working);
     setGauge(m_metrics, "target_flows_idle", counts.idle);
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
+    setGauge(m_metrics, "cold_targets", static_cast<double>(countColdTargets(table, now)));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
+    counter(m_metrics, "cold_openings_total") = table.slowStart.openings;
+    counter(m_metrics, "cold_limited_total") = table.slowStart.limited;
     counter(m_metrics, "store_calls_total") = m_store.callCount();
     counter(m_metrics, "packet_bytes_received_total") = static_cast<std::int64_t>(m_packets.bytesReceived());
     counter(m_metrics, "packet_bytes_sent_total") = static_cast<std::int64_t>(m_packets.bytesSent());
@@ -304,6 +308,7 @@
     logEvent(m_log, "reloaded", {{"seeds", joinAddresses(settings.seeds)}, {"needs_restart", static_cast<int>(addressChanged)}});
     m_settings.seeds = settings.seeds;
     m_settings.stopGracePeriod = settings.stopGracePeriod;
+    m_forwarder.table.slowStart.settings = slowStartSettings(settings);
     m_peers.contactNodes(settings.seeds, monotonicNow());
 }
 
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -209,6 +209,49 @@
     }
 }
 
+// Guards against invalid limits of one service that keep the whole configuration out of force, or that pass unnoticed.
+TEST_CASE("the limits of services are decoded one by one")
+{
+    const std::string fine = R"({"name":"y","health_path":"/h","max_conns":9,"cold_start_s":2.5,"cold_per_s":0.5})";
+    struct Row {
+        std::string services;
+        std::vector<ServiceLimits> limits; ///< of the services before `fine`
+        std::size_t problems;
+        std::vector<std::string> unreadable;
+    };
+    const Row rows[] = {
+        {R"({"name":"x","cold_start_s":10,"cold_per_s":4},)", {{"x", 10 * second, 4}}, 0, {}},
+        {R"({"name":"x"},)", {{"x", 0, 0}}, 0, {}},
+        {R"({"name":"x","cold_start_s":"10","cold_per_s":4},)", {{"x", 0, 4}}, 1, {"x"}},
+        {R"({"name":"x","cold_start_s":10,"cold_per_s":-1},)", {{"x", 10 * second, 0}}, 1, {"x"}},
+        {R"({"name":"x","cold_start_s":1e300,"cold_per_s":null},)", {{"x", 0, 0}}, 2, {"x"}},
+        {R"({"name":7,"cold_start_s":10},)", {}, 1, {}},
+        {"7,", {}, 1, {}},
+        {"[],", {}, 1, {}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.services);
+        std::string text = config;
+        text.insert(text.find(R"("routes")"), R"("services":[)" + row.services + fine + "],");
+        const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Config, list(text));
+        REQUIRE(response);
+        REQUIRE(std::holds_alternative<EdgeConfig>(response->objects.at(0)));
+        const auto &read = std::get<EdgeConfig>(response->objects[0]);
+        std::vector<ServiceLimits> expected = row.limits;
+        expected.push_back({"y", 2500 * millisecond, 0.5});
+        CHECK(read.services == expected);
+        CHECK(read.routes.size() == 2);
+        CHECK(read.problems.size() == row.problems);
+        CHECK(read.unreadableServices == row.unreadable);
+    }
+    std::string text = config;
+    text.insert(text.find(R"("routes")"), R"("services":7,)");
+    const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Config, list(text));
+    REQUIRE(response);
+    CHECK_FALSE(std::get<EdgeConfig>(response->objects.at(0)).services);
+    CHECK(std::get<EdgeConfig>(response->objects.at(0)).problems.size() == 1);
+}
+
 TEST_CASE("a route of an unknown type is treated as one that is never repeated")
 {
     struct Row {
@@ -282,6 +325,14 @@
     CHECK(parseSettingsLines(settingsText + "bootstrap=true\n", "f").firstStart);
     CHECK_FALSE(parseSettingsLines(settingsText + "bootstrap=maybe\n", "f").firstStart);
 
+    CHECK_FALSE(settings.coldOvershoot);
+    CHECK_FALSE(settings.coldSlack);
+    CHECK(settings.targetHeartbeat == 1200 * millisecond);
+    const EdgeSettings limited = parseSettingsLines(settingsText + "bounds.cold_overshoot=1.5\nbounds.cold_slack=5\nheartbeat_ms=800\n", "f");
+    CHECK(limited.coldOvershoot == 1.5);
+    CHECK(limited.coldSlack == 5);
+    CHECK(limited.targetHeartbeat == 800 * millisecond);
+
     struct Row {
         std::string from;
         std::string to;
@@ -296,6 +347,9 @@
         {"seeds=10.1.0.10:8166", "seeds=10.1.0:8166", "seeds"},
         {"bounds.grace_s=6", "bounds.grace_s=soon", "bounds.grace_s"},
         {"bounds.grace_s=6", "bounds.grace_s=-1", "bounds.grace_s"},
+        {"bounds.grace_s=6", "bounds.cold_overshoot=x", "bounds.cold_overshoot"},
+        {"bounds.grace_s=6", "bounds.cold_slack=-5", "bounds.cold_slack"},
+        {"bounds.grace_s=6", "heartbeat_ms=1e9", "heartbeat_ms"},
     };
     for (const Row &row : rows) {
         std::string text = settingsText;
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <map>
+#include <optional>
 #include <sstream>
 
 #include <pimentofold/settings.h>
@@ -57,13 +58,12 @@
     return checkedAddress(lines, field, requiredValue(lines, field));
 }
 
-/// @param unit unit of the number in the file
-/// @return the duration, or @p fallback when the field is missing or empty
-Time optionalDuration(const SettingsLines &lines, const std::string &field, Time unit, Time fallback)
+/// @return the number; nothing when the field is missing or empty
+std::optional<double> optionalNumber(const SettingsLines &lines, const std::string &field)
 {
     const auto it = lines.values.find(field);
     if (it == lines.values.end() || it->second.empty()) {
-        return fallback;
+        return std::nullopt;
     }
     double value = 0;
     const char *end = it->second.data() + it->second.size();
@@ -72,7 +72,15 @@
     if (result.ec != std::errc() || result.ptr != end || !(value >= 0 && value <= maxValue)) {
         throw SettingsError(lines.file, field, "a number from 0 to 1000000");
     }
-    return static_cast<Time>(value * static_cast<double>(unit));
+    return value;
+}
+
+/// @param unit unit of the number in the file
+/// @return the duration, or @p fallback when the field is missing or empty
+Time optionalDuration(const SettingsLines &lines, const std::string &field, Time unit, Time fallback)
+{
+    const std::optional<double> value = optionalNumber(lines, field);
+    return value ? static_cast<Time>(*value * static_cast<double>(unit)) : fallback;
 }
 
 std::vector<std::string> split(const std::string &text)
@@ -124,6 +132,9 @@
     }
     const auto bootstrap = lines.values.find("bootstrap");
     settings.firstStart = bootstrap != lines.values.end() && bootstrap->second == "true";
+    settings.coldOvershoot = optionalNumber(lines, "bounds.cold_overshoot");
+    settings.coldSlack = optionalNumber(lines, "bounds.cold_slack");
+    settings.targetHeartbeat = optionalDuration(lines, "heartbeat_ms", millisecond, settings.targetHeartbeat);
     settings.stopGracePeriod = optionalDuration(lines, "bounds.grace_s", second, settings.stopGracePeriod);
     return settings;
 }
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -178,6 +178,62 @@
     }
 }
 
+/// @return the number of a service's field, 0 when it is missing or invalid
+/// @param problems gets a description of an invalid field
+double serviceNumber(const json &service, const char *field, double max, std::vector<std::string> &problems)
+{
+    const auto it = service.find(field);
+    if (it == service.end()) {
+        return 0;
+    }
+    const double value = it->is_number() ? it->get<double>() : -1;
+    if (!(value >= 0 && value <= max)) {
+        problems.push_back(std::string(field) + " is not a number from 0 to " + std::to_string(static_cast<std::int64_t>(max)));
+        return 0;
+    }
+    return value;
+}
+
+void addService(EdgeConfig &config, const json &value)
+{
+    constexpr double maxColdTime = 86'400; // seconds
+    constexpr double maxColdRate = 1e6;
+    const auto serviceName = value.is_object() ? value.find("name") : value.end();
+    if (serviceName == value.end() || !serviceName->is_string()) {
+        config.problems.push_back({"", "services has an entry without a name"});
+        return;
+    }
+    ServiceLimits limits;
+    limits.name = serviceName->get<std::string>();
+    std::vector<std::string> problems;
+    limits.coldTime = static_cast<Time>(serviceNumber(value, "cold_start_s", maxColdTime, problems) * static_cast<double>(second));
+    limits.coldRate = serviceNumber(value, "cold_per_s", maxColdRate, problems);
+    if (!problems.empty()) {
+        config.unreadableServices.push_back(limits.name);
+    }
+    for (const std::string &it : problems) {
+        config.problems.push_back({"", "service " + limits.name + ": " + it});
+    }
+    config.services->push_back(std::move(limits));
+}
+
+void addServices(EdgeConfig &config, const json &spec)
+{
+    config.services.emplace();
+    const auto services = spec.find("services");
+    if (services == spec.end()) {
+        return;
+    }
+    if (!services->is_array()) {
+        config.problems.push_back({"", "services is not an array; the previous limits stay in force"});
+        config.services.reset();
+        return;
+    }
+    for (const json &it : *services) {
+        addService(config, it);
+    }
+}
+
 EdgeConfig decodeConfig(const json &spec, std::int64_t revision)
 {
     EdgeConfig config;
@@ -191,6 +247,7 @@
     for (const json &it : routes) {
         addRoute(config, it);
     }
+    addServices(config, spec);
     const auto limits = spec.find("limits");
     if (limits != spec.end() && limits->is_object()) {
         std::vector<std::string> problems;
