--- a/src/include/pimentofold/slowstart/slowstart.h
+++ b/src/include/pimentofold/slowstart/slowstart.h
@@ -67,7 +67,7 @@
     SlowStartSettings settings;
     std::map<std::string, ServiceLimits, std::less<>> services; ///< of the configuration in force, by name
     std::int64_t servicesRevision = 0; ///< revision of the configuration that changed `services` last; 0: none did
-    std::map<std::string, ColdDataCentre, std::less<>> dataCentres; ///< by name
+    std::map<std::string, ColdDataCentre, std::less<>> dataCentres; ///< by name; while they may be cold
     std::unordered_map<std::uint64_t, ColdBudget> budgets; ///< by id; of the targets that this node owns
     std::unordered_map<Id, Time> membersSeen; ///< when each member was last seen, within memberMemory
     std::vector<Id> members; ///< live members at the last update
@@ -129,8 +129,8 @@
 /// EdgeTarget::owner is up to date.
 void updateColdOwners(TargetTable &table, const MemberView &view, Time now);
 
-/// Determines again whether this node has the majority, because members that it no longer sees are forgotten after a while.
-/// Has to be called about every second.
+/// Determines again whether this node has the majority, because members that it no longer sees are forgotten after a while, and
+/// forgets ends of evacuations whose cold time is over. Has to be called about every second.
 void tickSlowStart(TargetTable &table, Time now);
 
 /// Treats all targets as owned from now on only. Has to be called after a pause of the process, in which other nodes may have
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -24,6 +24,8 @@
 constexpr Time sweepInterval = second;
 /// Sweep interval while flows wait, because targets may gain room without the end of a flow being reported.
 constexpr Time waitingSweepInterval = 20 * millisecond;
+/// When placing waiting flows, this many routes without a target with room are passed over. It bounds the work of each pass.
+constexpr std::size_t maxHeldRoutes = 8;
 /// The caller of a flow that has waited for longer may have given up, so a missing answer isn't counted against the target.
 constexpr Time longWaitThreshold = 100 * millisecond;
 
@@ -185,7 +187,7 @@
         }
         EdgeTarget *target = chooseTargetFor(dispatcher, table, next->second.flow, nullptr, *route, now);
         if (target == nullptr || !hasRoom(*target, dispatcher.settings.flowsPerSlot)) {
-            if (!table.slowStart.settings.enabled) {
+            if (!table.slowStart.settings.enabled || held.size() >= maxHeldRoutes) {
                 return;
             }
             held.push_back(next->first.service);
--- a/src/libpimentofold/slowstart/slowstart.cpp
+++ b/src/libpimentofold/slowstart/slowstart.cpp
@@ -148,6 +148,12 @@
 
 bool isCold(const TargetTable &table, const EdgeTarget &target, Time now)
 {
+    const SlowStart &slowStart = table.slowStart;
+    const bool byEntry = target.record.warmup > 0 && now < target.warmupEndsAt + slowStart.settings.entryAge;
+    if (!slowStart.settings.enabled || (!byEntry && slowStart.dataCentres.empty())) {
+        // Most calls end here: a placement asks for each target of the service.
+        return false;
+    }
     return now < coldUntil(table, target);
 }
 
@@ -230,7 +236,13 @@
 
 void tickSlowStart(TargetTable &table, Time now)
 {
-    updateMajority(table.slowStart, now);
+    SlowStart &slowStart = table.slowStart;
+    updateMajority(slowStart, now);
+    Time longest = 0;
+    for (const auto &[name, limits] : slowStart.services) {
+        longest = std::max(longest, limits.coldTime);
+    }
+    std::erase_if(slowStart.dataCentres, [&](const auto &it) { return now - it.second.since >= longest; });
 }
 
 void restartOwnership(TargetTable &table, Time now)
@@ -242,6 +254,9 @@
 
 void weighColdTargets(const TargetTable &table, std::vector<TargetEntry> &entries, Time now)
 {
+    if (!table.slowStart.settings.enabled) {
+        return;
+    }
     std::vector<bool> cold;
     cold.reserve(entries.size());
     for (const TargetEntry &it : entries) {
--- a/src/libpimentofold/slowstart/slowstart_test.cpp
+++ b/src/libpimentofold/slowstart/slowstart_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <pimentofold/edgecodec.h>
 #include <pimentofold/placement.h>
 #include <pimentofold/slowstart/slowstart.h>
 #include <pimentofold/storereplication.h>
@@ -215,9 +216,11 @@
 {
     EdgeForwarder node = makeOwner(2, 2, 1);
     int offered = 0;
+    Time now = 0;
     for (int attempt = 1; attempt <= 12; ++attempt) {
         ForwardOutput out;
-        placeFlow(node.dispatcher, node.table, makeFlow(1, attempt), attempt * 20 * millisecond, out);
+        now += 20 * millisecond;
+        placeFlow(node.dispatcher, node.table, makeFlow(1, attempt), now, out);
         offered += static_cast<int>(out.packets.size());
     }
     CHECK(offered == 6);
@@ -309,6 +312,35 @@
     }
 }
 
+// Guards against limits that are lost when they take several datagrams, and against clearing the limits when a message of an
+// earlier version has none.
+TEST_CASE("services are sent in parts, and none differs from no list")
+{
+    struct Row {
+        std::optional<std::size_t> services; ///< nothing: no list
+        bool severalParts;
+    };
+    const Row rows[] = {{std::nullopt, false}, {0, false}, {2, false}, {500, true}};
+    for (const Row &row : rows) {
+        StoreChanges changes;
+        if (row.services) {
+            changes.config.services.emplace();
+            for (std::size_t n = 0; n < *row.services; ++n) {
+                changes.config.services->push_back({"service-" + std::to_string(n), second, 0.25 * static_cast<double>(n)});
+            }
+        }
+        const std::vector<wire::EdgeChanges> parts = toWire(changes);
+        CHECK((parts.size() > 1) == row.severalParts);
+        ChangesAssembler assembler;
+        std::optional<StoreChanges> received;
+        for (const wire::EdgeChanges &it : parts) {
+            received = addPart(assembler, 1, it);
+        }
+        REQUIRE(received);
+        CHECK(received->config.services == changes.config.services);
+    }
+}
+
 TEST_CASE("invalid limits leave the previous ones of that service in force")
 {
     SlowStart slowStart;
--- a/src/libpimentofold/slowstart/slowstartfleet_test.cpp
+++ b/src/libpimentofold/slowstart/slowstartfleet_test.cpp
@@ -31,9 +31,10 @@
     int cold = 40;
     double coldRate = 4;
     bool limited = true;
-    int flowsPerSecond = 1200; ///< the warm targets can take 800 with the default service time
-    Time serviceTime = 200 * millisecond;
-    Time length = 8 * second;
+    int flowsPerSecond = 3000; ///< the warm targets can take 2,667 with the default service time
+    Time serviceTime = 60 * millisecond;
+    bool slowCold = false; ///< a cold target can work on no more than coldRate requests per second
+    Time length = 6 * second;
     Time goal = 600 * millisecond;
     bool silent = false; ///< cold targets don't answer, so that flows are offered repeatedly
     Time restartPeriod = 0; ///< the nodes restart in turn
@@ -246,7 +247,7 @@
         } else if (packet.bytes.front() == 'd') {
             Time &slot = *std::ranges::min_element(target.slots);
             Time start = std::max(m_now, slot);
-            if (target.cold) {
+            if (target.cold && m_scenario.slowCold) {
                 start = std::max(start, target.nextColdStart);
                 target.nextColdStart = start + static_cast<Time>(static_cast<double>(second) / std::max(m_scenario.coldRate, 1.0));
             }
@@ -347,6 +348,12 @@
     return node == 0 ? std::vector<std::size_t>{0} : without(0);
 }
 
+/// No node sees another one from the third second on.
+std::vector<std::size_t> allApart(std::size_t node, Time now)
+{
+    return now < 3 * second ? std::vector<std::size_t>{0, 1, 2} : std::vector<std::size_t>{node};
+}
+
 } // namespace
 
 // The limit is 4 * 1.5 + 5 openings. Guards against two budgets after a change of owner or a restart, with two owners, and through repeated offers.
@@ -377,6 +384,11 @@
     silentOwners.view = twoOwners;
     silentOwners.silent = true;
     add("owner cut off", true).view = cutOff;
+    add("three owners", true).view = allApart;
+    Scenario &restarts = add("restart each 100 ms, everything cold", false);
+    restarts.restartPeriod = 100 * millisecond;
+    restarts.warm = 0;
+    restarts.cold = 120;
     add("restart each 700 ms", false).restartPeriod = 700 * millisecond;
     add("restart each second", true).restartPeriod = second;
     add("unreachable dispatcher", true).unreachable = 0;
@@ -392,6 +404,9 @@
         CHECK(result.worstSecond <= limit);
         CHECK((result.coldOpenings > 0 || !row.used));
     }
+    // The load is high enough to exceed the limit.
+    base.limited = false;
+    CHECK(Fleet(base).run().worstSecond > limit);
 }
 
 // A data centre returns with 300 cold targets, each of which can take one request per second, under load. Guards against
@@ -411,6 +426,7 @@
         scenario.warm = 600;
         scenario.cold = 300;
         scenario.coldRate = 1;
+        scenario.slowCold = true;
         scenario.flowsPerSecond = row.flowsPerSecond;
         scenario.serviceTime = 300 * millisecond;
         scenario.length = 4 * second;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -197,9 +197,22 @@
     ForwardOutput out;
     tickForwarder(m_forwarder, now, out);
     send(out, now);
+    logSlowStart();
     scheduleForwardTick();
 }
 
+void Edge::logSlowStart()
+{
+    const SlowStart &slowStart = m_forwarder.table.slowStart;
+    const bool paused = slowStart.settings.enabled && !slowStart.majority;
+    if (paused != m_slowStartPaused) {
+        m_slowStartPaused = paused;
+        logEvent(m_log,
+                 paused ? "slow_start_paused" : "slow_start_resumed",
+                 {{"members", slowStart.members.size()}, {"members_seen", slowStart.membersSeen.size()}, {"owned_targets", slowStart.budgets.size()}});
+    }
+}
+
 void Edge::scheduleForwardTick()
 {
     const Time due = nextForwarderTick(m_forwarder);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -52,6 +52,8 @@
     /// Logs when the process did not run for some time.
     void checkForPause(Time now);
     void onForwardTick();
+    /// Logs when slow start stops to use cold targets, because this node has lost the majority, and when it uses them again.
+    void logSlowStart();
     void scheduleForwardTick();
 
     void onPeerMessage(const wire::EdgeMessage &message, const Address &from);
@@ -109,6 +111,7 @@
     Time m_lastPacketAt = 0;
     std::int64_t m_heartbeatConfigRevision = 0; ///< revision of the configuration at this node's last heartbeat
     std::size_t m_initialFetches = 0; ///< number of requests for an initial state
+    bool m_slowStartPaused = false; ///< as last logged
     std::size_t m_heartbeatsSent = 0; ///< selects the relays of a broadcast
     Time m_storeReadAt = 0; ///< when the store was last read because a peer had too many changes to send
 };
