--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -74,6 +74,7 @@
     }
     m_forwarder.dispatcher.random.state = randomSeed();
     m_forwarder.dispatcher.settings.dataCentre = settings.dataCentre;
+    m_forwarder.table.slowStart.settings = slowStartSettings(settings);
     m_forwarder.self = m_peers.self();
     configureReplication();
     configureEvacuations();
@@ -115,7 +116,10 @@
     setGauge(m_metrics, "target_flows_idle", counts.idle);
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
     setGauge(m_metrics, "evacuated_data_centres", static_cast<double>(table.evacuations.dataCentres.size()));
+    setGauge(m_metrics, "cold_targets", static_cast<double>(countColdTargets(table, now)));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
+    counter(m_metrics, "cold_openings_total") = table.slowStart.openings;
+    counter(m_metrics, "cold_limited_total") = table.slowStart.limited;
     counter(m_metrics, "store_calls_total") = m_store.callCount();
     counter(m_metrics, "packet_bytes_received_total") = static_cast<std::int64_t>(m_packets.bytesReceived());
     counter(m_metrics, "packet_bytes_sent_total") = static_cast<std::int64_t>(m_packets.bytesSent());
@@ -204,9 +208,22 @@
     ForwardOutput out;
     tickForwarder(m_forwarder, now, out);
     send(out, now);
+    logSlowStart();
     scheduleForwardTick();
 }
 
+void Edge::logSlowStart()
+{
+    const SlowStart &slowStart = m_forwarder.table.slowStart;
+    const bool paused = slowStart.settings.enabled && !slowStart.majority;
+    if (paused != m_slowStartPaused) {
+        m_slowStartPaused = paused;
+        logEvent(m_log,
+                 paused ? "slow_start_paused" : "slow_start_resumed",
+                 {{"members", slowStart.members.size()}, {"members_seen", slowStart.membersSeen.size()}, {"owned_targets", slowStart.budgets.size()}});
+    }
+}
+
 void Edge::scheduleForwardTick()
 {
     const Time due = nextForwarderTick(m_forwarder);
@@ -323,6 +340,7 @@
     m_settings.stopGracePeriod = settings.stopGracePeriod;
     m_settings.evacuationBound = settings.evacuationBound;
     configureEvacuations();
+    m_forwarder.table.slowStart.settings = slowStartSettings(settings);
     m_peers.contactNodes(settings.seeds, monotonicNow());
 }
 
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -300,6 +300,7 @@
     }
     for (const std::string &it : difference.ended) {
         logEvent(m_log, "evacuation_ended", {{"data_centre", it}, {"revision", state.revision}, {"source", source}, {"age_us", age}});
+        markDataCentreCold(m_forwarder.table, it, state.revision, monotonicNow());
     }
     const bool changed = !difference.started.empty() || !difference.ended.empty();
     if (!changed) {
