Soak: evacuations of data centres

Cause: the soak's store and judge know no evacuations, so nothing shows that real nodes honour them.

--- a/scripts/lib/edgesoak.py
+++ b/scripts/lib/edgesoak.py
@@ -15,7 +15,7 @@
 from edgeworld import ACK, SYN, Proxy, Target, World, number, packet
 
 PACKETS, READINESS, PEERS, METRICS = 8172, 8167, 7720, 9464
-BOUNDS = {"drain_s": 3.0, "config_s": 3.0, "touch_s": 4.0, "recovery_s": 12.0}
+BOUNDS = {"drain_s": 3.0, "config_s": 3.0, "touch_s": 4.0, "evacuate_s": 3.0, "recovery_s": 12.0}
 LOG_BYTES_PER_SECOND = 400_000  # a node's log budget: about ten event names at 200 lines of 200 bytes
 MEMORY_MB = 56  # the smallest instance
 MOST_FILES = 200
@@ -34,12 +34,13 @@
         self.expected_end = False
         self.log = os.path.join(folder, f"{name}.log")
         self.log_bytes = 0
+        self.evacuate = f"bounds.evacuate_ms={BOUNDS['evacuate_s'] * 1000:.0f}\n"
         self.lock = asyncio.Lock()  # faults overlap, but a node has one process at a time
 
     def write_settings(self, seeds):
         text = (f"node={self.name}\nzone={self.zone}\nlisten.packets={self.ip}:{PACKETS}\nlisten.readiness={self.ip}:{READINESS}\n"
                 f"port_range={PEERS},{PEERS + 15}\nseeds={','.join(f'{ip}:8166' for ip in seeds)}\nplatform.address={self.ip}:8169\n"
-                "bounds.drain_ms=3000\nbounds.config_apply_ms=3000\nbounds.grace_s=6\n")
+                f"{self.evacuate}bounds.drain_ms=3000\nbounds.config_apply_ms=3000\nbounds.grace_s=6\n")
         with open(os.path.join(self.folder, f"{self.name}.conf"), "w", encoding="utf-8") as file:
             file.write(text)
 
@@ -120,10 +121,10 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, size, binary, settings, plant, lane):
+    def __init__(self, seed, seconds, size, binary, settings, plant, lane, calm=False):
         self.random = random.Random(seed)
         random.seed(seed)
-        self.seed, self.seconds, self.plant = seed, seconds, plant
+        self.seed, self.seconds, self.plant, self.calm = seed, seconds, plant, calm
         # Runs side by side use addresses of their own.
         self.net = 20 + 3 * lane
         self.world = World(BOUNDS, PACKETS)
@@ -133,6 +134,11 @@
         per_zone, self.rate, self.per_service = {"small": (2, 60, 4), "large": (8, 200, 12)}[size]
         self.nodes = [Node(f"front-{zone}-{i}", f"127.{self.net}.{z + 1}.{i + 1}", zone, self.world, self.folder, binary, settings)
                       for z, zone in enumerate(("a", "b", "c")) for i in range(per_zone)]
+        self.evacuation_random = random.Random(f"evacuations {seed}")  # one of its own, so that a seed keeps its other faults
+        self.evacuations = calm or self.evacuation_random.random() < 0.8
+        if not self.evacuations:
+            for node in self.nodes:
+                node.evacuate = ""
         self.next_target = 1
         self.routes = {(number("198.18.0.1"), 443): "shop", (number("198.18.0.2"), 443): "list"}
         self.version = 1
@@ -149,6 +155,7 @@
         self.next_target += 1
         target = Target(self.world, f"i-{n * 0x9E3779B1 & 0xFFFFFFFF:08x}", service, self.random.choice("abc"), f"127.{self.net + 1}.{n // 250}.{n % 250 + 1}")
         self.world.targets[target.name] = target
+        self.world.judge.data_centres.add(target.zone)
         await target.start()
 
     def live_targets(self, service=None):
@@ -260,10 +267,46 @@
             self.change_config()
             await asyncio.sleep(self.random.uniform(0.05, 0.5))
 
+    def evacuate(self, zone, evacuated):
+        if evacuated:
+            self.world.store.put("evacuations", zone, {})
+            self.world.judge.evacuated_at.setdefault(zone, time.monotonic())
+        else:
+            self.world.store.delete("evacuations", zone)
+            self.world.judge.evacuated_at.pop(zone, None)
+
+    async def evacuate_some(self):
+        """Evacuates one data centre, several, all or an unknown one, at times with a withdrawal that is taken back at once."""
+        draw = self.evacuation_random
+        zones = draw.choice((["a"], ["b"], ["c"], ["a", "c"], ["a", "b", "c"], ["b", "elsewhere"]))
+        self.note("evacuated: " + " ".join(zones))
+        for zone in zones:
+            self.evacuate(zone, True)
+        await asyncio.sleep(draw.uniform(0.2, 1.5))
+        if draw.random() < 0.4:
+            self.note("evacuation withdrawn and requested again: " + zones[0])
+            self.evacuate(zones[0], False)
+            await asyncio.sleep(draw.uniform(0.0, 0.9))
+            self.evacuate(zones[0], True)
+        await asyncio.sleep(BOUNDS["evacuate_s"] + draw.uniform(0.5, 3))
+        for zone in zones:
+            self.evacuate(zone, False)
+        self.note("evacuations ended")
+
+    async def evacuation_schedule(self):
+        if not self.evacuations:
+            return
+        end = self.start_at + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.evacuation_random.uniform(0.1, 3))
+            await self.evacuate_some()
+
     async def faults(self):
         kinds = (self.pause, self.kill, self.restart, self.reload, self.proxy_fault, self.store_fault, self.link_fault, self.target_crash,
                  self.target_release, self.other_writer, self.config, self.config)
-        tasks = []
+        if self.calm:
+            kinds = (self.target_release, self.other_writer, self.config)
+        tasks = [asyncio.create_task(self.evacuation_schedule())]
         end = self.start_at + self.seconds
         while time.monotonic() < end:
             tasks.append(asyncio.create_task(self.random.choice(kinds)()))
@@ -316,6 +359,17 @@
         elif self.plant == "DRAIN":
             world.judge.draining_at[victim.name] = time.monotonic() - 9
             send(victim, opening)
+        elif self.plant == "EVACUATE":
+            before = dict(world.judge.evacuated_at)
+            world.judge.evacuated_at[victim.zone] = time.monotonic() - 9
+            send(victim, opening)
+            world.judge.evacuated_at = before
+        elif self.plant == "REFUSE":
+            before = dict(world.judge.evacuated_at)
+            world.judge.added_at[flow[2:]] = 0
+            world.judge.evacuated_at = {zone: time.monotonic() - 9 for zone in world.judge.data_centres}
+            world.judge.unanswered(flow[2:], time.monotonic())
+            world.judge.evacuated_at = before
         elif self.plant == "CONFIG":
             world.judge.dropped_at[flow[2:]] = time.monotonic() - 9
             send(victim, opening)
@@ -363,6 +417,8 @@
         try:
             await self.faults()
             await self.recover()
+            if not self.evacuations and self.world.store.calls_by_kind["evacuations"]:
+                self.world.judge.fail("CALLS", "nodes without bounds.evacuate_ms asked the store for evacuations")
             self.stopping = True
             await traffic
             await asyncio.gather(*(node.end(signal.SIGTERM) for node in self.nodes))
@@ -387,9 +443,9 @@
         times = sorted(seconds for _, seconds in judge.outcomes if seconds is not None)
         at = lambda q: round(times[int(q * (len(times) - 1))], 4) if times else None
         return {"seed": self.seed, "seconds": self.seconds, "nodes": len(self.nodes), **{k: judge.counts[k] for k in ("flows", "served", "failed")},
-                "p50_s": at(0.5), "p99_s": at(0.99), "store_calls": self.world.store.calls, "broken": judge.broken, "logs": self.folder,
-                "events": self.events}
+                "p50_s": at(0.5), "p99_s": at(0.99), "store_calls": self.world.store.calls, "evacuation_calls": self.world.store.calls_by_kind["evacuations"],
+                "broken": judge.broken, "logs": self.folder, "events": self.events}
 
 
-def run_soak(seed, seconds, size, binary, settings, plant, lane):
-    return asyncio.run(Soak(seed, seconds, size, binary, settings, plant, lane).run())
+def run_soak(seed, seconds, size, binary, settings, plant, lane, calm=False):
+    return asyncio.run(Soak(seed, seconds, size, binary, settings, plant, lane, calm).run())
--- a/scripts/lib/edgeworld.py
+++ b/scripts/lib/edgeworld.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import hashlib
 import json
 import random
@@ -42,8 +43,11 @@
         self.broken = []
         self.counts = {"flows": 0, "served": 0, "failed": 0, "late": 0}
         self.allowed = {}  # (dst, dport) -> services that any configuration has allowed
+        self.added_at = {}  # (dst, dport) -> when a configuration with the route was accepted
         self.dropped_at = {}  # (dst, dport) -> when a configuration without the route was accepted
         self.draining_at = {}  # target -> when the store accepted that it leaves
+        self.evacuated_at = {}  # data centre -> when the store accepted its evacuation
+        self.data_centres = set()  # those that have targets
         self.disturbed_until = 0.0  # rules with a time bound don't hold before
         self.outcomes = []  # (start, seconds or None)
 
@@ -71,6 +75,28 @@
             self.fail("CONFIG", f"a flow for route {route} was placed {now - dropped:.3f} s after the route was dropped")
 
 
+    def opening_packet(self, target, zone):
+        """A target got an opening packet, also one of a flow that it has."""
+        age = time.monotonic() - self.evacuated_at.get(zone, time.monotonic())
+        if age > self.bounds["evacuate_s"] and self.bounded():
+            self.fail("EVACUATE", f"target {target} got an opening packet {age:.3f} s after its data centre {zone} was evacuated")
+
+    def fully_evacuated_since(self):
+        """When the last data centre with targets was evacuated; None while one is not."""
+        if not self.data_centres <= self.evacuated_at.keys():
+            return None
+        return max(self.evacuated_at[zone] for zone in self.data_centres)
+
+    def unanswered(self, route, began):
+        """A flow's opening packets got no answer, and no refusal either."""
+        if route not in self.added_at or route in self.dropped_at:
+            return  # a node that has no route for a flow is silent
+        since = self.fully_evacuated_since()
+        routed = began - self.added_at[route] > self.bounds["config_s"]
+        if since is not None and routed and began - since > self.bounds["evacuate_s"] and self.bounded():
+            self.fail("REFUSE", f"a flow for route {route} wasn't refused while all data centres were evacuated")
+
+
 class Store:
     """Objects with one revision counter, lists, watches and conditional writes over HTTP, with faults."""
 
@@ -84,6 +110,7 @@
         self.delay = 0.004
         self.lose = 0.0
         self.calls = 0
+        self.calls_by_kind = collections.Counter()
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -114,6 +141,7 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         parts = url.path.removeprefix("/-/objects/").split("/")
         kind = parts[0]
+        self.calls_by_kind[kind] += 1
         if method == "GET" and "watch" in query:
             return await self.watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
         if method == "GET" and len(parts) == 1:
@@ -276,6 +304,7 @@
         key = (src, sport, dst, dport)
         flow = self.flows.get(key)
         if flags & SYN:
+            self.world.judge.opening_packet(self.name, self.zone)
             if flow is None or flow["first"] != seq:
                 self.world.judge.opening(self.name, self.service, (dst, dport))
                 flow = self.flows[key] = {"first": seq, "seq": random.getrandbits(31), "open": False, "echo": echo, "next": (seq + 1) & MASK,
@@ -370,6 +399,8 @@
             self.send(SYN, self.seq, copy)
             if await self.wait(wait, lambda: self.stage != "opening"):
                 break
+        if self.stage == "opening":
+            self.world.judge.unanswered(self.route, start)
         outcomes = []
         for i, size in enumerate(self.sizes):
             if self.stage != "open":
@@ -509,6 +540,8 @@
         listed = [{"name": f"r{i}", "host": ".".join(str(b) for b in struct.pack(">I", dst)), "path_prefix": f"/{dport}/", "type": "safe",
                    "aim_ms": 500, "priority": 1, "service": service} for i, ((dst, dport), service) in enumerate(sorted(routes.items()))]
         for route, service in routes.items():
+            if route not in self.judge.added_at or route in self.judge.dropped_at:
+                self.judge.added_at[route] = time.monotonic()
             self.judge.allowed.setdefault(route, set()).add(service)
             self.judge.dropped_at.pop(route, None)
         for route in self.judge.allowed:
