Build the edge node at -O3 again

Cause: GCC 12 warns at -O3 of uninitialised members when StoreChanges with the optional list of services is moved, and the platform's build treats warnings as errors. Change: the complete changes are copied. Result: the build of deploy/system.toml passes.

--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -263,7 +263,8 @@
     if (static_cast<std::int32_t>(it->received.size()) < it->parts) {
         return std::nullopt;
     }
-    std::optional<StoreChanges> result(std::move(it->changes));
+    // A move here makes GCC 12 warn at -O3 of uninitialised members of an empty optional.
+    std::optional<StoreChanges> result = it->changes;
     assembler.pending.erase(it);
     return result;
 }
