--- a/src/libpimentofold/evacuation/evacuation_test.cpp
+++ b/src/libpimentofold/evacuation/evacuation_test.cpp
@@ -347,3 +347,22 @@
     CHECK(replaceEvacuations(forwarder.table.evacuations, state));
     CHECK(evacuationsToSend(forwarder.table) == EvacuationState{51, {"dc1"}});
 }
+
+// Guards against settings with which an evacuation comes into force after its bound. docs/design/evacuation.md explains the sums.
+TEST_CASE("the slowest ways to all nodes stay below the bound")
+{
+    constexpr Time bound = 5 * second;
+    const ListWatchSettings calls;
+    const ReplicationSettings replication;
+    const Time answer = 100 * millisecond; // a call and its answer, on a slow link
+    const Time deadConnection = evacuationWatchTimeout(bound) + calls.responseTimeout + calls.initialBackoff + answer;
+    const Time twoLostHeartbeats = 2 * replication.heartbeatInterval;
+    CHECK(deadConnection + twoLostHeartbeats <= bound * 2 / 3);
+    // The leader goes just before its dead connection is noticed, and two nodes ahead of the next one in rank order with it.
+    const Time handOver = replication.heartbeatTimeout + 2 * replication.rankDelay + answer;
+    CHECK(deadConnection + handOver + twoLostHeartbeats <= bound);
+    // All nodes start again and the evacuations can't be read: placement begins with the state that the leader has by then.
+    CHECK(EvacuationGate::maxWait + calls.responseTimeout + twoLostHeartbeats <= bound);
+    CHECK(evacuationWatchTimeout(bound) == 2 * second);
+    CHECK(evacuationWatchTimeout(0) == 200 * millisecond);
+}
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -114,6 +114,7 @@
     setGauge(m_metrics, "target_flows_working", counts.working);
     setGauge(m_metrics, "target_flows_idle", counts.idle);
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
+    setGauge(m_metrics, "store_evacuations_revision", static_cast<double>(table.evacuations.revision));
     setGauge(m_metrics, "evacuated_data_centres", static_cast<double>(table.evacuations.dataCentres.size()));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
     counter(m_metrics, "store_calls_total") = m_store.callCount();
