--- a/src/pimentofold-edge/evacuation_test.cpp
+++ b/src/pimentofold-edge/evacuation_test.cpp
@@ -117,6 +117,7 @@
     }
 
     bool failing = false; ///< all calls get status 503
+    std::string unknownKind; ///< lists of this kind get status 404
 
 private:
     struct Event {
@@ -137,7 +138,7 @@
         const std::string kind = request.path.substr(std::string_view("/-/objects/").size());
         const bool watches = request.query.contains("watch");
         m_calls.emplace_back(kind, watches);
-        if (failing || request.method != "GET" || kind.find('/') != std::string::npos) {
+        if (failing || request.method != "GET" || kind.find('/') != std::string::npos || kind == unknownKind) {
             respond({failing ? 503 : 404, "application/json", {}, "{}"});
         } else if (watches) {
             const Time wait = std::stoll(request.query.at("wait_ms")) * millisecond;
@@ -391,6 +392,21 @@
     CHECK(reader.evacuated() == Names{"b"});
 }
 
+// Guards against nodes that wait at each start for a kind that the store doesn't know yet.
+TEST_CASE("a store that doesn't know the kind has no evacuations")
+{
+    FakeStore store;
+    store.unknownKind = "evacuations";
+    Reader reader;
+    reader.client.setEvacuationBound(5 * second);
+    reader.client.start({});
+    runUntil([&] { return reader.table.evacuations.revision > 0; });
+    CHECK(reader.evacuated().empty());
+    store.unknownKind.clear();
+    store.put("evacuations", "a", json::object());
+    runUntil([&] { return reader.evacuated() == Names{"a"}; });
+}
+
 // Guards against losing the last known state, and against a node that never recovers from an outage.
 TEST_CASE("the last known evacuations hold while the store is away")
 {
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -194,6 +194,10 @@
             call.outcome = StoreCallOutcome::Failed;
         }
     } else {
+        if (result.status == platform::statusNotFound && reader.kind == platform::StoreKind::Evacuations && m_evacuationsEnabled) {
+            // A store that has never had an object of this kind may not know the kind. Any state that it returns later is newer.
+            replaceEvacuations(m_table.evacuations, {1, {}});
+        }
         logFailure(reader, result);
     }
     if (finishCall(reader.listWatch, call, now, m_random)) {
