Store answers are split into their objects, which are decoded one by one

Cause: the JSON parser refuses a whole answer when one string in it isn't UTF-8 or has the escape of a lone surrogate. Each list and each watch failed as long as such an entry stood; a restarted node knew no target. Change: platform/jsonsplit splits an answer into its members without decoding strings. Each object is parsed alone, with its name and revision apart from its spec, so that an unreadable entry removes the target of its name. A page on which no name can be read and that isn't the last one is a failed call, since the list can't be continued.

--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -2,6 +2,7 @@
 
 #include <pimentofold/random.h>
 #include <pimentofold/settings.h>
+#include <platform/jsonsplit.h>
 #include <platform/packetcodec.h>
 #include <platform/settingslines.h>
 #include <platform/storecalls.h>
@@ -164,6 +165,77 @@
     }
 }
 
+// Guards against an object of another writer whose bytes can't be decoded and that makes each list and each watch fail, so that
+// a running node hears of no further change and a restarted node never knows any target.
+TEST_CASE("an object with undecodable bytes doesn't affect the other objects of a response")
+{
+    const std::string bad[] = {R"(\udce9)", R"(\ud83d)", "\xe9", std::string("\0", 1), R"(\x)"};
+    const std::string places[] = {"huvo11a", "\"version\":\"v1", "attica-a", "i-7f3a91c2"};
+    std::string valid = target;
+    valid.replace(valid.find("i-7f3a91c2"), 10, "i-00000001");
+    for (const std::string &bytes : bad) {
+        for (const std::string &place : places) {
+            CAPTURE(bytes);
+            CAPTURE(place);
+            std::string text = target;
+            text.insert(text.find(place) + place.size(), bytes);
+            const bool nameIsReadable = place != "i-7f3a91c2";
+            std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Targets, list(std::string(valid).append(",").append(text)));
+            REQUIRE(response);
+            REQUIRE(response->objects.size() == 2);
+            CHECK(std::get<TargetRecord>(response->objects[0]).id == 1);
+            CHECK(std::get<UnreadableObject>(response->objects[1]).id == (nameIsReadable ? 0x7f3a91c2 : 0));
+            CHECK(response->lastName == (nameIsReadable ? "i-7f3a91c2" : "i-00000001"));
+
+            response = decodeStoreResponse(StoreKind::Targets, R"({"store_revision":60,"events":[{"object":)" + text + R"(},{"object":)" + valid + "}]}");
+            REQUIRE(response);
+            REQUIRE(response->objects.size() == 2);
+            CHECK(std::get<UnreadableObject>(response->objects[0]).revision == (nameIsReadable ? 41 : 0));
+            CHECK(std::get<TargetRecord>(response->objects[1]).id == 1);
+        }
+    }
+}
+
+// Guards against the endless repetition of a page on which no object's name can be decoded.
+TEST_CASE("a page after which the list can't be continued is invalid")
+{
+    const std::string page = R"({"items":[{"meta":{"name":"\udce9","revision":4}}],"has_more":)";
+    CHECK_FALSE(decodeStoreResponse(StoreKind::Targets, page + R"(true,"store_revision":50})"));
+    CHECK(decodeStoreResponse(StoreKind::Targets, page + R"(false,"store_revision":50})"));
+}
+
+// Guards against a wrong split of objects at brackets, commas and quotes within strings.
+TEST_CASE("JSON texts are split into their members")
+{
+    struct Row {
+        std::string text;
+        std::vector<std::string_view> values;
+    };
+    const Row rows[] = {
+        {"[]", {}},
+        {" [ ] ", {}},
+        {R"([1, "a,]", {"b":[2,3]} ])", {"1", R"("a,]")", R"({"b":[2,3]})"}},
+        {R"(["\"],","\\"])", {R"("\"],")", R"("\\")"}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.text);
+        CHECK(splitArray(row.text) == row.values);
+    }
+    for (const std::string text : {"", "[", "]", "[1", "[1]]", "[{]}", R"(["])", R"(["\"])", "[1] x", "{}"}) {
+        CAPTURE(text);
+        CHECK_FALSE(splitArray(text));
+    }
+    const auto members = splitObject(R"({"a": 1,"b" :{"a":2}, "a":3})");
+    REQUIRE(members);
+    CHECK(findMember(*members, "a") == "3");
+    CHECK(findMember(*members, "b") == R"({"a":2})");
+    CHECK_FALSE(findMember(*members, "c"));
+    for (const std::string text : {"{1}", "{a:1}", R"({"a"})", R"({"a" 1})", R"({"a":1)", "[]"}) {
+        CAPTURE(text);
+        CHECK_FALSE(splitObject(text));
+    }
+}
+
 // Guards against one invalid route that keeps the whole configuration out of force, so that no caller is served.
 TEST_CASE("an invalid field of a route affects that route only")
 {
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <pimentofold/settings.h>
+#include <platform/jsonsplit.h>
 
 namespace pimentofold::platform {
 
@@ -238,30 +239,82 @@
     return record;
 }
 
-StoreObject decodeObject(StoreKind kind, const json &object, bool deleted)
+/// Parses one member of an object.
+json parseMember(const std::vector<JsonMember> &members, const char *field)
+{
+    const std::optional<std::string_view> text = findMember(members, field);
+    if (!text) {
+        throw FieldError{std::string("missing field ") + field};
+    }
+    json value = json::parse(*text, nullptr, false);
+    if (value.is_discarded()) {
+        throw FieldError{std::string(field) + " can't be read"};
+    }
+    return value;
+}
+
+/// Splits an object that is a member of another one.
+std::vector<JsonMember> splitMember(const std::vector<JsonMember> &members, const char *field)
+{
+    const std::optional<std::string_view> text = findMember(members, field);
+    if (!text) {
+        throw FieldError{std::string("missing field ") + field};
+    }
+    std::optional<std::vector<JsonMember>> parts = splitObject(*text);
+    if (!parts) {
+        throw FieldError{std::string(field) + " is not an object"};
+    }
+    return std::move(*parts);
+}
+
+/// An object with its name, which the request for the next page of a list needs.
+struct NamedObject {
+    StoreObject object;
+    std::string name; ///< empty when it can't be decoded
+};
+
+/// Decodes one object of a response. Its fields are parsed one by one, so that the name and the revision are known even if
+/// the rest of the object can't be read.
+NamedObject decodeObject(StoreKind kind, std::string_view text, bool deleted)
 {
     std::string objectName;
     std::int64_t revision = 0;
+    const auto id = [&] { return kind == StoreKind::Targets ? idFromName(objectName).value_or(0) : 0; };
     try {
-        const json &meta = requiredField(object, "meta");
-        objectName = stringField(meta, "name");
-        revision = integerField(meta, "revision", 0, INT64_MAX);
+        const std::optional<std::vector<JsonMember>> object = splitObject(text);
+        if (!object) {
+            throw FieldError{"object can't be read"};
+        }
+        const std::vector<JsonMember> meta = splitMember(*object, "meta");
+        objectName = stringField({{"name", parseMember(meta, "name")}}, "name");
+        revision = integerField({{"revision", parseMember(meta, "revision")}}, "revision", 0, INT64_MAX);
         if (deleted) {
-            return DeletedObject{kind == StoreKind::Targets ? idFromName(objectName).value_or(0) : 0, objectName, revision};
+            return {DeletedObject{id(), objectName, revision}, objectName};
         }
-        const json &spec = requiredField(object, "spec");
+        const json spec = parseMember(*object, "spec");
         if (!spec.is_object()) {
             throw FieldError{"spec is not an object"};
         }
         if (kind == StoreKind::Config) {
-            return decodeConfig(spec, revision);
+            return {decodeConfig(spec, revision), objectName};
         }
-        return decodeTarget(spec, objectName, revision);
+        return {decodeTarget(spec, objectName, revision), objectName};
     } catch (const FieldError &error) {
-        return UnreadableObject{kind == StoreKind::Targets ? idFromName(objectName).value_or(0) : 0, objectName, revision, error.problem};
+        return {UnreadableObject{id(), objectName, revision, error.problem}, objectName};
     }
 }
 
+/// Decodes one change that a watch returned.
+StoreObject decodeEvent(StoreKind kind, std::string_view text)
+{
+    const std::optional<std::vector<JsonMember>> event = splitObject(text);
+    const std::optional<std::string_view> object = event ? findMember(*event, "object") : std::nullopt;
+    if (!object) {
+        return UnreadableObject{0, "", 0, "event has no object"};
+    }
+    return decodeObject(kind, *object, findMember(*event, "deleted") == "true").object;
+}
+
 // The roster is the only object of this kind, which belongs to this project.
 constexpr const char *rosterCollectionPath = "/-/objects/pimentofold-edge";
 constexpr const char *rosterName = "roster";
@@ -350,36 +403,31 @@
 
 std::optional<StoreResponse> decodeStoreResponse(StoreKind kind, const std::string &body)
 {
-    const json response = json::parse(body, nullptr, false);
-    if (!response.is_object()) {
+    const std::optional<std::vector<JsonMember>> response = splitObject(body);
+    if (!response) {
+        return std::nullopt;
+    }
+    const std::optional<std::string_view> items = findMember(*response, "items");
+    const std::optional<std::vector<std::string_view>> entries = splitArray(items.value_or(findMember(*response, "events").value_or("")));
+    if (!entries) {
         return std::nullopt;
     }
     try {
         StoreResponse result;
-        result.revision = integerField(response, "store_revision", 1, INT64_MAX);
-        const bool isList = response.contains("items");
-        const json &entries = requiredField(response, isList ? "items" : "events");
-        if (!entries.is_array()) {
-            return std::nullopt;
-        }
-        for (const json &it : entries) {
-            if (isList) {
-                result.objects.push_back(decodeObject(kind, it, false));
-                if (it.is_object() && it.contains("meta") && it["meta"].is_object() && it["meta"].contains("name") && it["meta"]["name"].is_string()) {
-                    result.lastName = it["meta"]["name"].get<std::string>();
-                }
+        result.revision = integerField({{"store_revision", parseMember(*response, "store_revision")}}, "store_revision", 1, INT64_MAX);
+        for (const std::string_view it : *entries) {
+            if (!items) {
+                result.objects.push_back(decodeEvent(kind, it));
                 continue;
             }
-            if (!it.is_object()) {
-                return std::nullopt;
-            }
-            const auto deleted = it.find("deleted");
-            const bool gone = deleted != it.end() && deleted->is_boolean() && deleted->get<bool>();
-            result.objects.push_back(decodeObject(kind, requiredField(it, "object"), gone));
+            NamedObject read = decodeObject(kind, it, false);
+            result.objects.push_back(std::move(read.object));
+            // The next page starts after the last name that could be read. Objects behind it are sent again.
+            result.lastName = read.name.empty() ? result.lastName : std::move(read.name);
         }
-        if (isList) {
-            const auto more = response.find("has_more");
-            result.hasMore = more != response.end() && more->is_boolean() && more->get<bool>();
+        result.hasMore = items && findMember(*response, "has_more") == "true";
+        if (result.hasMore && result.lastName.empty()) {
+            return std::nullopt;
         }
         return result;
     } catch (const FieldError &) {
