An entry with a missing field, or with another service for the same start, names no target

Cause: `version` and `seq` weren't looked at, `cold_remaining_ms` and `born` had a fallback, and an entry could move a target to another service while its process goes on. Requests of one route were sent to a target of another service. Change: all fields that targets write are required with their types; `born`, too, as all stand-ins of the repository write it. An entry with another service and no later start counts as the removal of the target's entry, here and at the nodes that get the changes. The target's own next entry brings it back. Limit: a node that learns a target first from another writer's entry refuses the target's own one until it starts again.

--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -83,7 +83,12 @@
 ///         nothing changes then
 bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed);
 
-/// Adds a target or updates its entry.
+/// A target keeps its service until it starts again. An entry with another service and no later start was not written by the
+/// target.
+/// @return whether @p record names another service than the one that is known for this start of the target
+bool contradictsService(const TargetTable &table, const TargetRecord &record);
+
+/// Adds a target or updates its entry. An entry that contradictsService() counts as the removal of the target's own entry.
 /// @return false when the entry isn't newer than the known one or than its removal; nothing changes then
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now);
 
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -138,6 +138,12 @@
     return true;
 }
 
+bool contradictsService(const TargetTable &table, const TargetRecord &record)
+{
+    const EdgeTarget *target = findTarget(table, record.id);
+    return target != nullptr && record.startedAt <= target->record.startedAt && target->record.service != record.service;
+}
+
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now)
 {
     const auto [it, added] = table.targets.try_emplace(record.id);
@@ -153,6 +159,12 @@
     if (record.revision <= std::max(target.record.revision, target.removedRevision)) {
         return false;
     }
+    if (contradictsService(table, record)) {
+        target.removedAt = target.registered ? now : target.removedAt;
+        target.registered = false;
+        target.removedRevision = record.revision;
+        return true;
+    }
     if (target.record.service != record.service) {
         removeFromService(table, target);
         updateRecord(target, record, now);
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -198,7 +198,13 @@
 void StoreClient::applyTargetRecord(KindReader &reader, const TargetRecord &record, Time now)
 {
     reader.listWatch.listedIds.insert(record.id);
-    if (applyTarget(m_table, record, now)) {
+    if (contradictsService(m_table, record)) {
+        if (applyTarget(m_table, record, now)) {
+            logEvent(m_log,
+                     "object_unreadable",
+                     {{"name", record.name}, {"revision", record.revision}, {"problem", "service differs from the one of the same start of the target"}});
+        }
+    } else if (applyTarget(m_table, record, now)) {
         logEvent(m_log,
                  "target_changed",
                  {{"target", record.name},
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -152,6 +152,19 @@
         changed("i-7f3a91c2", "i-7f3a91c27f3a91c27f3a91c2"),
         changed("\"service\":\"huvo11a\",", ""),
         changed("\"born\":1700", "\"born\":-1"),
+        changed("\"born\":1700", "\"born\":1700.5"),
+        changed("\"born\":1700", "\"born\":\"1700\""),
+        changed(",\"born\":1700", ""),
+        changed("\"seq\":4,", ""),
+        changed("\"seq\":4", "\"seq\":null"),
+        changed("\"version\":\"v1\",", ""),
+        changed("\"version\":\"v1\"", "\"version\":1"),
+        changed("\"cold_remaining_ms\":250,", ""),
+        changed("\"cold_remaining_ms\":250", "\"cold_remaining_ms\":false"),
+        changed("\"zone\":\"attica-a\",", ""),
+        changed("\"state\":\"ready\",", ""),
+        changed("\"slots\":3,", ""),
+        changed("\"address\":\"10.128.0.9:8080\",", ""),
     };
     for (const std::string &row : rows) {
         CAPTURE(row);
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -233,9 +233,12 @@
     constexpr int maxSlots = 1'000'000;
     record.slots = static_cast<int>(integerField(spec, "slots", 1, maxSlots));
     record.state = targetStateFromName(stringField(spec, "state"));
-    record.warmup = integerField(spec, "cold_remaining_ms", 0, maxMilliseconds, 0) * millisecond;
+    record.warmup = integerField(spec, "cold_remaining_ms", 0, maxMilliseconds) * millisecond;
     // `born` is the wall time at which the target's process started.
-    record.startedAt = integerField(spec, "born", 0, INT64_MAX, 0);
+    record.startedAt = integerField(spec, "born", 0, INT64_MAX);
+    // Not used here, but a target writes them into each of its entries. An entry without them is from another writer.
+    stringField(spec, "version");
+    integerField(spec, "seq", 0, INT64_MAX);
     return record;
 }
 
