An entry that doesn't fit into a datagram no longer hides later changes

Cause: a part of changes with an entry longer than a datagram is dropped when it is sent. The other nodes lack it for good and refuse all changes that come after it. Change: entries of targets with a name, service or data centre of more than 253 bytes, or with an empty service or data centre, name no target, so that each entry fits. A route that doesn't fit into a datagram is left to the store: the changes of the targets are sent without the configuration, and the receiver is told to read the store. Result: the rows with long texts were decoded as targets before, and are refused.

--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -15,6 +15,13 @@
 /// Approximate number of bytes of changes in one datagram. Well below the maximum size, since sizes are estimated.
 constexpr std::size_t changesDatagramBytes = 1'100;
 
+/// @return whether each route of the changes fits into a datagram. Entries of targets always do, see maxTargetTextBytes. A
+///         configuration with a longer route has to be read from the store.
+bool canSendRoutes(const StoreChanges &changes);
+
+/// @return the changes of the targets alone, for a receiver that reads the configuration from the store
+StoreChanges withoutConfig(StoreChanges changes);
+
 /// Splits changes into parts that each fit into a datagram.
 /// @return the parts in order; at least one
 std::vector<wire::EdgeChanges> toWire(const StoreChanges &changes);
--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -82,6 +82,10 @@
 /// @return "ready" or "draining"
 std::string_view name(TargetState state);
 
+/// Longest name, service and data centre of a target, in bytes: the length limit of a DNS name. An entry with texts of this length
+/// fits into one datagram between nodes.
+constexpr std::size_t maxTargetTextBytes = 253;
+
 /// The entry in the platform's store with which a target registers itself.
 struct TargetRecord {
     std::uint64_t id = 0; ///< sent in front of each packet, so that the target can check that the packet is meant for it
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -125,10 +125,12 @@
     return bytes;
 }
 
+constexpr std::size_t targetFixedBytes = 64;
+static_assert(targetFixedBytes + 3 * maxTargetTextBytes <= changesDatagramBytes);
+
 std::size_t estimatedSize(const TargetRecord &target)
 {
-    constexpr std::size_t fixedBytes = 64;
-    return fixedBytes + target.name.size() + target.service.size() + target.dataCentre.size();
+    return targetFixedBytes + target.name.size() + target.service.size() + target.dataCentre.size();
 }
 
 void add(StoreChanges &changes, const wire::EdgeChanges &part)
@@ -186,6 +188,21 @@
 
 } // namespace
 
+bool canSendRoutes(const StoreChanges &changes)
+{
+    return std::ranges::all_of(changes.config.routes, [](const EdgeRoute &it) { return estimatedSize(it) <= changesDatagramBytes; });
+}
+
+StoreChanges withoutConfig(StoreChanges changes)
+{
+    changes.config = {};
+    changes.removedRoutes.clear();
+    changes.configBase = 0;
+    changes.base.config = 0;
+    changes.known.config = 0;
+    return changes;
+}
+
 std::vector<wire::EdgeChanges> toWire(const StoreChanges &changes)
 {
     PartWriter writer{changes, {}, 0};
--- a/src/libpimentofold/storereplication_test.cpp
+++ b/src/libpimentofold/storereplication_test.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include <pimentofold/codec.h>
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/storereplication.h>
 
@@ -158,6 +159,49 @@
     CHECK_FALSE(addPart(assembler, testSender, bad));
 }
 
+// Guards against an entry that is longer than a datagram and therefore lost each time, so that the changes after it are never
+// applied: nodes didn't hear that targets drain.
+TEST_CASE("changes that don't fit into datagrams: targets are sent, the configuration is left to the store")
+{
+    Node leader;
+    Node follower;
+    for (Node *it : {&leader, &follower}) {
+        applyConfig(it->table, makeConfig(10, {makeRoute(shopAddress, "shop")}));
+        applyTarget(it->table, makeTarget(1, 5), 0);
+        setTargetHistoryStart(it->table, 10);
+        it->replication.known = {10, 10};
+    }
+    EdgeRoute route = makeRoute(otherAddress, "other");
+    route.weightedServices.front().service = std::string(2000, 'x');
+    applyConfig(leader.table, makeConfig(20, {makeRoute(shopAddress, "shop"), route}));
+    TargetRecord draining = makeTarget(1, 21);
+    draining.state = TargetState::Draining;
+    TargetRecord longest = makeTarget(2, 22, std::string(maxTargetTextBytes, 's'));
+    longest.name = std::string(maxTargetTextBytes, 'n');
+    longest.dataCentre = std::string(maxTargetTextBytes, 'd');
+    applyTarget(leader.table, draining, 0);
+    applyTarget(leader.table, longest, 0);
+    leader.replication.known = {22, 22};
+
+    const StoreChanges all = changesSince(leader.table, follower.replication.known, 10, leader.replication.known, 0);
+    CHECK_FALSE(canSendRoutes(all));
+    const StoreChanges sent = withoutConfig(all);
+    CHECK(canSendRoutes(sent));
+    Codec codec;
+    constexpr std::size_t envelopeBytes = 200;
+    for (const wire::EdgeChanges &it : toWire(sent)) {
+        CHECK(codec.encode(it).size() + envelopeBytes <= maxDatagramBytes);
+    }
+    const std::optional<StoreChanges> received = transfer(sent);
+    REQUIRE(received);
+    CHECK(applyChanges(follower.replication, follower.table, *received, 0));
+    CHECK(follower.replication.known == KnownRevisions{10, 22});
+    CHECK(findTarget(follower.table, 1)->record.state == TargetState::Draining);
+    CHECK(findTarget(follower.table, 2) != nullptr);
+    CHECK(findRoute(follower.table, otherAddress) == nullptr);
+    CHECK(isAheadOf(leader.replication, follower.replication.known));
+}
+
 // Guards against a response to a request that discards the received parts of a broadcast from the same node. Nodes then
 // repeated their requests, and changes of targets took over 4 s.
 TEST_CASE("parts of a broadcast and of a response may arrive interleaved")
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -2,6 +2,7 @@
 #include <pimentofold-edge/edge.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentofold {
 
@@ -77,13 +78,20 @@
     if (!isAheadOf(m_replication, base)) {
         return;
     }
-    const StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_replication.known, now);
+    StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_replication.known, now);
+    const bool routesFit = canSendRoutes(changes);
+    if (!routesFit) {
+        changes = withoutConfig(std::move(changes));
+    }
     const std::vector<wire::EdgeChanges> parts = toWire(changes);
     wire::EdgeMessage response = newMessage(wire::EdgeKind::Changes);
-    if (parts.size() > maxParts && !message.large) {
-        response.__set_large(true);
-        m_peers.send(response, from);
-        return;
+    if ((parts.size() > maxParts || !routesFit) && !message.large) {
+        wire::EdgeMessage refusal = response;
+        refusal.__set_large(true);
+        m_peers.send(refusal, from);
+        if (parts.size() > maxParts) {
+            return;
+        }
     }
     for (const wire::EdgeChanges &it : parts) {
         response.__set_changes(it);
@@ -233,12 +241,16 @@
     const bool changed =
         m_replication.known != m_replication.heartbeatSentKnown && m_replication.heartbeatSentKnown.config > 0 && m_replication.heartbeatSentKnown.targets > 0;
     if (changed) {
-        const StoreChanges changes = changesSince(m_forwarder.table, m_replication.heartbeatSentKnown, m_heartbeatConfigRevision, m_replication.known, now);
+        StoreChanges changes = changesSince(m_forwarder.table, m_replication.heartbeatSentKnown, m_heartbeatConfigRevision, m_replication.known, now);
+        const bool routesFit = canSendRoutes(changes);
+        if (!routesFit) {
+            changes = withoutConfig(std::move(changes));
+        }
         std::vector<wire::EdgeChanges> parts = toWire(changes);
         if (parts.size() == 1) {
             message.__set_changes(parts.front());
         }
-        message.__set_large(parts.size() > maxParts);
+        message.__set_large(parts.size() > maxParts || !routesFit);
         if (parts.size() > 1 && parts.size() <= maxParts) {
             broadcastChanges(parts);
         }
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -164,6 +164,11 @@
         changed("\"zone\":\"attica-a\",", ""),
         changed("\"state\":\"ready\",", ""),
         changed("\"slots\":3,", ""),
+        changed("huvo11a", std::string(254, 'x')),
+        changed("attica-a", std::string(254, 'x')),
+        changed("huvo11a", ""),
+        changed("attica-a", ""),
+        changed("i-7f3a91c2", std::string(251, 'x') + "-1f"),
         changed("\"address\":\"10.128.0.9:8080\",", ""),
     };
     for (const std::string &row : rows) {
@@ -178,6 +183,19 @@
     }
 }
 
+// Guards against the refusal of valid entries by a limit that is too low.
+TEST_CASE("entries with the longest allowed texts are decoded")
+{
+    std::string text = target;
+    for (const std::string field : {"huvo11a", "attica-a", "i-7f3a91c2"}) {
+        const std::string longest = field.starts_with("i-") ? std::string(maxTargetTextBytes - 3, 'x') + "-1f" : std::string(maxTargetTextBytes, 'x');
+        text.replace(text.find(field), field.size(), longest);
+    }
+    const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Targets, list(text));
+    REQUIRE(response);
+    CHECK(std::get<TargetRecord>(response->objects.at(0)).id == 0x1f);
+}
+
 // Guards against an object of another writer whose bytes can't be decoded and that makes each list and each watch fail, so that
 // a running node hears of no further change and a restarted node never knows any target.
 TEST_CASE("an object with undecodable bytes doesn't affect the other objects of a response")
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -213,6 +213,16 @@
     throw FieldError{"state is not ready or draining"};
 }
 
+/// Decodes a text of a target's entry, which has to fit into the messages between nodes.
+std::string targetText(const json &spec, const char *field)
+{
+    std::string text = stringField(spec, field);
+    if (text.empty() || text.size() > maxTargetTextBytes) {
+        throw FieldError{std::string(field) + " has an invalid length: allowed 1 to " + std::to_string(maxTargetTextBytes) + " bytes"};
+    }
+    return text;
+}
+
 TargetRecord decodeTarget(const json &spec, const std::string &objectName, std::int64_t revision)
 {
     TargetRecord record;
@@ -220,16 +230,19 @@
     if (!id) {
         throw FieldError{"object name does not end with a hexadecimal target id"};
     }
+    if (objectName.size() > maxTargetTextBytes) {
+        throw FieldError{"object name is longer than " + std::to_string(maxTargetTextBytes) + " bytes"};
+    }
     record.id = *id;
     record.name = objectName;
     record.revision = revision;
-    record.service = stringField(spec, "service");
+    record.service = targetText(spec, "service");
     const std::string address = stringField(spec, "address");
     if (!isAddress(address)) {
         throw FieldError{"address is not an IPv4 address with port"};
     }
     record.address = parseAddress(address);
-    record.dataCentre = stringField(spec, "zone");
+    record.dataCentre = targetText(spec, "zone");
     constexpr int maxSlots = 1'000'000;
     record.slots = static_cast<int>(integerField(spec, "slots", 1, maxSlots));
     record.state = targetStateFromName(stringField(spec, "state"));
