platform_test: a watch answer is put together without temporary strings

Cause: clang-tidy refuses the concatenation in the test of undecodable bytes (performance-inefficient-string-concatenation). Change: the parts are appended to one string. platform_test passes, scripts/lint on the file as well.

--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -218,7 +218,9 @@
             CHECK(std::get<UnreadableObject>(response->objects[1]).id == (nameIsReadable ? 0x7f3a91c2 : 0));
             CHECK(response->lastName == (nameIsReadable ? "i-7f3a91c2" : "i-00000001"));
 
-            response = decodeStoreResponse(StoreKind::Targets, R"({"store_revision":60,"events":[{"object":)" + text + R"(},{"object":)" + valid + "}]}");
+            std::string events = R"({"store_revision":60,"events":[{"object":)";
+            events.append(text).append(R"(},{"object":)").append(valid).append("}]}");
+            response = decodeStoreResponse(StoreKind::Targets, events);
             REQUIRE(response);
             REQUIRE(response->objects.size() == 2);
             CHECK(std::get<UnreadableObject>(response->objects[0]).revision == (nameIsReadable ? 41 : 0));
