Reset flows of targets that fall silent under persistent flows

Cause: each idle flow of a silent target loses its next request, since callers wait until their timeout. Change: nodes report stalled flows to the target's owner, which declares the target lost; all nodes then reset its idle flows and those with a request that may be repeated. Option targetLoss, on in deploy/edge.json.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -11,6 +11,7 @@
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/placement.h>
 #include <pimentofold/random.h>
+#include <pimentofold/targetloss/lossmessages.h>
 #include <pimentofold/targettable.h>
 
 /// Placement of new flows on targets by the dispatchers of a service.
@@ -173,6 +174,9 @@
     std::vector<SettledNotice> settledNotices;
     std::vector<FlowNotice> flowNotices;
     std::vector<ForwardEventRecord> events;
+    std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
+    std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
+    std::vector<LossEventRecord> lossEvents;
 };
 
 /// How much of the time the open flows of a route have a request at work. Flows that are open for the first request only
--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -6,6 +6,7 @@
 
 #include <pimentofold/dispatch.h>
 #include <pimentofold/storereplication.h>
+#include <pimentofold/targetloss/lossevidence.h>
 
 #include "edge_types.h"
 
@@ -53,6 +54,18 @@
 /// Converts a flow's key from a message.
 FlowKey fromWire(const wire::EdgeFlowEnds &ends);
 
+/// Converts evidence against a target for a message.
+wire::EdgeTargetEvidence toWire(const TargetEvidence &evidence);
+
+/// Converts evidence from a message. Numbers out of range are limited.
+TargetEvidence fromWire(const wire::EdgeTargetEvidence &evidence);
+
+/// Converts a verdict for a message.
+wire::EdgeLostTarget toWire(const LostTarget &lost);
+
+/// Converts a verdict from a message.
+LostTarget fromWire(const wire::EdgeLostTarget &lost);
+
 /// Converts the kind of a notice for a message.
 wire::EdgeKind::type toWire(FlowNoticeKind kind);
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -11,6 +11,7 @@
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
 #include <pimentofold/targetchoice.h>
+#include <pimentofold/targetloss/lossstate.h>
 #include <pimentofold/targettable.h>
 
 /// Forwarding of callers' packets on an edge node. Targets answer callers directly and put their token into each answer.
@@ -72,6 +73,7 @@
     Time lastPacketAt = 0; ///< time of the caller's last packet
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
+    FlowProgress progress; ///< only with TargetLossSettings::enabled
 };
 
 /// A packet that arrived before the configuration and the targets were known.
@@ -104,6 +106,7 @@
     double meanAnswerTime = 0; ///< moving average of the time from an offer to the caller's next packet, in microseconds
     double answerTimeDeviation = 0; ///< moving average of the deviation from meanAnswerTime, in microseconds
     Time nextSweepAt = 0; ///< when flows and targets are next checked for removal
+    TargetLoss targetLoss; ///< evidence and verdicts on targets that give no sign of life
 };
 
 /// Detects that this process was paused. Has to be called at each packet and timer event, before the event is handled.
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -42,7 +42,8 @@
 /// Records a sign of an answer: a caller sent a further packet on a flow that the target has accepted.
 void recordAnswer(EdgeTarget &target, Time now);
 
-/// @return whether the last opening packets to the target, at least suspectThreshold of them, got no sign of an answer
+/// @return whether the target was declared lost, or the last opening packets to it, at least suspectThreshold of them, got no
+///         sign of an answer
 bool isSuspected(const EdgeTarget &target, const PlacementSettings &settings);
 
 } // namespace pimentofold
--- /dev/null
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <pimentofold/targetloss/lossmessages.h>
+#include <pimentofold/targettable.h>
+
+/// Verdict of a target's owner on evidence from all nodes.
+///
+/// The owner learns of progress at any node, since the nodes report the start of each answer to it. So it can tell a silent
+/// target from lost packets: no flow at any node has made progress since the stalls began.
+namespace pimentofold {
+
+/// Thresholds of the verdict.
+struct VerdictSettings {
+    /// Each stalled flow adds one point, and so does a second retransmission of any flow, and an opening packet without an
+    /// answer. Two flows with one lost packet each happen on lossy paths to a target whose requests are slow, so two points
+    /// aren't enough.
+    int minPoints = 3;
+    /// The conditions have to hold for this long while the process runs, so that a retransmission that got through is
+    /// answered, and progress that waits in this node's socket is read.
+    Time settleTime = 100 * millisecond;
+    Time maxRunGap = 60 * millisecond; ///< a process that hasn't run for longer starts settleTime again
+    Time reportLifetime = 600 * millisecond; ///< a node's report is void after this time unless it is repeated
+    /// Reports of stalls and of progress take different times to arrive. A stall counts only if it began this long after the
+    /// last progress.
+    Time reportSlack = 10 * millisecond;
+    Time minOwnership = 300 * millisecond; ///< a new owner doesn't know the progress of requests that started before
+    Time recoveryHold = 2 * second; ///< no verdict on a target for this long after it has recovered
+    Time contactAge = 250 * millisecond; ///< a data centre is in contact when one of its nodes was heard within this time
+    /// An entry that was removed while the store answers comes back within 2 s if the target is alive. The node that follows
+    /// the store notices a silent store up to 3 s later.
+    Time removalProofTime = 5 * second;
+    Time removalScanInterval = 500 * millisecond;
+    Time verdictJoinTime = 50 * millisecond; ///< verdicts within this time share a broadcast
+    /// Least time between two broadcasts. Verdicts that are due within this time are sent earlier, with those that are due now.
+    Time broadcastInterval = 100 * millisecond;
+    Time repeatTime = 300 * millisecond; ///< a broadcast is repeated once after this time
+    Time contradictionWindow = second; ///< see isCallersFault() in the source file
+};
+
+/// Report of one node on one target.
+struct LossReport {
+    Id node = 0;
+    std::string dataCentre; ///< of the node
+    int stalledFlows = 0;
+    int retransmissions = 0;
+    Time since = 0; ///< when the oldest stall began, on this node's clock
+    Time receivedAt = 0;
+};
+
+/// A target with evidence against it.
+struct SuspectedTarget {
+    std::int64_t startedAt = 0; ///< incarnation
+    std::vector<LossReport> reports; ///< one of each node
+    Time conditionsSince = never; ///< since when all conditions hold; never: they don't
+    Time unreachableUntil = 0; ///< the verdict "unreachable" isn't repeated before this time
+    Time contradictedAt = 0; ///< when progress has last contradicted evidence; 0: never
+};
+
+/// A verdict that is being broadcast.
+struct PendingVerdict {
+    LostTarget lost;
+    Time dueAt = 0;
+    bool repeated = false;
+};
+
+/// What this node knows of the store.
+struct StoreContact {
+    Time answeringSince = never; ///< never: the store doesn't answer
+    Time confirmedAt = 0; ///< latest time at which the entries known here were the store's entries
+};
+
+/// State of the verdicts at one node as owner of targets.
+struct LossVerdicts {
+    VerdictSettings settings;
+    std::string dataCentre; ///< of this node
+    std::map<std::uint64_t, SuspectedTarget> suspected; ///< by target
+    std::unordered_map<std::uint64_t, Time> ownedSince; ///< by target; only those that this node owns
+    std::map<std::string, Time> heardAt; ///< by data centre: last message of one of its nodes
+    std::vector<PendingVerdict> pending;
+    Time nextBroadcastAt = 0; ///< no broadcast before this time
+    StoreContact store;
+    Time lastRunAt = 0;
+    Time nextRemovalScanAt = 0;
+};
+
+/// A decision of tickVerdicts().
+struct VerdictOutput {
+    std::vector<LostTarget> verdicts; ///< new ones, in force at this node now
+    std::vector<LostTarget> broadcast; ///< to be sent to all other nodes now
+};
+
+/// Records which targets this node owns, for minOwnership.
+void recordOwnership(LossVerdicts &verdicts, const TargetTable &table, Time now);
+
+/// Records that a node of a data centre has been heard.
+void recordContact(LossVerdicts &verdicts, const std::string &dataCentre, Time now);
+
+/// Records whether the store answers the node that follows it, as far as this node knows.
+/// @param confirmedAt latest time at which the entries known here were the store's entries
+void recordStoreContact(LossVerdicts &verdicts, bool answering, Time confirmedAt, Time now);
+
+/// Records a node's evidence against a target that this node owns. Evidence on another incarnation is ignored.
+/// @return whether the target is newly suspected
+bool recordEvidence(LossVerdicts &verdicts, TargetTable &table, const TargetEvidence &evidence, Id node, const std::string &dataCentre, Time now);
+
+/// Forgets all evidence and pending verdicts, since this process was paused.
+void clearVerdicts(LossVerdicts &verdicts);
+
+/// Decides on suspected targets and on those whose entries are gone.
+/// @param keepsFlows returns whether the flows of a service carry more than one request
+VerdictOutput tickVerdicts(LossVerdicts &verdicts, TargetTable &table, const std::function<bool(const std::string &service)> &keepsFlows, Time now);
+
+/// @return whether tickVerdicts() has to be called soon
+bool hasOpenCases(const LossVerdicts &verdicts);
+
+} // namespace pimentofold
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -46,6 +46,9 @@
     Time lastAnswerAt = 0; ///< last sign of an answer: a caller sent a further packet on a flow to this target
     int unansweredOpenings = 0; ///< consecutive opening packets without a sign of an answer
     Time nextProbeAt = 0; ///< when a suspected target may get a single new flow as a probe
+    Time lastProgressAt = 0; ///< last time a flow at any node has shown progress on the target, see targetloss/targetloss.h; 0: never
+    Time lostSince = never; ///< when the target was declared lost; `never`: it isn't lost
+    Time noVerdictUntil = 0; ///< the target isn't declared lost before this time
 };
 
 /// A route with the configuration revision that changed it last.
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -369,6 +369,9 @@
         startWork(dispatcher, table, notice, now);
         break;
     case FlowNoticeKind::WorkEnded:
+        if (EdgeTarget *target = findTarget(table, notice.target)) {
+            target->lastProgressAt = now;
+        }
         endWork(dispatcher, table, notice, now, out);
         break;
     case FlowNoticeKind::Ended:
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -267,6 +267,44 @@
     return {toAddress(ends.callerIp, ends.callerPort), toAddress(ends.serviceIp, ends.servicePort)};
 }
 
+wire::EdgeTargetEvidence toWire(const TargetEvidence &evidence)
+{
+    wire::EdgeTargetEvidence result;
+    result.target = static_cast<std::int64_t>(evidence.target);
+    result.startedAt = evidence.startedAt;
+    result.stalledFlows = evidence.stalledFlows;
+    result.retransmissions = evidence.retransmissions;
+    result.stalledFor = evidence.stalledFor;
+    result.progressAge = evidence.progressAge;
+    return result;
+}
+
+TargetEvidence fromWire(const wire::EdgeTargetEvidence &evidence)
+{
+    TargetEvidence result;
+    result.target = static_cast<std::uint64_t>(evidence.target);
+    result.startedAt = evidence.startedAt;
+    result.stalledFlows = std::clamp(evidence.stalledFlows, 0, static_cast<int>(maxStallsPerTarget));
+    result.retransmissions = std::max(evidence.retransmissions, 0);
+    result.stalledFor = std::clamp<Time>(evidence.stalledFor, 0, minute);
+    result.progressAge = std::clamp<Time>(evidence.progressAge, -1, minute);
+    return result;
+}
+
+wire::EdgeLostTarget toWire(const LostTarget &lost)
+{
+    wire::EdgeLostTarget result;
+    result.target = static_cast<std::int64_t>(lost.target);
+    result.startedAt = lost.startedAt;
+    result.dataCentre = lost.dataCentre;
+    return result;
+}
+
+LostTarget fromWire(const wire::EdgeLostTarget &lost)
+{
+    return {static_cast<std::uint64_t>(lost.target), lost.startedAt, lost.dataCentre};
+}
+
 wire::EdgeKind::type toWire(FlowNoticeKind kind)
 {
     return std::ranges::find(noticeKinds, kind, &NoticeKindPair::kind)->wireKind;
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <pimentofold/targetloss/targetloss.h>
+
 namespace pimentofold {
 
 namespace {
@@ -176,6 +178,7 @@
     flow.openingPacket.clear();
     flow.openingPacket.shrink_to_fit();
     recordAnswer(target, now);
+    target.lastProgressAt = now;
     if (flow.dispatcher != 0) {
         forwarder.dispatcherMisses.erase(flow.dispatcher);
     }
@@ -249,6 +252,7 @@
             markFlowOpen(forwarder, packet.flow, *flow, *target, now, out);
         }
         const ActivityChange change = observePacket(flow->activity, packet);
+        observeForLoss(forwarder, packet, *flow, *target, change, now, out);
         if (packet.finishes || packet.resets) {
             endFlow(forwarder, packet.flow, *flow, now, out);
         } else if (flow->stage == FlowStage::Open) {
@@ -301,6 +305,7 @@
 {
     const Time pause = forwarder.lastRunAt == 0 ? 0 : now - forwarder.lastRunAt;
     forwarder.lastRunAt = now;
+    recordRun(forwarder, pause, now);
     if (pause <= forwarder.settings.pauseThreshold) {
         return 0;
     }
@@ -407,12 +412,14 @@
             findTarget(forwarder.table, ids[i])->owner = owner == forwarder.self.instance ? 0 : owner;
         }
     }
+    updateOwnership(forwarder, now);
 }
 
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
     runAnswerChecks(forwarder, now, out);
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
+    tickTargetLoss(forwarder, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
         updateDispatchers(forwarder, now);
     }
@@ -425,7 +432,7 @@
 Time nextForwarderTick(const EdgeForwarder &forwarder)
 {
     const Time check = forwarder.answerChecks.empty() ? never : forwarder.answerChecks.begin()->first;
-    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher)});
+    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher), nextLossTick(forwarder)});
 }
 
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -105,7 +105,7 @@
 
 bool isSuspected(const EdgeTarget &target, const PlacementSettings &settings)
 {
-    return target.unansweredOpenings >= settings.suspectThreshold;
+    return target.lostSince != never || target.unansweredOpenings >= settings.suspectThreshold;
 }
 
 } // namespace pimentofold
--- /dev/null
+++ b/src/libpimentofold/targetloss/targetloss_test.cpp
@@ -0,0 +1,589 @@
+#include <doctest/doctest.h>
+
+#include <functional>
+
+#include <libpimentofold/targetloss/losssim.h>
+#include <pimentofold/edgecodec.h>
+
+using namespace pimentofold;
+using namespace pimentofold::losssim;
+
+namespace {
+
+constexpr Time warmUp = 6 * second; // flows have started second requests by then
+constexpr Time afterLoss = 5 * second;
+
+void silence(Simulation &sim, std::uint64_t first, std::uint64_t last)
+{
+    for (std::uint64_t id = first; id <= last; ++id) {
+        sim.targets[id].silent = true;
+    }
+}
+
+SimCounts runPattern(SimOptions options)
+{
+    Simulation sim(options);
+    sim.runUntil(warmUp);
+    silence(sim, 1, options.targets / 5);
+    sim.runUntil(warmUp + afterLoss);
+    return sim.counts;
+}
+
+} // namespace
+
+// Guards against idle flows of silent targets that each lose their next request: 30 of 150 targets fall silent at once under
+// 2,200 persistent flows on 100 nodes.
+TEST_CASE("target loss: requests lost when 30 of 150 targets fall silent")
+{
+    SimOptions options;
+    options.enabled = false;
+    const SimCounts without = runPattern(options);
+    options.enabled = true;
+    const SimCounts with = runPattern(options);
+    MESSAGE("requests " << with.requests << ", lost without " << without.timeouts << ", with " << with.timeouts << ", resets " << with.resets << ", verdicts "
+                        << with.verdicts << ", first after " << (with.firstVerdictAt - warmUp) / millisecond << " ms, evidence messages "
+                        << with.evidenceMessages << ", broadcasts " << with.broadcasts);
+    CHECK(with.wrongResets == 0);
+    CHECK(with.verdicts == 30);
+    CHECK(with.firstVerdictAt < warmUp + second);
+    CHECK(without.timeouts > 300);
+    CHECK(with.timeouts * 5 < without.timeouts);
+}
+
+// Guards against resets of open flows whose target is alive, one row for each way in which flows stall on living targets.
+TEST_CASE("target loss: no flow of a living target is reset")
+{
+    struct Row {
+        std::string pattern;
+        std::function<void(SimOptions &)> prepare;
+        std::function<void(Simulation &)> act; ///< at the end of the warm-up
+    };
+    const auto nothing = [](Simulation &) {};
+    const Row rows[] = {
+        {"slow targets",
+         [](SimOptions &) {},
+         [](Simulation &sim) {
+             for (std::uint64_t id = 1; id <= 30; ++id) {
+                 sim.targets[id].serviceTime = 1800 * millisecond;
+             }
+         }},
+        {"slow targets behind a lossy path",
+         [](SimOptions &options) { options.pathLoss = 0.02; },
+         [](Simulation &sim) {
+             for (std::uint64_t id = 1; id <= 30; ++id) {
+                 sim.targets[id].serviceTime = 1800 * millisecond;
+             }
+         }},
+        {"targets that hang",
+         [](SimOptions &) {},
+         [](Simulation &sim) {
+             for (std::uint64_t id = 1; id <= 30; ++id) {
+                 sim.targets[id].hangs = true;
+             }
+         }},
+        {"lossy paths", [](SimOptions &options) { options.pathLoss = 0.1; }, nothing},
+        {"callers that can't be reached",
+         [](SimOptions &options) {
+             options.badCallers = 10;
+             options.badCallerLoss = 1;
+         },
+         nothing},
+        {"callers with lossy links",
+         [](SimOptions &options) {
+             options.badCallers = 10;
+             options.badCallerLoss = 0.5;
+         },
+         nothing},
+        {"nodes whose outgoing path is broken",
+         [](SimOptions &) {},
+         [](Simulation &sim) {
+             for (std::size_t n = 0; n < 10; ++n) {
+                 sim.nodes[n]->outboundBroken = true;
+             }
+         }},
+        {"nodes that were paused",
+         [](SimOptions &) {},
+         [](Simulation &sim) {
+             for (std::size_t n = 0; n < 40; ++n) {
+                 sim.nodes[n]->pausedUntil = sim.now + (50 + 40 * static_cast<Time>(n)) * millisecond;
+             }
+         }},
+        {"owners that were paused on a lossy path",
+         [](SimOptions &options) { options.pathLoss = 0.1; },
+         [](Simulation &sim) {
+             for (std::uint64_t id = 1; id <= sim.options.targets; ++id) {
+                 sim.nodes[sim.ownerOf(id)]->pausedUntil = sim.now + 230 * millisecond;
+             }
+         }},
+        {"flows that the router moves with each packet",
+         [](SimOptions &options) {
+             options.movesFlows = true;
+             options.pathLoss = 0.05;
+         },
+         nothing},
+        {"a data centre that is cut off", [](SimOptions &) {}, [](Simulation &sim) { sim.cut[0] = true; }},
+        {"a data centre that is cut off for a moment",
+         [](SimOptions &) {},
+         [](Simulation &sim) {
+             sim.cut[0] = true;
+             sim.at(sim.now + 700 * millisecond, [&sim] { sim.cut[0] = false; });
+         }},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        SimOptions options;
+        row.prepare(options);
+        Simulation sim(options);
+        sim.runUntil(warmUp);
+        row.act(sim);
+        sim.runUntil(warmUp + afterLoss);
+        MESSAGE(row.pattern << ": evidence " << sim.counts.evidenceMessages << ", verdicts " << sim.counts.verdicts << ", timeouts " << sim.counts.timeouts);
+        CHECK(sim.counts.wrongResets == 0);
+    }
+}
+
+// Guards against messages and resets where nothing can be gained: each flow carries one request.
+TEST_CASE("target loss: routes with one request for each flow cause no messages")
+{
+    SimOptions options;
+    options.oneRequestPerFlow = true;
+    const SimCounts counts = runPattern(options);
+    CHECK(counts.timeouts > 0);
+    CHECK(counts.evidenceMessages == 0);
+    CHECK(counts.broadcasts == 0);
+    CHECK(counts.resets == 0);
+}
+
+// Guards against requests that run twice: a flow with a request in progress that the caller may not repeat isn't reset.
+TEST_CASE("target loss: flows with an unsafe request in progress are left alone")
+{
+    for (const RouteType type : {RouteType::Unsafe, RouteType::Upload}) {
+        SimOptions options;
+        options.type = type;
+        const SimCounts counts = runPattern(options);
+        CHECK(counts.verdicts == 30);
+        CHECK(counts.resets > 100);
+        CHECK(counts.workingResets == 0);
+    }
+}
+
+// Guards against a loss that isn't seen because the owners of the targets are lost too, or because the broadcast is.
+TEST_CASE("target loss: owner lost, broadcast lost, targets of one data centre lost")
+{
+    struct Row {
+        std::string pattern;
+        bool dropsBroadcasts;
+        bool losesOwners;
+        bool oneDataCentre;
+    };
+    const Row rows[] = {
+        {"all first broadcasts lost", true, false, false},
+        {"owners lost", false, true, false},
+        {"most targets of one data centre", false, false, true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        SimOptions options;
+        options.dropsFirstBroadcasts = row.dropsBroadcasts;
+        Simulation sim(options);
+        sim.runUntil(warmUp);
+        if (row.losesOwners) {
+            for (std::uint64_t id = 1; id <= 30; ++id) {
+                sim.nodes[sim.ownerOf(id)]->alive = false;
+            }
+            sim.at(warmUp + 700 * millisecond, [&sim] { sim.updateMembers(); });
+        }
+        for (std::uint64_t id = 1; id <= 30; ++id) {
+            sim.targets[row.oneDataCentre ? 3 * id : id].silent = true;
+        }
+        sim.runUntil(warmUp + afterLoss);
+        MESSAGE(row.pattern << ": verdicts " << sim.counts.verdicts << ", timeouts " << sim.counts.timeouts << ", resets " << sim.counts.resets);
+        CHECK(sim.counts.wrongResets == 0);
+        CHECK(sim.counts.verdicts >= 30);
+        CHECK(sim.counts.resets > 200);
+    }
+}
+
+// Guards against messages that grow with the square of the number of nodes.
+TEST_CASE("target loss: messages at 100 and 1,000 nodes")
+{
+    SimOptions options;
+    const SimCounts small = runPattern(options);
+    options.nodes = 1'000;
+    options.targets = 1'500;
+    options.flows = 22'000;
+    const SimCounts large = runPattern(options);
+    MESSAGE("100 nodes: evidence " << small.evidenceMessages << ", broadcast to receivers " << small.broadcastMessages << "; 1,000 nodes: evidence "
+                                   << large.evidenceMessages << ", broadcast to receivers " << large.broadcastMessages);
+    CHECK(large.wrongResets == 0);
+    CHECK(large.evidenceMessages < 15 * small.evidenceMessages);
+}
+
+namespace {
+
+constexpr std::uint64_t judged = 3; ///< id of the target in the tests of verdicts
+constexpr Time start = 100 * second;
+
+TargetEvidence makeEvidence(int flows, int retransmissions)
+{
+    TargetEvidence evidence;
+    evidence.target = judged;
+    evidence.startedAt = 1;
+    evidence.stalledFlows = flows;
+    evidence.retransmissions = retransmissions;
+    evidence.stalledFor = 250 * millisecond;
+    return evidence;
+}
+
+struct Report {
+    TargetEvidence evidence;
+    Id node;
+    std::string dataCentre;
+};
+
+/// One owner, with ten targets of data centre dc1.
+struct Owner {
+    EdgeForwarder forwarder = testdata::makeForwarder(10, 0);
+    ForwardOutput out;
+
+    Owner()
+    {
+        forwarder.targetLoss.settings.enabled = true;
+        updateOwnership(forwarder, 0);
+        forwarder.targetLoss.verdicts.lastRunAt = start;
+        recordStoreContact(forwarder.targetLoss.verdicts, true, start, 0);
+    }
+
+    EdgeTarget &target()
+    {
+        return *findTarget(forwarder.table, judged);
+    }
+
+    void report(const Report &it, Time now)
+    {
+        handleEvidence(forwarder, std::vector<TargetEvidence>{it.evidence}, it.node, it.dataCentre, now, out);
+    }
+
+    void run(Time from, Time to)
+    {
+        for (Time now = from; now <= to; now += 20 * millisecond) {
+            tickTargetLoss(forwarder, now, out);
+        }
+    }
+
+    bool isLost()
+    {
+        return target().lostSince != never;
+    }
+};
+
+} // namespace
+
+// Guards against verdicts on evidence that doesn't suffice, each row one condition of the verdict.
+TEST_CASE("target loss: conditions of the verdict")
+{
+    struct Row {
+        std::string pattern;
+        std::vector<Report> reports;
+        std::function<void(Owner &)> act; ///< after the reports, 20 ms before the first tick
+        bool lost;
+    };
+    const auto nothing = [](Owner &) {};
+    const std::vector<Report> enough{{makeEvidence(2, 1), 5, "dc1"}, {makeEvidence(1, 1), 6, "dc2"}};
+    TargetEvidence earlierIncarnation = makeEvidence(2, 2);
+    earlierIncarnation.startedAt = 0;
+    TargetEvidence withProgress = makeEvidence(2, 2);
+    withProgress.progressAge = 100 * millisecond;
+    const Row rows[] = {
+        {"enough evidence", enough, nothing, true},
+        {"a second retransmission in place of a third flow", {{makeEvidence(1, 2), 5, "dc1"}, {makeEvidence(1, 1), 6, "dc2"}}, nothing, true},
+        {"two flows with one retransmission each", {{makeEvidence(1, 1), 5, "dc1"}, {makeEvidence(1, 1), 6, "dc2"}}, nothing, false},
+        {"an opening without an answer",
+         {{makeEvidence(1, 1), 5, "dc1"}, {makeEvidence(1, 1), 6, "dc2"}},
+         [](Owner &it) { it.target().unansweredOpenings = 1; },
+         true},
+        {"one node only", {{makeEvidence(5, 2), 5, "dc1"}}, nothing, false},
+        {"two data centres, and contact with the target's", {{makeEvidence(2, 1), 5, "dc2"}, {makeEvidence(1, 1), 6, "dc3"}}, nothing, true},
+        {"a single other data centre", {{makeEvidence(2, 1), 5, "dc2"}, {makeEvidence(1, 1), 6, "dc2"}}, nothing, false},
+        {"no contact with the target's data centre",
+         {{makeEvidence(2, 1), 5, "dc2"}, {makeEvidence(1, 1), 6, "dc3"}},
+         [](Owner &it) { it.forwarder.targetLoss.verdicts.dataCentre = "dc2"; },
+         false},
+        {"progress elsewhere since", enough, [](Owner &it) { it.target().lastProgressAt = start - 100 * millisecond; }, false},
+        {"progress after the evidence", enough, [](Owner &it) { it.target().lastProgressAt = start; }, false},
+        {"progress that a reporting node has seen", {{makeEvidence(2, 1), 5, "dc1"}, {withProgress, 6, "dc2"}}, nothing, false},
+        {"an earlier incarnation", {{earlierIncarnation, 5, "dc1"}, {earlierIncarnation, 6, "dc2"}}, nothing, false},
+        {"a target that has restarted since",
+         enough,
+         [](Owner &it) {
+             TargetRecord record = testdata::makeTarget(judged, 900);
+             record.startedAt = 2;
+             applyTarget(it.forwarder.table, record, start);
+         },
+         false},
+        {"a draining target",
+         enough,
+         [](Owner &it) {
+             TargetRecord record = testdata::makeTarget(judged, 900);
+             record.state = TargetState::Draining;
+             applyTarget(it.forwarder.table, record, start);
+         },
+         false},
+        {"a new owner", enough, [](Owner &it) { it.forwarder.targetLoss.verdicts.ownedSince[judged] = start; }, false},
+        {"no longer the owner", enough, [](Owner &it) { it.target().owner = 7; }, false},
+        {"an owner that was paused", enough, [](Owner &it) { recordRun(it.forwarder, second, start); }, false},
+        {"a target that has recovered lately", enough, [](Owner &it) { it.target().noVerdictUntil = start + 2 * second; }, false},
+        {"an entry that has just gone, on the evidence of one node",
+         {{makeEvidence(5, 2), 5, "dc1"}},
+         [](Owner &it) { removeTarget(it.forwarder.table, judged, 900, start - second); },
+         false},
+        {"an entry that is gone for long, on the evidence of one node",
+         {{makeEvidence(5, 2), 5, "dc1"}},
+         [](Owner &it) { removeTarget(it.forwarder.table, judged, 900, start - 6 * second); },
+         true},
+        {"an entry that has gone while the store failed",
+         {{makeEvidence(5, 2), 5, "dc1"}},
+         [](Owner &it) {
+             removeTarget(it.forwarder.table, judged, 900, start - 6 * second);
+             recordStoreContact(it.forwarder.targetLoss.verdicts, false, start - 6 * second, start - 3 * second);
+             recordStoreContact(it.forwarder.targetLoss.verdicts, true, start, start - second);
+         },
+         false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        Owner owner;
+        for (const Report &it : row.reports) {
+            owner.report(it, start);
+        }
+        row.act(owner);
+        owner.run(start + 20 * millisecond, start + 280 * millisecond);
+        CHECK(owner.isLost() == row.lost);
+    }
+}
+
+// Guards against verdicts from evidence that waited in the owner's socket during a pause too short to be detected: the progress
+// that was reported meanwhile is read only after the timer has expired.
+TEST_CASE("target loss: a short pause of the owner delays the verdict")
+{
+    Owner owner;
+    owner.report({makeEvidence(2, 1), 5, "dc1"}, start);
+    owner.report({makeEvidence(1, 1), 6, "dc2"}, start);
+    owner.run(start + 20 * millisecond, start + 40 * millisecond);
+    owner.run(start + 200 * millisecond, start + 200 * millisecond);
+    CHECK_FALSE(owner.isLost());
+    owner.run(start + 220 * millisecond, start + 300 * millisecond);
+    CHECK(owner.isLost());
+}
+
+// Guards against idle flows that stay on a target that has left, and against resets while an entry is missing only because the
+// store failed.
+TEST_CASE("target loss: targets whose entries are gone")
+{
+    struct Row {
+        std::string pattern;
+        Time storeSince;
+        Time confirmedAt; ///< relative to the removal
+        Time progressAt; ///< relative to the removal
+        std::uint64_t removed; ///< number of targets of the data centre that are gone
+        bool lost;
+    };
+    const Row rows[] = {
+        {"the store answers", -10 * second, 6 * second, -second, 1, true},
+        {"the store has answered for too short a time", 2 * second, 6 * second, -second, 1, false},
+        {"nothing was confirmed for long", -10 * second, 4 * second, -second, 1, false},
+        {"progress since the removal", -10 * second, 6 * second, second, 1, false},
+        {"most entries of the data centre", -10 * second, 6 * second, -second, 6, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        Owner owner;
+        const Time removedAt = start - 6 * second;
+        for (std::uint64_t id = judged; id < judged + row.removed; ++id) {
+            removeTarget(owner.forwarder.table, id, 900, removedAt);
+        }
+        owner.target().openFlows = 1;
+        owner.target().lastProgressAt = removedAt + row.progressAt;
+        owner.forwarder.targetLoss.secondRequestAt[testdata::shopAddress] = start;
+        owner.forwarder.targetLoss.verdicts.store = {removedAt + row.storeSince, removedAt + row.confirmedAt};
+        owner.run(start, start);
+        CHECK(owner.isLost() == row.lost);
+    }
+    // The entry comes back: the verdict is withdrawn.
+    Owner owner;
+    removeTarget(owner.forwarder.table, judged, 900, start - second);
+    owner.target().lostSince = start;
+    owner.forwarder.targetLoss.lost.insert(judged);
+    applyTarget(owner.forwarder.table, testdata::makeTarget(judged, 901), start + second);
+    owner.run(start + second, start + second);
+    CHECK_FALSE(owner.isLost());
+    CHECK(owner.forwarder.targetLoss.lost.empty());
+}
+
+namespace {
+
+FlowPacket makePacket(std::uint16_t port, std::uint32_t sequence, std::uint16_t payloadBytes, std::uint32_t acknowledgement)
+{
+    FlowPacket packet = testdata::makeData(port, tokenOf(judged));
+    packet.sequence = sequence;
+    packet.payloadBytes = payloadBytes;
+    packet.acknowledgement = acknowledgement;
+    return packet;
+}
+
+/// A node with a flow that has had two requests; the second one ended at `start` - second.
+struct Holder : Owner {
+    Holder()
+    {
+        send(1, 180, 900, start - 3 * second);
+        send(181, 0, 2100, start - 3 * second + 30 * millisecond);
+        send(181, 180, 2100, start - second - 30 * millisecond);
+        send(361, 0, 3300, start - second);
+        out = {};
+    }
+
+    void send(std::uint32_t sequence, std::uint16_t payloadBytes, std::uint32_t acknowledgement, Time now)
+    {
+        handlePacket(forwarder, makePacket(1, sequence, payloadBytes, acknowledgement), now, out);
+    }
+
+    void receiveVerdict(std::int64_t startedAt, Time now)
+    {
+        handleLostTargets(forwarder, std::vector<LostTarget>{{judged, startedAt, ""}}, now, out);
+    }
+};
+
+} // namespace
+
+// Guards against resets by a verdict that no longer holds at this node, and against missing ones.
+TEST_CASE("target loss: a verdict at a node that holds a flow")
+{
+    struct Row {
+        std::string pattern;
+        std::function<void(Holder &)> before;
+        std::function<void(Holder &)> after;
+        std::size_t resets;
+    };
+    const auto nothing = [](Holder &) {};
+    const auto lost = [](Holder &it) { it.receiveVerdict(1, start); };
+    const Row rows[] = {
+        {"an idle flow", lost, nothing, 1},
+        {"a request in progress",
+         [](Holder &it) {
+             it.send(361, 180, 3300, start - 100 * millisecond);
+             it.receiveVerdict(1, start);
+         },
+         nothing,
+         1},
+        {"a request that starts before the reset", lost, [](Holder &it) { it.send(361, 180, 3300, start + 1); }, 1},
+        {"another incarnation", [](Holder &it) { it.receiveVerdict(2, start); }, nothing, 0},
+        {"the target has made progress lately",
+         [](Holder &it) {
+             it.target().lastProgressAt = start - 200 * millisecond;
+             it.receiveVerdict(1, start);
+         },
+         nothing,
+         0},
+        {"the target makes progress before the reset", lost, [](Holder &it) { it.target().lastProgressAt = start + 1; }, 0},
+        {"the flow has ended",
+         lost,
+         [](Holder &it) {
+             FlowPacket end = makePacket(1, 361, 0, 3300);
+             end.finishes = true;
+             handlePacket(it.forwarder, end, start + 1, it.out);
+         },
+         0},
+        {"the node was paused",
+         [](Holder &it) {
+             recordRun(it.forwarder, second, start - millisecond);
+             it.receiveVerdict(1, start);
+         },
+         nothing,
+         0},
+        {"the node is paused before the reset", lost, [](Holder &it) { recordRun(it.forwarder, second, start + 1); }, 0},
+        {"a flow of the route has had no second request",
+         [](Holder &it) {
+             it.forwarder.targetLoss.secondRequestAt.clear();
+             it.receiveVerdict(1, start);
+         },
+         nothing,
+         0},
+        {"the part is off",
+         [](Holder &it) {
+             it.forwarder.targetLoss.settings.enabled = false;
+             it.receiveVerdict(1, start);
+         },
+         nothing,
+         0},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        Holder holder;
+        row.before(holder);
+        row.after(holder);
+        holder.run(start + 20 * millisecond, start + 400 * millisecond);
+        REQUIRE(holder.out.resets.size() == row.resets);
+        if (row.resets > 0) {
+            CHECK(holder.out.resets.front().sequence == 3300);
+        }
+    }
+}
+
+// Guards against stalls that this node can't know of, or that a duplicate, a late packet or a living target explains.
+TEST_CASE("target loss: stalls of one flow")
+{
+    struct Step {
+        Time at; ///< milliseconds
+        std::uint32_t sequence;
+        std::uint16_t payloadBytes;
+        std::uint32_t acknowledgement;
+        bool stalled;
+        bool progressed;
+    };
+    struct Row {
+        std::string pattern;
+        std::vector<Step> steps;
+    };
+    const Row rows[] = {
+        {"retransmissions", {{0, 1, 180, 900, false, false}, {200, 1, 180, 900, true, false}, {600, 1, 180, 900, true, false}}},
+        {"a duplicate", {{0, 1, 180, 900, false, false}, {100, 1, 180, 900, false, false}}},
+        {"only the retransmission came through this node", {{200, 1, 180, 900, false, false}}},
+        {"progress before the retransmission", {{0, 1, 180, 900, false, false}, {100, 181, 0, 2100, false, true}, {200, 1, 180, 900, false, false}}},
+        {"a retransmission with a higher acknowledgement", {{0, 1, 180, 900, false, false}, {200, 1, 180, 2100, false, true}}},
+        {"an old acknowledgement", {{0, 181, 0, 2100, false, false}, {1, 181, 0, 900, false, false}}},
+        {"sequence numbers wrap around",
+         {{0, 0xffffff00, 0x180, 0xfffffff0, false, false}, {200, 0xffffff00, 0x180, 0xfffffff0, true, false}, {300, 0x80, 0, 0x10, false, true}}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        FlowProgress progress;
+        for (const Step &it : row.steps) {
+            CAPTURE(it.at);
+            const ProgressObservation seen =
+                observeProgress(progress, makePacket(1, it.sequence, it.payloadBytes, it.acknowledgement), true, it.at * millisecond);
+            CHECK(seen.stalled == it.stalled);
+            CHECK(seen.progressed == it.progressed);
+        }
+    }
+    // More packets than the caller's window holds: the first one was acknowledged.
+    FlowProgress progress;
+    for (std::uint32_t n = 0; n <= maxPacketsInFlight; ++n) {
+        CHECK(observeProgress(progress, makePacket(1, 1 + n * 1200, 1200, 900), true, 0).progressed == (n == maxPacketsInFlight));
+    }
+}
+
+// Guards against messages that another node reads differently, and against numbers out of range.
+TEST_CASE("target loss: evidence and verdicts on the wire")
+{
+    TargetEvidence evidence = makeEvidence(3, 2);
+    evidence.target = 0xfedcba9876543210;
+    evidence.progressAge = -1;
+    CHECK(fromWire(toWire(evidence)) == evidence);
+    const LostTarget lost{0xfedcba9876543210, 5, "dc2"};
+    CHECK(fromWire(toWire(lost)) == lost);
+    wire::EdgeTargetEvidence invalid = toWire(evidence);
+    invalid.stalledFlows = 1'000'000;
+    invalid.stalledFor = -5;
+    CHECK(fromWire(invalid).stalledFlows == static_cast<int>(maxStallsPerTarget));
+    CHECK(fromWire(invalid).stalledFor == 0);
+}
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -55,6 +55,9 @@
     target.record = record;
     if (!sameIncarnation) {
         resetObservations(target);
+    } else if (!target.registered) {
+        // The target has written its entry again, so it is alive.
+        target.lastProgressAt = now;
     }
     target.registered = true;
     target.warmupEndsAt = now + record.warmup;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <pimentofold-edge/edgelog.h>
+#include <pimentofold/targetloss/targetloss.h>
 #include <platform/packetcodec.h>
 
 namespace pimentofold {
@@ -19,6 +20,9 @@
 // The process ends this long before the platform's stop limit, so that the platform doesn't kill it.
 constexpr Time stopReserve = second;
 
+// So that the verdicts of one message fit into a datagram.
+constexpr std::size_t maxVerdictsPerMessage = 30;
+
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 
@@ -68,6 +72,7 @@
     m_forwarder.settings = options.forward;
     m_forwarder.dispatcher.settings = options.dispatch;
     m_replication.settings = options.replication;
+    m_forwarder.targetLoss.settings = options.targetLoss;
     if (options.metricsPort != 0) {
         m_metricsServer = std::make_unique<HttpResponderServer>(Address{settings.packetAddress.ip, options.metricsPort},
                                                                 [this](const HttpRequest &) { return metricsResponse(); });
@@ -112,6 +117,7 @@
     const FlowCounts counts = countFlows(table);
     setGauge(m_metrics, "target_flows_working", counts.working);
     setGauge(m_metrics, "target_flows_idle", counts.idle);
+    setGauge(m_metrics, "targets_lost", static_cast<double>(m_forwarder.targetLoss.lost.size()));
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
     counter(m_metrics, "store_calls_total") = m_store.callCount();
@@ -172,6 +178,56 @@
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
+    sendLossMessages(out);
+    for (const LossEventRecord &it : out.lossEvents) {
+        recordLossEvent(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
+    }
+}
+
+void Edge::sendLossMessages(const ForwardOutput &out)
+{
+    for (const EvidenceMessage &it : out.evidence) {
+        wire::EdgeMessage message = newMessage(wire::EdgeKind::TargetSuspected);
+        std::vector<wire::EdgeTargetEvidence> entries;
+        for (const TargetEvidence &entry : it.evidence) {
+            entries.push_back(toWire(entry));
+        }
+        message.__set_evidence(entries);
+        m_peers.send(message, it.owner);
+    }
+    for (std::size_t begin = 0; begin < out.lostTargets.size(); begin += maxVerdictsPerMessage) {
+        wire::EdgeMessage message = newMessage(wire::EdgeKind::TargetLost);
+        std::vector<wire::EdgeLostTarget> entries;
+        for (std::size_t i = begin; i < std::min(begin + maxVerdictsPerMessage, out.lostTargets.size()); ++i) {
+            entries.push_back(toWire(out.lostTargets[i]));
+        }
+        message.__set_lostTargets(entries);
+        // Another value than that of the previous broadcast, so that a repetition takes other relays.
+        m_peers.broadcast(message, m_lossBroadcasts++);
+    }
+}
+
+void Edge::onTargetSuspected(const wire::EdgeMessage &message, Time now)
+{
+    std::vector<TargetEvidence> evidence;
+    for (const wire::EdgeTargetEvidence &it : message.evidence) {
+        evidence.push_back(fromWire(it));
+    }
+    ForwardOutput out;
+    handleEvidence(m_forwarder, evidence, message.sender, m_peers.dataCentreOf(message.sender), now, out);
+    send(out, now);
+}
+
+void Edge::onTargetLost(const wire::EdgeMessage &message, Time now)
+{
+    m_peers.relayBroadcast(message);
+    std::vector<LostTarget> lost;
+    for (const wire::EdgeLostTarget &it : message.lostTargets) {
+        lost.push_back(fromWire(it));
+    }
+    ForwardOutput out;
+    handleLostTargets(m_forwarder, lost, now, out);
+    send(out, now);
 }
 
 void Edge::sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target)
@@ -225,6 +281,9 @@
 {
     const Time now = monotonicNow();
     checkForPause(now);
+    if (m_forwarder.targetLoss.settings.enabled) {
+        recordContact(m_forwarder.targetLoss.verdicts, m_peers.dataCentreOf(message.sender), now);
+    }
     switch (message.kind) {
     case wire::EdgeKind::Beat:
         onHeartbeat(message, from, now);
@@ -250,6 +309,12 @@
     case wire::EdgeKind::Ended:
         onFlowNotice(message, now);
         break;
+    case wire::EdgeKind::TargetSuspected:
+        onTargetSuspected(message, now);
+        break;
+    case wire::EdgeKind::TargetLost:
+        onTargetLost(message, now);
+        break;
     default:
         break;
     }
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -61,6 +61,10 @@
     void onChanges(const wire::EdgeMessage &message, Time now);
     void onPlaceRequest(const wire::EdgeMessage &message, Time now);
     void onFlowNotice(const wire::EdgeMessage &message, Time now);
+    /// Sends evidence against targets to their owners, and verdicts to all nodes.
+    void sendLossMessages(const ForwardOutput &out);
+    void onTargetSuspected(const wire::EdgeMessage &message, Time now);
+    void onTargetLost(const wire::EdgeMessage &message, Time now);
     void sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
     /// @param acceptLarge whether the peer should send its changes even if they take more than maxParts datagrams
@@ -110,6 +114,7 @@
     std::int64_t m_heartbeatConfigRevision = 0; ///< revision of the configuration at this node's last heartbeat
     std::size_t m_initialFetches = 0; ///< number of requests for an initial state
     std::size_t m_heartbeatsSent = 0; ///< selects the relays of a broadcast
+    std::size_t m_lossBroadcasts = 0; ///< selects the relays of a broadcast of lost targets
     Time m_storeReadAt = 0; ///< when the store was last read because a peer had too many changes to send
 };
 
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -48,4 +48,28 @@
               {"held_back", takeHeldCount(budget, event)}});
 }
 
+void recordLossEvent(EventLog &log, LogBudget &budget, Metrics &metrics, const TargetTable &table, const LossEventRecord &note, Time now)
+{
+    const std::string_view event = name(note.event);
+    if (note.event == LossEvent::FlowReset) {
+        count(metrics, "flows_reset_total{reason=\"" + std::string(name(note.reason)) + "\"}");
+    } else if (note.event == LossEvent::Lost) {
+        count(metrics, "targets_lost_total");
+    }
+    if (!takeLogShare(budget, event, now)) {
+        return;
+    }
+    const EdgeTarget *target = findTarget(table, note.target);
+    logEvent(log,
+             event,
+             {{"target", target == nullptr ? "none" : target->record.name},
+              {"flow", note.event == LossEvent::FlowReset ? flowName(note.flow) : "none"},
+              {"reason", note.event == LossEvent::FlowReset ? name(note.reason) : "none"},
+              {"data_centre", target == nullptr ? "" : target->record.dataCentre},
+              {"unreachable_from", note.dataCentre},
+              {"stalled_flows", note.stalledFlows},
+              {"registered", target != nullptr && target->registered ? 1 : 0},
+              {"held_back", takeHeldCount(budget, event)}});
+}
+
 } // namespace pimentofold
--- a/src/pimentofold-edge/edgelog.h
+++ b/src/pimentofold-edge/edgelog.h
@@ -19,4 +19,7 @@
 /// @param now time for the log budget
 void recordForwardNote(EventLog &log, LogBudget &budget, Metrics &metrics, const TargetTable &table, const ForwardEventRecord &note, Time now);
 
+/// Counts and logs an event on lost targets, within the log budget.
+void recordLossEvent(EventLog &log, LogBudget &budget, Metrics &metrics, const TargetTable &table, const LossEventRecord &note, Time now);
+
 } // namespace pimentofold
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -41,6 +41,7 @@
     readMilliseconds(top, "waitLimitMs", options.dispatch.maxWaitTime);
     readCount(top, "mostWaiting", maxEntries, options.dispatch.maxWaitingFlows);
     readMilliseconds(top, "beatIntervalMs", options.replication.heartbeatInterval);
+    options.targetLoss.enabled = takeBoolean(top, "targetLoss", options.targetLoss.enabled);
     readMilliseconds(top, "beatSilenceMs", options.replication.heartbeatTimeout);
     finishSettings(top);
     return options;
--- a/src/pimentofold-edge/edgeoptions_test.cpp
+++ b/src/pimentofold-edge/edgeoptions_test.cpp
@@ -17,6 +17,8 @@
     const EdgeOptions shipped = parseEdgeOptions(readSettings(PIMENTOFOLD_SOURCE_DIR "/deploy/edge.json"));
     CHECK(shipped.dispatch.flowsPerSlot == DispatchSettings().flowsPerSlot);
     CHECK(shipped.replication.heartbeatTimeout == ReplicationSettings().heartbeatTimeout);
+    CHECK_FALSE(parseEdgeOptions(parseSettings("{}", "f")).targetLoss.enabled);
+    CHECK(shipped.targetLoss.enabled);
     struct Row {
         std::string text;
         std::string field;
@@ -26,6 +28,7 @@
         {R"({"mostFlows": 0})", "mostFlows"},
         {R"({"flowsPerSlot": "two"})", "flowsPerSlot"},
         {R"({"beatIntervalMs": -1})", "beatIntervalMs"},
+        {R"({"targetLoss": 1})", "targetLoss"},
         {R"({"unknown": 1})", "unknown"},
     };
     for (const Row &row : rows) {
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -15,6 +15,9 @@
 // since requests from all nodes of a large fleet would saturate the network link of one small instance.
 constexpr std::size_t maxParts = 60;
 
+// The store counts as not answering when nothing was confirmed for this long: two heartbeats and a call that waits for a change.
+constexpr Time storeSilence = 2 * second;
+
 } // namespace
 
 void Edge::configureReplication()
@@ -162,6 +165,12 @@
     if (m_store.isWatching()) {
         refreshStoreHealth(now);
     }
+    if (m_forwarder.targetLoss.settings.enabled) {
+        const bool confirmed = m_replication.confirmedAt > 0 && now - m_replication.confirmedAt <= storeSilence;
+        const bool answering =
+            confirmed && (m_replication.leading ? m_replication.storeHealth == StoreHealth::Answering : m_replication.failureReportedAt == never);
+        recordStoreContact(m_forwarder.targetLoss.verdicts, answering, m_replication.confirmedAt, now);
+    }
     const bool lead = shouldLead(m_replication, m_peers.rankBy(leaderOrder), now);
     if (lead != m_replication.leading) {
         m_replication.leading = lead;
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -192,6 +192,12 @@
     return keys;
 }
 
+std::string PeerTransport::dataCentreOf(Id member) const
+{
+    const auto it = m_membership.members.find(member);
+    return it == m_membership.members.end() ? std::string() : it->second.dataCentre;
+}
+
 int PeerTransport::rankBy(const std::function<std::uint64_t(Id)> &order) const
 {
     const std::uint64_t own = order(m_membership.self.key.instance);
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -60,6 +60,8 @@
     InstanceKey self() const;
     /// @return the live members, including this node
     std::vector<InstanceKey> members() const;
+    /// @return data centre of a member, whatever its state; empty for an unknown one
+    std::string dataCentreOf(Id member) const;
     /// @param order sort key of a node
     /// @return number of live members whose sort key is lower than this node's
     int rankBy(const std::function<std::uint64_t(Id)> &order) const;
