Check evidence against the requests in progress at the owner

Cause: simulated random faults reset flows of a target that hangs, and of one that only unreachable callers used. Change: half of the overdue requests at the target have to stall, from two callers that get answers elsewhere; progress has to be known without a gap since the stalls began.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -62,6 +62,7 @@
     bool waitedLong = false; ///< waited so long for room that the caller may have given up before the offer
     bool openedElsewhere = false; ///< the caller has continued the flow through another node than the one that requested placement
     Time placedAt = 0; ///< time of the last offer, or of the first report
+    Time answeredAt = 0; ///< when the last answer was reported; 0: never
     Time loadChangedAt = 0; ///< when `load` was last changed or confirmed
 };
 
--- a/src/include/pimentofold/targetloss/lossverdict.h
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <pimentofold/targetloss/lossmessages.h>
+#include <pimentofold/targetloss/worksummary.h>
 #include <pimentofold/targettable.h>
 
 /// Verdict of a target's owner on evidence from all nodes.
@@ -32,7 +33,8 @@
     Time reportSlack = 10 * millisecond;
     Time minOwnership = 300 * millisecond; ///< a new owner doesn't know the progress of requests that started before
     Time recoveryHold = 2 * second; ///< no verdict on a target for this long after it has recovered
-    Time contactAge = 250 * millisecond; ///< a data centre is in contact when one of its nodes was heard within this time
+    /// A data centre is in contact while its nodes are heard without longer gaps. Its nodes would have reported progress.
+    Time contactAge = 250 * millisecond;
     /// An entry that was removed while the store answers comes back within 2 s if the target is alive. The node that follows
     /// the store notices a silent store up to 3 s later.
     Time removalProofTime = 5 * second;
@@ -70,6 +72,12 @@
     bool repeated = false;
 };
 
+/// Messages from the nodes of one data centre.
+struct DataCentreContact {
+    Time heardAt = 0; ///< last message
+    Time since = 0; ///< start of the period without gaps longer than contactAge
+};
+
 /// What this node knows of the store.
 struct StoreContact {
     Time answeringSince = never; ///< never: the store doesn't answer
@@ -82,7 +90,7 @@
     std::string dataCentre; ///< of this node
     std::map<std::uint64_t, SuspectedTarget> suspected; ///< by target
     std::unordered_map<std::uint64_t, Time> ownedSince; ///< by target; only those that this node owns
-    std::map<std::string, Time> heardAt; ///< by data centre: last message of one of its nodes
+    std::map<std::string, DataCentreContact> contacts; ///< by data centre
     std::vector<PendingVerdict> pending;
     Time nextBroadcastAt = 0; ///< no broadcast before this time
     StoreContact store;
@@ -90,6 +98,12 @@
     Time nextRemovalScanAt = 0;
 };
 
+/// What tickVerdicts() asks about the flows of this node.
+struct VerdictQueries {
+    std::function<bool(const std::string &service)> keepsFlows; ///< whether the flows of a service carry more than one request
+    std::function<WorkSummary()> work; ///< requests in progress on the targets that this node owns
+};
+
 /// A decision of tickVerdicts().
 struct VerdictOutput {
     std::vector<LostTarget> verdicts; ///< new ones, in force at this node now
@@ -114,8 +128,7 @@
 void clearVerdicts(LossVerdicts &verdicts);
 
 /// Decides on suspected targets and on those whose entries are gone.
-/// @param keepsFlows returns whether the flows of a service carry more than one request
-VerdictOutput tickVerdicts(LossVerdicts &verdicts, TargetTable &table, const std::function<bool(const std::string &service)> &keepsFlows, Time now);
+VerdictOutput tickVerdicts(LossVerdicts &verdicts, TargetTable &table, const VerdictQueries &queries, Time now);
 
 /// @return whether tickVerdicts() has to be called soon
 bool hasOpenCases(const LossVerdicts &verdicts);
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -219,6 +219,7 @@
     removeFromLoad(table, *placed);
     placed->target = notice.target;
     placed->answered = true;
+    placed->answeredAt = now;
     setLoad(table, *placed, FlowLoad::Idle, idleLoadOf(dispatcher, notice.flow), now);
     placeWaiting(dispatcher, table, now, out);
 }
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -25,7 +25,15 @@
     return target.registered && target.record.state == TargetState::Draining;
 }
 
-/// Evidence older than the last progress says nothing about the target as it is now.
+/// @return start of the time in which progress at the nodes of the data centre would have been reported here
+Time contactStart(const LossVerdicts &verdicts, const std::string &dataCentre)
+{
+    const auto it = verdicts.contacts.find(dataCentre);
+    return dataCentre == verdicts.dataCentre || it == verdicts.contacts.end() ? 0 : it->second.since;
+}
+
+/// Evidence older than the last progress says nothing about the target as it is now. Progress since a stall that began before
+/// the contact with the target's data centre may have been missed.
 void dropOutdatedReports(const LossVerdicts &verdicts, SuspectedTarget &suspect, const EdgeTarget &target, Time now)
 {
     std::erase_if(suspect.reports, [&](const LossReport &it) {
@@ -33,16 +41,25 @@
         if (contradicted) {
             suspect.contradictedAt = now;
         }
-        return contradicted || now - it.receivedAt > verdicts.settings.reportLifetime;
+        const bool outOfContact = it.since < contactStart(verdicts, target.record.dataCentre);
+        return contradicted || outOfContact || now - it.receivedAt > verdicts.settings.reportLifetime;
     });
 }
 
-int pointsOf(const SuspectedTarget &suspect, const EdgeTarget &target)
+int stalledFlowsOf(const SuspectedTarget &suspect)
 {
     int flows = 0;
-    int retransmissions = 0;
     for (const LossReport &it : suspect.reports) {
         flows += it.stalledFlows;
+    }
+    return flows;
+}
+
+int pointsOf(const SuspectedTarget &suspect, const EdgeTarget &target)
+{
+    const int flows = stalledFlowsOf(suspect);
+    int retransmissions = 0;
+    for (const LossReport &it : suspect.reports) {
         retransmissions = std::max(retransmissions, it.retransmissions);
     }
     return flows == 0 ? 0 : flows + (retransmissions > 1 ? 1 : 0) + (target.unansweredOpenings > 0 ? 1 : 0);
@@ -58,14 +75,14 @@
     return std::min(verdicts.store.confirmedAt, now) - since >= verdicts.settings.removalProofTime;
 }
 
-/// @return whether a node of the data centre, which would have reported progress, was heard lately
+/// @return whether nodes of the data centre have been heard without a gap since @p since
 bool isInContact(const LossVerdicts &verdicts, const std::string &dataCentre, Time since, Time now)
 {
     if (dataCentre == verdicts.dataCentre) {
         return true;
     }
-    const auto heard = verdicts.heardAt.find(dataCentre);
-    return heard != verdicts.heardAt.end() && heard->second > since && now - heard->second <= verdicts.settings.contactAge;
+    const auto it = verdicts.contacts.find(dataCentre);
+    return it != verdicts.contacts.end() && it->second.since <= since && now - it->second.heardAt <= verdicts.settings.contactAge;
 }
 
 /// @return whether most targets of a data centre are suspected or have no entry, so that the whole data centre may be cut off
@@ -108,14 +125,11 @@
 bool isSilentEverywhere(const LossVerdicts &verdicts, const TargetTable &table, const SuspectedTarget &suspect, const EdgeTarget &target, Time now)
 {
     const std::string &own = target.record.dataCentre;
-    if (hasReportFrom(suspect, own)) {
-        return true;
-    }
-    Time since = 0;
-    for (const LossReport &it : suspect.reports) {
-        since = std::max(since, it.since);
+    const Time since = std::ranges::min_element(suspect.reports, {}, &LossReport::since)->since;
+    if (!isInContact(verdicts, own, since, now)) {
+        return false;
     }
-    return dataCentreCount(suspect) > 1 && isInContact(verdicts, own, since, now) && !isMostlySuspected(verdicts, table, own, now);
+    return hasReportFrom(suspect, own) || (dataCentreCount(suspect) > 1 && !isMostlySuspected(verdicts, table, own, now));
 }
 
 SuspectCounts countSuspects(const LossVerdicts &verdicts, Time now)
@@ -186,7 +200,7 @@
     verdicts.pending.push_back({lost, now + verdicts.settings.verdictJoinTime, false});
 }
 
-void judgeSuspects(LossVerdicts &verdicts, TargetTable &table, bool ranRegularly, VerdictOutput &out, Time now)
+void judgeSuspects(LossVerdicts &verdicts, TargetTable &table, const VerdictQueries &queries, bool ranRegularly, VerdictOutput &out, Time now)
 {
     for (auto &[id, suspect] : verdicts.suspected) {
         if (const EdgeTarget *target = findTarget(table, id)) {
@@ -194,10 +208,16 @@
         }
     }
     const bool callersFault = isCallersFault(verdicts, countSuspects(verdicts, now));
+    std::optional<WorkSummary> work;
+    const auto hasConsistentWork = [&](std::uint64_t id, const SuspectedTarget &suspect) {
+        // Few targets come this far, so the flows are counted only here.
+        work = work ? std::move(work) : std::optional(queries.work());
+        return isWorkConsistent(*work, id, stalledFlowsOf(suspect));
+    };
     for (auto &[id, suspect] : verdicts.suspected) {
         EdgeTarget *target = findTarget(table, id);
         const bool judged = target != nullptr && !suspect.reports.empty() && !callersFault && target->record.startedAt == suspect.startedAt
-            && mayJudge(verdicts, *target, now) && isEvidenceSufficient(verdicts, suspect, *target, now);
+            && mayJudge(verdicts, *target, now) && isEvidenceSufficient(verdicts, suspect, *target, now) && hasConsistentWork(id, suspect);
         const bool lost = judged && isSilentEverywhere(verdicts, table, suspect, *target, now);
         const bool mayBeUnreachable = judged && !lost && now >= suspect.unreachableUntil;
         const std::optional<std::string> from = mayBeUnreachable ? onlyDataCentre(suspect, *target) : std::nullopt;
@@ -218,7 +238,7 @@
 }
 
 /// Verdict without stalls on targets whose entries are gone, for their idle flows.
-void judgeRemoved(LossVerdicts &verdicts, TargetTable &table, const std::function<bool(const std::string &)> &keepsFlows, VerdictOutput &out, Time now)
+void judgeRemoved(LossVerdicts &verdicts, TargetTable &table, const VerdictQueries &queries, VerdictOutput &out, Time now)
 {
     if (now < verdicts.nextRemovalScanAt || verdicts.store.answeringSince == never) {
         return;
@@ -231,8 +251,8 @@
         }
         const std::string &dataCentre = target->record.dataCentre;
         const bool silent = target->lastProgressAt <= target->removedAt;
-        if (silent && isRemovalProven(verdicts, *target, now) && keepsFlows(target->record.service) && isInContact(verdicts, dataCentre, target->removedAt, now)
-            && !isMostlySuspected(verdicts, table, dataCentre, now)) {
+        if (silent && isRemovalProven(verdicts, *target, now) && queries.keepsFlows(target->record.service)
+            && isInContact(verdicts, dataCentre, now - verdicts.settings.removalProofTime, now) && !isMostlySuspected(verdicts, table, dataCentre, now)) {
             target->lostSince = now;
             announce(verdicts, makeVerdict(*target, ""), out, now);
         }
@@ -279,7 +299,11 @@
 
 void recordContact(LossVerdicts &verdicts, const std::string &dataCentre, Time now)
 {
-    verdicts.heardAt[dataCentre] = now;
+    DataCentreContact &it = verdicts.contacts[dataCentre];
+    if (now - it.heardAt > verdicts.settings.contactAge) {
+        it.since = now;
+    }
+    it.heardAt = now;
 }
 
 void recordStoreContact(LossVerdicts &verdicts, bool answering, Time confirmedAt, Time now)
@@ -328,17 +352,17 @@
 {
     verdicts.suspected.clear();
     verdicts.pending.clear();
-    verdicts.heardAt.clear();
+    verdicts.contacts.clear();
     verdicts.store.answeringSince = never;
 }
 
-VerdictOutput tickVerdicts(LossVerdicts &verdicts, TargetTable &table, const std::function<bool(const std::string &)> &keepsFlows, Time now)
+VerdictOutput tickVerdicts(LossVerdicts &verdicts, TargetTable &table, const VerdictQueries &queries, Time now)
 {
     VerdictOutput out;
     const bool ranRegularly = verdicts.lastRunAt == 0 || now - verdicts.lastRunAt <= verdicts.settings.maxRunGap;
     verdicts.lastRunAt = now;
-    judgeSuspects(verdicts, table, ranRegularly, out, now);
-    judgeRemoved(verdicts, table, keepsFlows, out, now);
+    judgeSuspects(verdicts, table, queries, ranRegularly, out, now);
+    judgeRemoved(verdicts, table, queries, out, now);
     collectBroadcasts(verdicts, table, out, now);
     return out;
 }
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -208,8 +208,12 @@
 void giveVerdicts(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
     TargetLoss &loss = forwarder.targetLoss;
-    const auto keeps = [&](const std::string &service) { return serviceKeepsFlows(forwarder, service, now); };
-    VerdictOutput decided = tickVerdicts(loss.verdicts, forwarder.table, keeps, now);
+    const VerdictQueries queries{[&](const std::string &service) { return serviceKeepsFlows(forwarder, service, now); },
+                                 [&] {
+                                     const auto keeps = [&](const Address &service) { return keepsFlows(forwarder, service, now); };
+                                     return summarizeWork(forwarder.dispatcher, keeps, now);
+                                 }};
+    VerdictOutput decided = tickVerdicts(loss.verdicts, forwarder.table, queries, now);
     std::set<std::uint64_t> targets;
     for (const LostTarget &it : decided.verdicts) {
         LossEventRecord event = makeEvent(it.dataCentre.empty() ? LossEvent::Lost : LossEvent::Unreachable, it.target);
--- a/src/libpimentofold/targetloss/targetloss_test.cpp
+++ b/src/libpimentofold/targetloss/targetloss_test.cpp
@@ -128,6 +128,15 @@
              sim.cut[0] = true;
              sim.at(sim.now + 700 * millisecond, [&sim] { sim.cut[0] = false; });
          }},
+        {"a data centre that is cut off, with lossy paths", [](SimOptions &options) { options.pathLoss = 0.1; }, [](Simulation &sim) { sim.cut[0] = true; }},
+        {"a data centre that is cut off for moments, with rare requests",
+         [](SimOptions &options) { options.meanPause = 6 * second; },
+         [](Simulation &sim) {
+             for (int n = 0; n < 4; ++n) {
+                 sim.at(sim.now + n * second, [&sim] { sim.cut[0] = true; });
+                 sim.at(sim.now + n * second + 500 * millisecond, [&sim] { sim.cut[0] = false; });
+             }
+         }},
     };
     for (const Row &row : rows) {
         CAPTURE(row.pattern);
@@ -252,6 +261,28 @@
         updateOwnership(forwarder, 0);
         forwarder.targetLoss.verdicts.lastRunAt = start;
         recordStoreContact(forwarder.targetLoss.verdicts, true, start, 0);
+        forwarder.targetLoss.secondRequestAt[testdata::shopAddress] = start;
+        for (std::uint32_t caller = 1; caller <= 4; ++caller) {
+            addFlow(caller, judged, FlowLoad::Working, start - 250 * millisecond);
+            for (int n = 0; n < answersPerOverdueRequest; ++n) {
+                addFlow(caller, judged + 1, FlowLoad::Idle, start - 100 * millisecond);
+            }
+        }
+    }
+
+    void addFlow(std::uint32_t caller, std::uint64_t targetId, FlowLoad load, Time changedAt)
+    {
+        const auto port = static_cast<std::uint16_t>(forwarder.dispatcher.placedFlows.size());
+        PlacedFlow &flow = forwarder.dispatcher.placedFlows[{{caller, port}, testdata::shopAddress}];
+        flow.target = targetId;
+        flow.load = load;
+        flow.loadChangedAt = changedAt;
+        flow.answeredAt = load == FlowLoad::Idle ? changedAt : 0;
+    }
+
+    void removeFlows(const std::function<bool(std::uint32_t caller, FlowLoad load)> &matches)
+    {
+        std::erase_if(forwarder.dispatcher.placedFlows, [&](const auto &it) { return matches(it.first.caller.ip, it.second.load); });
     }
 
     EdgeTarget &target()
@@ -332,6 +363,22 @@
         {"a new owner", enough, [](Owner &it) { it.forwarder.targetLoss.verdicts.ownedSince[judged] = start; }, false},
         {"no longer the owner", enough, [](Owner &it) { it.target().owner = 7; }, false},
         {"an owner that was paused", enough, [](Owner &it) { recordRun(it.forwarder, second, start); }, false},
+        {"a target that hangs: most requests are overdue and don't stall",
+         enough,
+         [](Owner &it) {
+             for (std::uint32_t caller = 5; caller <= 7; ++caller) {
+                 it.addFlow(caller, judged, FlowLoad::Working, start - 500 * millisecond);
+             }
+         },
+         false},
+        {"requests of one caller only",
+         enough,
+         [](Owner &it) { it.removeFlows([](std::uint32_t caller, FlowLoad load) { return caller > 1 && load == FlowLoad::Working; }); },
+         false},
+        {"callers without answers from other targets",
+         enough,
+         [](Owner &it) { it.removeFlows([](std::uint32_t, FlowLoad load) { return load == FlowLoad::Idle; }); },
+         false},
         {"a target that has recovered lately", enough, [](Owner &it) { it.target().noVerdictUntil = start + 2 * second; }, false},
         {"an entry that has just gone, on the evidence of one node",
          {{makeEvidence(5, 2), 5, "dc1"}},
@@ -587,3 +634,111 @@
     CHECK(fromWire(invalid).stalledFlows == static_cast<int>(maxStallsPerTarget));
     CHECK(fromWire(invalid).stalledFor == 0);
 }
+
+// Guards against accusing targets when the reporting node's own path, or the link of a caller, may be at fault.
+TEST_CASE("target loss: stalls that a node may report")
+{
+    struct Stall {
+        std::uint64_t target;
+        std::uint32_t caller;
+        Time since; ///< milliseconds
+    };
+    struct Proof {
+        std::uint64_t target;
+        std::uint32_t caller;
+        Time forwardedAt; ///< milliseconds
+    };
+    struct Row {
+        std::string pattern;
+        std::vector<Stall> stalls;
+        std::vector<Proof> proofs;
+        int stalledFlows; ///< counted for target 1
+    };
+    const Row rows[] = {
+        {"the path is proven", {{1, 1, 100}}, {{2, 2, 150}}, 1},
+        {"nothing else was answered", {{1, 1, 100}}, {}, 0},
+        {"only data from before the stall was answered", {{1, 1, 100}}, {{2, 2, 90}}, 0},
+        {"more targets stall than answer", {{1, 1, 100}, {2, 2, 100}}, {{3, 3, 150}}, 0},
+        {"as many targets stall as answer", {{1, 1, 100}, {2, 2, 100}}, {{3, 3, 150}, {4, 4, 150}}, 1},
+        {"a stall from before the path broke doesn't count against it", {{1, 1, 100}, {2, 2, 50}}, {{3, 3, 150}}, 1},
+        {"two callers", {{1, 1, 100}, {1, 2, 110}}, {{2, 3, 150}}, 2},
+        {"two flows of one caller", {{1, 1, 100}, {1, 1, 110}}, {{2, 3, 150}}, 1},
+        {"a caller that stalls on two targets", {{1, 1, 100}, {2, 1, 100}}, {{3, 3, 150}, {4, 4, 150}}, 0},
+        {"a caller that stalls on two targets and gets answers from others", {{1, 1, 100}, {2, 1, 100}}, {{3, 1, 150}, {4, 4, 150}}, 1},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        LossEvidence evidence;
+        for (const Proof &it : row.proofs) {
+            recordProgress(evidence, it.target, it.caller, it.forwardedAt * millisecond, 180 * millisecond);
+        }
+        std::uint16_t port = 0;
+        for (const Stall &it : row.stalls) {
+            const FlowKey flow{{it.caller, ++port}, testdata::shopAddress};
+            recordStall(evidence, it.target, {flow, it.since * millisecond, 300 * millisecond, 200 * millisecond, 1});
+        }
+        CHECK(countableStalls(evidence, 1, 310 * millisecond).stalledFlows == row.stalledFlows);
+    }
+}
+
+// Guards against resets of living targets' flows in combinations of faults that no other row has: small and large systems, rare
+// and frequent requests, lossy paths and callers, pauses, cuts and hand-overs of ownership, while other targets are lost.
+TEST_CASE("target loss: random faults")
+{
+    constexpr std::uint64_t runs = 60;
+    int verdicts = 0;
+    int resets = 0;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        CAPTURE(seed);
+        Random random{seed};
+        SimOptions options;
+        options.seed = seed;
+        options.nodes = 2 + below(random, 20);
+        options.targets = 4 + below(random, 40);
+        options.flows = options.targets * (2 + below(random, 15));
+        options.callers = 1 + below(random, 20);
+        options.meanPause = static_cast<Time>(200 + below(random, 4'000)) * millisecond;
+        options.pathLoss = chance(random, 0.5) ? 0.1 * unit(random) : 0;
+        options.badCallers = chance(random, 0.3) ? below(random, options.callers) : 0;
+        options.badCallerLoss = unit(random);
+        options.movesFlows = chance(random, 0.2);
+        Simulation sim(options);
+        sim.runUntil(warmUp);
+        const std::uint64_t silent = below(random, options.targets / 2);
+        for (std::uint64_t id = 1; id <= options.targets; ++id) {
+            SimTarget &it = sim.targets[id];
+            it.silent = id <= silent;
+            it.serviceTime = chance(random, 0.1) ? static_cast<Time>(1 + below(random, 3'000)) * millisecond : it.serviceTime;
+            it.hangs = chance(random, 0.05);
+        }
+        for (int n = 0; n < 6; ++n) {
+            const std::size_t node = below(random, options.nodes);
+            const std::size_t dataCentre = below(random, dataCentres);
+            const Time at = sim.now + static_cast<Time>(below(random, 5'000)) * millisecond;
+            const Time length = static_cast<Time>(below(random, 900)) * millisecond;
+            switch (below(random, 4)) {
+            case 0:
+                sim.at(at, [&sim, node, length] { sim.nodes[node]->pausedUntil = sim.now + length; });
+                break;
+            case 1:
+                sim.at(at, [&sim, dataCentre] { sim.cut[dataCentre] = true; });
+                sim.at(at + length, [&sim, dataCentre] { sim.cut[dataCentre] = false; });
+                break;
+            case 2:
+                sim.at(at, [&sim, node] { sim.nodes[node]->outboundBroken = true; });
+                sim.at(at + length, [&sim, node] { sim.nodes[node]->outboundBroken = false; });
+                break;
+            default:
+                sim.at(at, [&sim, node] { sim.nodes[node]->alive = false; });
+                sim.at(at + length, [&sim] { sim.updateMembers(); });
+                break;
+            }
+        }
+        sim.runUntil(warmUp + afterLoss);
+        CHECK(sim.counts.wrongResets == 0);
+        verdicts += sim.counts.verdicts;
+        resets += sim.counts.resets;
+    }
+    MESSAGE("verdicts " << verdicts << ", resets " << resets);
+    CHECK(resets > 0);
+}
