Count data that is acknowledged without an answer as a sign of life

Cause: targets that hang make no progress, so lossy links of callers and cuts between data centres were taken for their loss. Change: nodes report data that isn't repeated when its retransmission is due; evidence from data centres that were out of contact since is dropped.

--- a/src/include/pimentofold/targetloss/lossevidence.h
+++ b/src/include/pimentofold/targetloss/lossevidence.h
@@ -18,6 +18,10 @@
 constexpr Time evidenceInterval = 100 * millisecond;
 /// Entries of one evidence message, so that it fits into a datagram.
 constexpr std::size_t maxEvidenceEntries = 24;
+/// Callers repeat data without an acknowledgement after this time. Later, it has been acknowledged.
+constexpr Time firstRetransmissionTime = 200 * millisecond;
+/// Callers' timers may be late by this much.
+constexpr Time retransmissionSlack = 100 * millisecond;
 /// A stall without a further retransmission by this long after the time at which it is due has been acknowledged, or its
 /// caller has given up.
 constexpr Time stallSlack = 200 * millisecond;
@@ -38,6 +42,8 @@
     std::unordered_map<std::uint64_t, Time> provenAt; ///< by target: latest forwarding of data that was answered
     std::unordered_map<std::uint32_t, Time> callerProgressAt; ///< by the caller's IP address: last progress on any flow
     std::map<Id, Time> nextReportAt; ///< by owner
+    /// By target: when data was sent that the target has acknowledged without an answer so far; not reported yet.
+    std::map<std::uint64_t, Time> acknowledgedAt;
     Time nextSweepAt = 0; ///< when old entries are removed next
 };
 
--- a/src/include/pimentofold/targetloss/lossstate.h
+++ b/src/include/pimentofold/targetloss/lossstate.h
@@ -35,6 +35,14 @@
     std::uint64_t target = 0; ///< id
 };
 
+/// A check whether data was repeated when its retransmission was due.
+struct AcknowledgementCheck {
+    FlowKey flow;
+    std::uint64_t target = 0; ///< id
+    std::uint32_t sequence = 0; ///< of the data
+    Time sentAt = 0; ///< last transmission
+};
+
 /// State of the detection of lost targets at one node.
 struct TargetLoss {
     TargetLossSettings settings;
@@ -43,6 +51,7 @@
     std::map<Address, Time> secondRequestAt; ///< by service address of a route: when a flow has last started a further request
     std::set<std::uint64_t> lost; ///< targets that are lost at this node
     std::multimap<Time, ScheduledReset> resets; ///< by time
+    std::multimap<Time, AcknowledgementCheck> acknowledgementChecks; ///< by time
     Time pausedUntil = 0; ///< end of the last pause
     Time nextTickAt = never;
 };
--- a/src/include/pimentofold/targetloss/lossverdict.h
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -89,6 +89,7 @@
     VerdictSettings settings;
     std::string dataCentre; ///< of this node
     std::map<std::uint64_t, SuspectedTarget> suspected; ///< by target
+    std::map<std::uint64_t, Time> lostStallsSince; ///< by lost target: since when its flows had stalled at the verdict
     std::unordered_map<std::uint64_t, Time> ownedSince; ///< by target; only those that this node owns
     std::map<std::string, DataCentreContact> contacts; ///< by data centre
     std::vector<PendingVerdict> pending;
--- a/src/libpimentofold/targetloss/lossevidence.cpp
+++ b/src/libpimentofold/targetloss/lossevidence.cpp
@@ -97,6 +97,7 @@
 void clearEvidence(LossEvidence &evidence)
 {
     evidence.stalled.clear();
+    evidence.acknowledgedAt.clear();
 }
 
 TargetEvidence countableStalls(const LossEvidence &evidence, std::uint64_t target, Time now)
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -33,7 +33,8 @@
 }
 
 /// Evidence older than the last progress says nothing about the target as it is now. Progress since a stall that began before
-/// the contact with the target's data centre may have been missed.
+/// the contact with the target's data centre may have been missed, and a cut between the reporting node's data centre and this one
+/// explains the stall.
 void dropOutdatedReports(const LossVerdicts &verdicts, SuspectedTarget &suspect, const EdgeTarget &target, Time now)
 {
     std::erase_if(suspect.reports, [&](const LossReport &it) {
@@ -41,7 +42,7 @@
         if (contradicted) {
             suspect.contradictedAt = now;
         }
-        const bool outOfContact = it.since < contactStart(verdicts, target.record.dataCentre);
+        const bool outOfContact = it.since < std::max(contactStart(verdicts, target.record.dataCentre), contactStart(verdicts, it.dataCentre));
         return contradicted || outOfContact || now - it.receivedAt > verdicts.settings.reportLifetime;
     });
 }
@@ -226,6 +227,7 @@
         }
         if (lost) {
             target->lostSince = now;
+            verdicts.lostStallsSince[id] = std::ranges::min_element(suspect.reports, {}, &LossReport::since)->since;
             announce(verdicts, makeVerdict(*target, ""), out, now);
             suspect.reports.clear();
         } else {
@@ -254,6 +256,7 @@
         if (silent && isRemovalProven(verdicts, *target, now) && queries.keepsFlows(target->record.service)
             && isInContact(verdicts, dataCentre, now - verdicts.settings.removalProofTime, now) && !isMostlySuspected(verdicts, table, dataCentre, now)) {
             target->lostSince = now;
+            verdicts.lostStallsSince[id] = target->removedAt;
             announce(verdicts, makeVerdict(*target, ""), out, now);
         }
     }
@@ -325,8 +328,10 @@
     if (evidence.progressAge >= 0) {
         target->lastProgressAt = std::max(target->lastProgressAt, now - evidence.progressAge);
     }
-    if (target->lostSince != never && evidence.stalledFlows == 0) {
-        // The sender has refused the verdict, since it has seen progress that is not much older than the verdict.
+    const auto stalls = verdicts.lostStallsSince.find(evidence.target);
+    const bool isLost = target->lostSince != never && stalls != verdicts.lostStallsSince.end();
+    if (isLost && evidence.progressAge >= 0 && now - evidence.progressAge > stalls->second + verdicts.settings.reportSlack) {
+        // The sender has seen progress that is older than the verdict, but not than the stalls that led to it.
         target->lastProgressAt = std::max(target->lastProgressAt, target->lostSince + 1);
     }
     if (evidence.stalledFlows <= 0 || target->lostSince != never) {
@@ -363,6 +368,10 @@
     verdicts.lastRunAt = now;
     judgeSuspects(verdicts, table, queries, ranRegularly, out, now);
     judgeRemoved(verdicts, table, queries, out, now);
+    std::erase_if(verdicts.lostStallsSince, [&](const auto &it) {
+        const EdgeTarget *target = findTarget(table, it.first);
+        return target == nullptr || target->lostSince == never;
+    });
     collectBroadcasts(verdicts, table, out, now);
     return out;
 }
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -157,6 +157,64 @@
     return accepted;
 }
 
+/// Schedules the check whether a packet's data is repeated. Flows that have made no progress at this node may have been moved
+/// to other nodes by the router, so their retransmissions may not come here.
+void scheduleAcknowledgementCheck(TargetLoss &loss, const FlowPacket &packet, const EdgeFlow &flow)
+{
+    const auto sent = std::ranges::find(flow.progress.inFlight, packet.sequence, &ForwardedSegment::sequence);
+    if (packet.payloadBytes == 0 || flow.progress.progressAt == 0 || sent == flow.progress.inFlight.end()) {
+        return;
+    }
+    const Time interval = std::clamp(2 * sent->interval, firstRetransmissionTime, maxRetransmissionInterval);
+    const Time due = sent->lastSentAt + interval + retransmissionSlack;
+    loss.acknowledgementChecks.emplace(due, AcknowledgementCheck{packet.flow, flow.target, packet.sequence, sent->lastSentAt});
+    scheduleTick(loss, due);
+}
+
+/// Data that wasn't repeated when it was due has been acknowledged: its target was alive when it was sent, although it may be
+/// slow or hang.
+void runAcknowledgementChecks(EdgeForwarder &forwarder, Time now)
+{
+    TargetLoss &loss = forwarder.targetLoss;
+    while (!loss.acknowledgementChecks.empty() && loss.acknowledgementChecks.begin()->first <= now) {
+        const AcknowledgementCheck check = loss.acknowledgementChecks.begin()->second;
+        loss.acknowledgementChecks.erase(loss.acknowledgementChecks.begin());
+        const auto flow = forwarder.flows.find(check.flow);
+        EdgeTarget *target = findTarget(forwarder.table, check.target);
+        if (flow == forwarder.flows.end() || flow->second.stage != FlowStage::Open || target == nullptr || check.sentAt <= loss.pausedUntil) {
+            continue;
+        }
+        const std::vector<ForwardedSegment> &inFlight = flow->second.progress.inFlight;
+        const auto sent = std::ranges::find(inFlight, check.sequence, &ForwardedSegment::sequence);
+        if (sent != inFlight.end() && sent->lastSentAt == check.sentAt) {
+            target->lastProgressAt = std::max(target->lastProgressAt, check.sentAt);
+            loss.evidence.acknowledgedAt[check.target] = check.sentAt;
+        }
+    }
+}
+
+/// Adds data that targets have acknowledged to the messages for their owners.
+void reportAcknowledgements(EdgeForwarder &forwarder, std::map<Id, EvidenceMessage> &messages, Time now)
+{
+    LossEvidence &evidence = forwarder.targetLoss.evidence;
+    std::erase_if(evidence.acknowledgedAt, [&](const auto &it) {
+        const EdgeTarget *target = findTarget(forwarder.table, it.first);
+        if (target == nullptr || target->owner == 0) {
+            return true;
+        }
+        std::vector<TargetEvidence> &entries = messages[target->owner].evidence;
+        if (now < evidence.nextReportAt[target->owner] || entries.size() >= maxEvidenceEntries) {
+            return false;
+        }
+        TargetEvidence entry;
+        entry.target = it.first;
+        entry.startedAt = target->record.startedAt;
+        entry.progressAge = now - it.second;
+        entries.push_back(entry);
+        return true;
+    });
+}
+
 /// Passes this node's evidence to the owners of the targets, each at most once in evidenceInterval.
 void reportEvidence(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
@@ -181,6 +239,7 @@
         message.evidence.push_back(entry);
         stalls.changed = false;
     }
+    reportAcknowledgements(forwarder, messages, now);
     for (auto &[owner, message] : messages) {
         if (message.evidence.empty()) {
             continue;
@@ -250,7 +309,10 @@
 {
     const TargetLoss &loss = forwarder.targetLoss;
     Time due = loss.resets.empty() ? never : loss.resets.begin()->first;
-    if (!loss.evidence.stalled.empty() || hasOpenCases(loss.verdicts)) {
+    if (!loss.acknowledgementChecks.empty()) {
+        due = std::min(due, loss.acknowledgementChecks.begin()->first);
+    }
+    if (!loss.evidence.stalled.empty() || !loss.evidence.acknowledgedAt.empty() || hasOpenCases(loss.verdicts)) {
         due = std::min(due, now + openCaseInterval);
     }
     if (!loss.lost.empty()) {
@@ -284,6 +346,9 @@
     if (seen.progressed) {
         observeProgressOf(forwarder, packet, target, seen.provenForwardAt, now, out);
     }
+    if (keeps) {
+        scheduleAcknowledgementCheck(loss, packet, flow);
+    }
     const bool counts = seen.stalled && target.lostSince == never && seen.stall.since > loss.pausedUntil && seen.stall.since >= target.lastProgressAt;
     if (counts) {
         recordStall(loss.evidence, target.record.id, seen.stall);
@@ -306,6 +371,7 @@
     clearEvidence(loss.evidence);
     clearVerdicts(loss.verdicts);
     loss.resets.clear();
+    loss.acknowledgementChecks.clear();
 }
 
 void updateOwnership(EdgeForwarder &forwarder, Time now)
@@ -354,6 +420,7 @@
     }
     loss.nextTickAt = never;
     checkLostTargets(forwarder, now, out);
+    runAcknowledgementChecks(forwarder, now);
     reportEvidence(forwarder, now, out);
     expireStalls(loss.evidence, now);
     giveVerdicts(forwarder, now, out);
