--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -11,6 +11,7 @@
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/placement.h>
 #include <pimentofold/random.h>
+#include <pimentofold/targetloss/lossmessages.h>
 #include <pimentofold/targettable.h>
 
 /// Placement of new flows on targets by the dispatchers of a service.
@@ -61,6 +62,7 @@
     bool waitedLong = false; ///< waited so long for room that the caller may have given up before the offer
     bool openedElsewhere = false; ///< the caller has continued the flow through another node than the one that requested placement
     Time placedAt = 0; ///< time of the last offer, or of the first report
+    Time answeredAt = 0; ///< when the last answer was reported; 0: never
     Time loadChangedAt = 0; ///< when `load` was last changed or confirmed
 };
 
@@ -180,6 +182,9 @@
     std::vector<RefusedNotice> refusedNotices;
     std::vector<FlowNotice> flowNotices;
     std::vector<ForwardEventRecord> events;
+    std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
+    std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
+    std::vector<LossEventRecord> lossEvents;
 };
 
 /// How much of the time the open flows of a route have a request at work. Flows that are open for the first request only
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -12,6 +12,7 @@
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
 #include <pimentofold/targetchoice.h>
+#include <pimentofold/targetloss/lossstate.h>
 #include <pimentofold/targettable.h>
 
 /// Forwarding of callers' packets on an edge node. Targets answer callers directly and put their token into each answer.
@@ -74,6 +75,7 @@
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
     bool refused = false; ///< refused because of an evacuation; a retransmission of the opening packet counts as a new flow
+    FlowProgress progress; ///< only with TargetLossSettings::enabled
 };
 
 /// A packet that arrived before the configuration and the targets were known.
@@ -107,6 +109,7 @@
     double answerTimeDeviation = 0; ///< moving average of the deviation from meanAnswerTime, in microseconds
     Time nextSweepAt = 0; ///< when flows and targets are next checked for removal
     EvacuationGate evacuationGate;
+    TargetLoss targetLoss; ///< evidence and verdicts on targets that give no sign of life
 };
 
 /// Detects that this process was paused. Has to be called at each packet and timer event, before the event is handled.
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -299,6 +299,7 @@
     removeFromLoad(table, *placed);
     placed->target = notice.target;
     placed->answered = true;
+    placed->answeredAt = now;
     setLoad(table, *placed, FlowLoad::Idle, idleLoadOf(dispatcher, notice.flow), now);
     placeWaiting(dispatcher, table, now, out);
 }
@@ -448,6 +449,9 @@
         startWork(dispatcher, table, notice, now);
         break;
     case FlowNoticeKind::WorkEnded:
+        if (EdgeTarget *target = findTarget(table, notice.target)) {
+            target->lastProgressAt = now;
+        }
         endWork(dispatcher, table, notice, now, out);
         break;
     case FlowNoticeKind::Ended:
