Evacuation tests: addresses of their own for each process, stricter cases

Two mutations (no state in messages, Refused not handled) were not noticed, since the dispatcher alone decided. Change: the network is chosen by process id. The neighbour goes on without the leader; a neighbour without the setting shows that Refused arrives.

--- a/src/pimentofold-edge/evacuation_test.cpp
+++ b/src/pimentofold-edge/evacuation_test.cpp
@@ -2,6 +2,8 @@
 #include <memory>
 #include <set>
 
+#include <unistd.h>
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -17,12 +19,13 @@
 
 namespace {
 
-// Addresses that no other test uses.
-constexpr std::uint32_t network = 0x7f5b0000; // 127.91.0.0
-constexpr Address storeAddress{network + 1, 8169};
-constexpr Address closedAddress{network + 2, 8169};
 constexpr std::uint16_t packetPort = 8172;
-constexpr Address callerAddress{network + 0x301, packetPort};
+// Test programs of two checkouts may run at the same time, so that each process uses a network of its own: 127.160.0.0/22 to
+// 127.223.252.0/22.
+const std::uint32_t network = 0x7fa00000 + (static_cast<std::uint32_t>(getpid()) % 4096 << 10U);
+const Address storeAddress{network + 1, 8169};
+const Address closedAddress{network + 2, 8169};
+const Address callerAddress{network + 0x301, packetPort};
 constexpr Address routeAddress{0xc6120001, 443};
 constexpr char synFlag = 2;
 constexpr char ackFlag = 8;
@@ -438,7 +441,7 @@
     store.addShop({"a", "b"});
     store.put("evacuations", "a", json::object());
     Traffic traffic(2);
-    Edge leader(nodeSettings(1, storeAddress, 5 * second), nodeOptions());
+    auto leader = std::make_unique<Edge>(nodeSettings(1, storeAddress, 5 * second), nodeOptions());
     runUntil([&] { return traffic.placesFlows(1); });
     CHECK(traffic.openings[1] == 0);
     Edge neighbour(nodeSettings(2, closedAddress, 5 * second), nodeOptions());
@@ -470,6 +473,18 @@
             });
         }
     }
+    // The neighbour alone, without a leader and a dispatcher to rely on.
+    store.put("evacuations", "a", json::object());
+    runUntil([&] {
+        traffic.open(2, 10);
+        return traffic.openings[1] == 0;
+    });
+    leader.reset();
+    runUntil([&] {
+        traffic.open(2, 10);
+        CHECK(traffic.openings[1] == 0);
+        return traffic.openings[2] == 10;
+    });
 }
 
 // Guards against an evacuation that is lost when the leader goes at the same time.
@@ -514,7 +529,14 @@
         const Time start = monotonicNow();
         Edge neighbour(nodeSettings(2, closedAddress, neighbourEnabled ? 5 * second : 0), nodeOptions());
         runUntil([&] { return traffic.placesFlows(2); });
-        if (neighbourEnabled) {
+        if (!neighbourEnabled) {
+            // The neighbour would place the flows itself; that they are refused shows that the dispatcher's refusal has arrived.
+            store.put("evacuations", "b", json::object());
+            runUntil([&] {
+                traffic.open(2, 10);
+                return traffic.resets == 10;
+            });
+        } else {
             CHECK(monotonicNow() - start >= EvacuationGate::maxWait);
             // The leader, which the setting doesn't concern, uses both data centres.
             runUntil([&] {
