--- a/src/include/pimentofold/targetloss/lossverdict.h
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -45,6 +45,7 @@
     Time broadcastInterval = 100 * millisecond;
     Time repeatTime = 300 * millisecond; ///< a broadcast is repeated once after this time
     Time contradictionWindow = second; ///< see isCallersFault() in the source file
+    Time lossWindow = 3 * second; ///< contradicted evidence raises the number of needed points for this long
 };
 
 /// Report of one node on one target.
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -11,7 +11,8 @@
 
 /// Contradicted and silent targets of this owner.
 struct SuspectCounts {
-    std::size_t contradicted = 0;
+    std::size_t contradicted = 0; ///< within contradictionWindow
+    std::size_t contradictedBefore = 0; ///< within lossWindow
     std::size_t silent = 0;
 };
 
@@ -139,6 +140,7 @@
     for (const auto &[id, it] : verdicts.suspected) {
         const bool contradicted = it.contradictedAt > 0 && now - it.contradictedAt <= verdicts.settings.contradictionWindow;
         counts.contradicted += contradicted ? 1 : 0;
+        counts.contradictedBefore += it.contradictedAt > 0 && now - it.contradictedAt <= verdicts.settings.lossWindow ? 1 : 0;
         counts.silent += !contradicted && !it.reports.empty() ? 1 : 0;
     }
     return counts;
@@ -159,7 +161,7 @@
     constexpr std::size_t someShare = 10; // one tenth of the owned targets
     constexpr std::size_t largeShare = 5;
     const std::size_t owned = verdicts.ownedSince.size();
-    return verdicts.settings.minPoints + (someShare * counts.contradicted > owned ? 1 : 0) + (largeShare * counts.contradicted > owned ? 1 : 0);
+    return verdicts.settings.minPoints + (someShare * counts.contradictedBefore > owned ? 1 : 0) + (largeShare * counts.contradictedBefore > owned ? 1 : 0);
 }
 
 bool isOwnerSettled(const LossVerdicts &verdicts, std::uint64_t target, Time now)
@@ -249,7 +251,7 @@
         }
     }
     std::erase_if(verdicts.suspected,
-                  [&](const auto &it) { return it.second.reports.empty() && now - it.second.contradictedAt > verdicts.settings.contradictionWindow; });
+                  [&](const auto &it) { return it.second.reports.empty() && now - it.second.contradictedAt > verdicts.settings.lossWindow; });
 }
 
 /// Verdict without stalls on targets whose entries are gone, for their idle flows.
@@ -391,7 +393,8 @@
 
 bool hasOpenCases(const LossVerdicts &verdicts)
 {
-    return !verdicts.suspected.empty() || !verdicts.pending.empty();
+    const auto isOpen = [](const auto &it) { return !it.second.reports.empty(); };
+    return !verdicts.pending.empty() || std::ranges::any_of(verdicts.suspected, isOpen);
 }
 
 } // namespace pimentofold
