--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -11,7 +11,8 @@
 
 /// Contradicted and silent targets of this owner.
 struct SuspectCounts {
-    std::size_t contradicted = 0;
+    std::size_t contradicted = 0; ///< within contradictionWindow
+    std::size_t contradictedBefore = 0; ///< within lossWindow
     std::size_t silent = 0;
 };
 
@@ -139,6 +140,7 @@
     for (const auto &[id, it] : verdicts.suspected) {
         const bool contradicted = it.contradictedAt > 0 && now - it.contradictedAt <= verdicts.settings.contradictionWindow;
         counts.contradicted += contradicted ? 1 : 0;
+        counts.contradictedBefore += it.contradictedAt > 0 && now - it.contradictedAt <= verdicts.settings.lossWindow ? 1 : 0;
         counts.silent += !contradicted && !it.reports.empty() ? 1 : 0;
     }
     return counts;
@@ -153,6 +155,15 @@
     return counts.contradicted > std::max(counts.silent, verdicts.ownedSince.size() / minShare);
 }
 
+/// The more evidence progress contradicts, the more packets are lost on the way, and the more evidence a verdict needs.
+int neededPoints(const LossVerdicts &verdicts, const SuspectCounts &counts)
+{
+    constexpr std::size_t someShare = 10; // one tenth of the owned targets
+    constexpr std::size_t largeShare = 5;
+    const std::size_t owned = verdicts.ownedSince.size();
+    return verdicts.settings.minPoints + (someShare * counts.contradictedBefore > owned ? 1 : 0) + (largeShare * counts.contradictedBefore > owned ? 1 : 0);
+}
+
 bool isOwnerSettled(const LossVerdicts &verdicts, std::uint64_t target, Time now)
 {
     const auto owned = verdicts.ownedSince.find(target);
@@ -165,9 +176,9 @@
         && now >= target.noVerdictUntil;
 }
 
-bool isEvidenceSufficient(const LossVerdicts &verdicts, const SuspectedTarget &suspect, const EdgeTarget &target, Time now)
+bool isEvidenceSufficient(const LossVerdicts &verdicts, const SuspectedTarget &suspect, const EdgeTarget &target, int points, Time now)
 {
-    return pointsOf(suspect, target) >= verdicts.settings.minPoints && (suspect.reports.size() > 1 || isRemovalProven(verdicts, target, now));
+    return pointsOf(suspect, target) >= points && (suspect.reports.size() > 1 || isRemovalProven(verdicts, target, now));
 }
 
 /// @return the only data centre from which the target stalls; nothing when there are more or when it is the target's own
@@ -208,17 +219,21 @@
             dropOutdatedReports(verdicts, suspect, *target, now);
         }
     }
-    const bool callersFault = isCallersFault(verdicts, countSuspects(verdicts, now));
-    std::optional<WorkSummary> work;
+    const SuspectCounts counts = countSuspects(verdicts, now);
+    const bool callersFault = isCallersFault(verdicts, counts);
+    const int points = neededPoints(verdicts, counts);
     const auto hasConsistentWork = [&](std::uint64_t id, const SuspectedTarget &suspect) {
         // Few targets come this far, so the flows are counted only here.
-        work = work ? std::move(work) : std::optional(queries.work());
-        return isWorkConsistent(*work, id, stalledFlowsOf(suspect));
+        if (now - verdicts.workAt >= verdicts.settings.workInterval) {
+            verdicts.workAt = now;
+            verdicts.work = queries.work();
+        }
+        return isWorkConsistent(verdicts.work, id, stalledFlowsOf(suspect));
     };
     for (auto &[id, suspect] : verdicts.suspected) {
         EdgeTarget *target = findTarget(table, id);
         const bool judged = target != nullptr && !suspect.reports.empty() && !callersFault && target->record.startedAt == suspect.startedAt
-            && mayJudge(verdicts, *target, now) && isEvidenceSufficient(verdicts, suspect, *target, now) && hasConsistentWork(id, suspect);
+            && mayJudge(verdicts, *target, now) && isEvidenceSufficient(verdicts, suspect, *target, points, now) && hasConsistentWork(id, suspect);
         const bool lost = judged && isSilentEverywhere(verdicts, table, suspect, *target, now);
         const bool mayBeUnreachable = judged && !lost && now >= suspect.unreachableUntil;
         const std::optional<std::string> from = mayBeUnreachable ? onlyDataCentre(suspect, *target) : std::nullopt;
@@ -236,7 +251,7 @@
         }
     }
     std::erase_if(verdicts.suspected,
-                  [&](const auto &it) { return it.second.reports.empty() && now - it.second.contradictedAt > verdicts.settings.contradictionWindow; });
+                  [&](const auto &it) { return it.second.reports.empty() && now - it.second.contradictedAt > verdicts.settings.lossWindow; });
 }
 
 /// Verdict without stalls on targets whose entries are gone, for their idle flows.
@@ -378,7 +393,8 @@
 
 bool hasOpenCases(const LossVerdicts &verdicts)
 {
-    return !verdicts.suspected.empty() || !verdicts.pending.empty();
+    const auto isOpen = [](const auto &it) { return !it.second.reports.empty(); };
+    return !verdicts.pending.empty() || std::ranges::any_of(verdicts.suspected, isOpen);
 }
 
 } // namespace pimentofold
