Changed settings are applied as a whole, with the address of the store, or refused

Cause: a reload took over the seeds and the stop limit only. The nodes went on calling the old address of the store and heard of no configuration. Change: a new address of the store closes the connections to the old one. A call in flight is abandoned, its answer is not applied; a list starts again from its first page, a watch goes on from the known revision. The roster is read again before it is written. A change of `node`, `zone`, `listen.packets`, `listen.readiness` or the first port of `port_range` refuses the whole file (`reload_refused` with field, value and reason). Without a signal a file is applied once it reads the same at two checks, 2 s apart, since it may be read half written. Limit: the new address has to belong to the same store; revisions of another store can't be told from those of the old one.

--- a/src/include/pimentofold/listwatch.h
+++ b/src/include/pimentofold/listwatch.h
@@ -85,6 +85,11 @@
 /// @return whether this call returned the last page of a list, so that objects whose ids are not in listedIds no longer exist
 bool finishCall(ListWatch &listWatch, const StoreCallResult &result, Time now, Random &random);
 
+/// Abandons the call in flight, whose response must not be passed to finishCall(), because the store is reached at another
+/// address from now on. A list that is under way starts again, so that its pages come from one store. The next call is due at
+/// once.
+void restartCalls(ListWatch &listWatch, Time now);
+
 /// Records that the store's state up to a revision was received from another node, so that a watch can continue from there.
 /// A revision above the known one also ends a list that is under way.
 /// @param confirmedAt time at which that state was the store's state; 0 when unknown
--- a/src/libnet/streamhttp.cpp
+++ b/src/libnet/streamhttp.cpp
@@ -68,6 +68,15 @@
     disconnect();
 }
 
+void HttpConnection::setServer(const Address &server)
+{
+    disconnect();
+    m_timeout.stop();
+    m_parser.reset();
+    m_onDone = nullptr;
+    m_server = server;
+}
+
 bool HttpConnection::isBusy() const
 {
     return m_onDone != nullptr;
--- a/src/libnet/streamhttp.h
+++ b/src/libnet/streamhttp.h
@@ -34,6 +34,10 @@
     /// @param onDone called once from the loop; after a failure the result has status 0 and says why
     void start(const std::string &method, const std::string &target, const std::string &body, Time timeout, std::function<void(const HttpResult &)> onDone);
 
+    /// Closes the connection and abandons a call that is under way: its onDone isn't called. Further calls go to @p server. Must
+    /// not be called from onDone.
+    void setServer(const Address &server);
+
     /// @return whether a call is under way
     bool isBusy() const;
 
--- a/src/libpimentofold/listwatch.cpp
+++ b/src/libpimentofold/listwatch.cpp
@@ -82,6 +82,17 @@
     return false;
 }
 
+void restartCalls(ListWatch &listWatch, Time now)
+{
+    if (listWatch.listing) {
+        restartList(listWatch);
+    }
+    listWatch.callInFlight = false;
+    listWatch.consecutiveFailures = 0;
+    listWatch.probe = true;
+    listWatch.nextCallAt = now;
+}
+
 void advanceTo(ListWatch &listWatch, std::int64_t revision, Time confirmedAt)
 {
     listWatch.confirmedAt = std::max(listWatch.confirmedAt, confirmedAt);
--- a/src/libpimentofold/listwatch_test.cpp
+++ b/src/libpimentofold/listwatch_test.cpp
@@ -36,6 +36,35 @@
     CHECK(call->startAfter.empty());
 }
 
+// Guards against a list whose pages come from two stores, and against a back-off for the old address that delays the first call to
+// the new one.
+TEST_CASE("after a change of the store's address a list starts again and a watch continues at once")
+{
+    ListWatch listWatch;
+    Random random{1};
+    REQUIRE(nextCall(listWatch, 0));
+    finishCall(listWatch, {StoreCallOutcome::Answered, 100, true, "b", 0}, 1, random);
+    listWatch.listedIds.insert(7);
+    REQUIRE(nextCall(listWatch, 1));
+    restartCalls(listWatch, 2);
+    std::optional<StoreCall> call = nextCall(listWatch, 2);
+    REQUIRE(call);
+    CHECK_FALSE(call->watch);
+    CHECK(call->startAfter.empty());
+    CHECK(listWatch.listedIds.empty());
+    CHECK(finishCall(listWatch, {StoreCallOutcome::Answered, 90, false, "z", 0}, 3, random));
+    CHECK(listWatch.revision == 90);
+
+    REQUIRE(nextCall(listWatch, 3));
+    finishCall(listWatch, {}, 4, random);
+    restartCalls(listWatch, 4);
+    call = nextCall(listWatch, 4);
+    REQUIRE(call);
+    CHECK(call->watch);
+    CHECK(call->revision == 90);
+    CHECK(call->watchTimeout == 0);
+}
+
 TEST_CASE("the delay after failed calls grows up to a limit")
 {
     ListWatch listWatch;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -299,17 +299,27 @@
 
 void Edge::reload(const EdgeSettings &settings)
 {
-    const bool addressChanged = settings.packetAddress != m_settings.packetAddress || settings.readinessAddress != m_settings.readinessAddress
-        || settings.peerAddress != m_settings.peerAddress || settings.storeAddress != m_settings.storeAddress;
-    logEvent(m_log, "reloaded", {{"seeds", joinAddresses(settings.seeds)}, {"needs_restart", static_cast<int>(addressChanged)}});
-    m_settings.seeds = settings.seeds;
-    m_settings.stopGracePeriod = settings.stopGracePeriod;
+    if (const std::optional<RefusedSettings> refused = findRefusedChange(m_settings, settings)) {
+        refuseReload(*refused);
+        return;
+    }
+    const bool storeMoved = settings.storeAddress != m_settings.storeAddress;
+    const bool firstStart = m_settings.firstStart;
+    m_settings = settings;
+    m_settings.firstStart = firstStart; // of this process's start, whatever the file says meanwhile
+    logEvent(m_log,
+             "reloaded",
+             {{"seeds", joinAddresses(settings.seeds)}, {"store", toString(settings.storeAddress)}, {"store_moved", static_cast<int>(storeMoved)}});
+    if (storeMoved) {
+        m_store.setAddress(settings.storeAddress);
+        m_roster.setAddress(settings.storeAddress);
+    }
     m_peers.contactNodes(settings.seeds, monotonicNow());
 }
 
-void Edge::refuseReload(const std::string &problem)
+void Edge::refuseReload(const RefusedSettings &refused)
 {
-    logEvent(m_log, "reload_refused", {{"problem", problem}});
+    logEvent(m_log, "reload_refused", {{"field", refused.field}, {"value", refused.value}, {"reason", refused.reason}});
 }
 
 void Edge::logUnexpectedError(const std::exception &error)
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -17,6 +17,7 @@
 #include <pimentofold/edgesettings.h>
 #include <pimentofold/eventlog.h>
 #include <pimentofold/metrics.h>
+#include <pimentofold/settingschange/settingschange.h>
 #include <pimentofold/storereplication.h>
 
 namespace pimentofold {
@@ -30,11 +31,10 @@
     /// @param options thresholds and intervals
     Edge(const EdgeSettings &settings, const EdgeOptions &options);
 
-    /// Applies a changed list of seeds and a changed stop limit, and logs whether an address of this node has changed, which
-    /// requires a restart.
+    /// Applies changed settings as a whole, or refuses all of them when a field has changed that needs a restart.
     void reload(const EdgeSettings &settings);
-    /// Logs that changed settings are invalid. The previous ones stay in force.
-    void refuseReload(const std::string &problem);
+    /// Logs that changed settings are not applied. The previous ones stay in force.
+    void refuseReload(const RefusedSettings &refused);
 
     /// Logs and counts an exception that ended the handling of a message or timer.
     void logUnexpectedError(const std::exception &error);
--- a/src/pimentofold-edge/main.cpp
+++ b/src/pimentofold-edge/main.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <utility>
 
 #include <easylogging++.h>
 #include <tclap/CmdLine.h>
@@ -31,21 +32,51 @@
 }
 
 // Interval at which the settings file is checked: the platform may change it without sending a signal.
-constexpr Time fileCheckInterval = 5 * second;
+constexpr Time fileCheckInterval = 2 * second;
 
-/// Applies the settings file if its contents have changed.
-/// @param text contents of the file when it was last applied; updated
-/// @param force apply the file even if its contents have not changed
-void reloadSettings(Edge &edge, const std::string &path, std::string &text, bool force)
+/// Contents of the settings file.
+struct SettingsFile {
+    std::string path;
+    std::string applied; ///< contents when they were last applied or refused
+    std::string seen; ///< contents at the last check
+};
+
+void applySettings(Edge &edge, SettingsFile &file)
 {
+    file.applied = file.seen;
     try {
-        const std::string newText = readFile(path);
-        if (force || newText != text) {
-            edge.reload(platform::parseSettingsLines(newText, path));
-        }
-        text = newText;
+        edge.reload(platform::parseSettingsLines(file.seen, file.path));
+    } catch (const SettingsError &error) {
+        edge.refuseReload({error.field, "", error.what()});
+    }
+}
+
+/// Applies the settings file after a signal, also if its contents have not changed.
+void reloadSettings(Edge &edge, SettingsFile &file)
+{
+    try {
+        file.seen = readFile(file.path);
     } catch (const SettingsError &error) {
-        edge.refuseReload(error.what());
+        edge.refuseReload({"", "", error.what()});
+        return;
+    }
+    applySettings(edge, file);
+}
+
+/// Applies the settings file if its contents have changed and were the same at the last check, since a file that is being written
+/// may be read in part.
+void checkSettings(Edge &edge, SettingsFile &file)
+{
+    std::string text;
+    try {
+        text = readFile(file.path);
+    } catch (const SettingsError &) {
+        return; // the file may be replaced at this moment
+    }
+    const bool isStable = text == file.seen;
+    file.seen = std::move(text);
+    if (isStable && file.seen != file.applied) {
+        applySettings(edge, file);
     }
 }
 
@@ -66,20 +97,21 @@
         TCLAP::ValueArg<std::string> optionsFile("", "settings", "settings file of this program, JSON with comments", false, "", "file", command);
         command.parse(argc, argv);
         const EdgeOptions options = optionsFile.isSet() ? parseEdgeOptions(readSettings(optionsFile.getValue())) : EdgeOptions();
-        const EdgeSettings settings = platform::parseSettingsLines(readFile(file.getValue()), file.getValue());
+        const std::string settingsText = readFile(file.getValue());
+        const EdgeSettings settings = platform::parseSettingsLines(settingsText, file.getValue());
         if (check.getValue()) {
             return 0;
         }
         holdStopSignals();
-        std::signal(SIGHUP, SIG_IGN); // until ReloadSignal exists: the default action ends the process. The file is read again after this line.
+        std::signal(SIGHUP, SIG_IGN); // until ReloadSignal exists: the default action ends the process. A change is noticed at the next check of the file.
         setUpLogging();
         LogWriter log(STDOUT_FILENO);
         Edge edge(settings, options);
         setLoopErrorHandler([&](const std::exception &error) { edge.logUnexpectedError(error); });
         const StopSignals stop([&] { edge.stop(); });
-        std::string text = readFile(file.getValue());
-        const ReloadSignal reload([&] { reloadSettings(edge, file.getValue(), text, true); });
-        Timer fileCheckTimer([&] { reloadSettings(edge, file.getValue(), text, false); });
+        SettingsFile settingsFile{file.getValue(), settingsText, settingsText};
+        const ReloadSignal reload([&] { reloadSettings(edge, settingsFile); });
+        Timer fileCheckTimer([&] { checkSettings(edge, settingsFile); });
         fileCheckTimer.start(fileCheckInterval, fileCheckInterval);
         runLoop();
         return 0;
--- a/src/pimentofold-edge/rosterclient.cpp
+++ b/src/pimentofold-edge/rosterclient.cpp
@@ -26,6 +26,13 @@
 {
 }
 
+void RosterClient::setAddress(const Address &store)
+{
+    m_connection.setServer(store);
+    m_isRead = false;
+    m_nextCallAt = 0;
+}
+
 void RosterClient::read()
 {
     if (!m_connection.isBusy()) {
--- a/src/pimentofold-edge/rosterclient.h
+++ b/src/pimentofold-edge/rosterclient.h
@@ -20,6 +20,9 @@
     /// @param onNodes called with the roster's addresses after each successful read
     RosterClient(const Address &store, EventLog &log, std::function<void(const std::vector<Address> &)> onNodes);
 
+    /// Closes the connection and abandons a call in flight. The roster is read again before it is next written.
+    void setAddress(const Address &store);
+
     /// Reads the roster, unless a call is in flight.
     void read();
     /// Writes the roster if live nodes have been missing from it for some time. The leader calls this periodically.
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -79,6 +79,17 @@
     }
 }
 
+void StoreClient::setAddress(const Address &store)
+{
+    const Time now = monotonicNow();
+    for (KindReader *it : {&m_configReader, &m_targetsReader}) {
+        it->connection.setServer(store);
+        it->timer.stop();
+        restartCalls(it->listWatch, now);
+        startCall(*it);
+    }
+}
+
 bool StoreClient::isWatching() const
 {
     return m_watching;
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -35,6 +35,9 @@
     /// @param known revisions that this node knows already
     void readOnce(const KnownRevisions &known);
 
+    /// Closes the connections and continues at another address of the same store. Answers to calls in flight are not applied.
+    void setAddress(const Address &store);
+
     bool isWatching() const;
     /// @return whether the last calls of both kinds succeeded; unknown before the first ones since start() have ended
     StoreHealth health() const;
