A node asks other nodes for the target of a flow that it doesn't know

Cause: a flow was offered to two targets, and the late SYN+ACK of the one that the caller doesn't use gave it the wrong token. A node that didn't know the flow forwarded its next packet by that token, and the wrong target reset the flow. Change: a flow that opens after more than one offer is reported to two nodes, chosen by rendezvous hashing of its addresses. A node that gets a packet of an unknown flow asks three nodes in this order (Locate, Located) and holds the packet for 30 ms at most. Questions, their rate, held packets and records are bounded. The question names the token's target, which is recorded where the flow isn't known. The nodes are asked in place of the flow's dispatcher, which changes with the members and is often the node that restarts; see docs/design/flow-location.md.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -97,6 +97,9 @@
     NoTarget, ///< the flow wasn't placed because no target accepts it
     UnknownToken, ///< a later packet was dropped because its token belongs to no known target
     Refused, ///< a reset was sent to the caller
+    LocationAsked, ///< other nodes were asked for the target of an unknown flow
+    Located, ///< another node knew the target of an unknown flow
+    LocationUnknown, ///< no other node knew the target; the flow's packets are forwarded by their token
 };
 
 /// @return name of the event in the log and the counters, in lower case with underscores
@@ -163,6 +166,14 @@
     std::uint64_t target = 0; ///< id; 0 when the sender doesn't know the flow's target
 };
 
+/// A question for a flow's location, an answer to one, or a report; see flowlocation.h.
+struct LocationMessage {
+    bool asks = false;
+    Id to = 0;
+    FlowKey flow;
+    std::uint64_t target = 0; ///< id. Question: named by the packet's token. Answer or report: where the flow is; 0: not known, or the flow has ended
+};
+
 /// Packets, notices and events that the functions below and those of edgeforward.h produce. The functions append to the
 /// lists; their caller sends the packets and notices and logs the events.
 struct ForwardOutput {
@@ -172,6 +183,7 @@
     std::vector<HeldNotice> heldNotices;
     std::vector<SettledNotice> settledNotices;
     std::vector<FlowNotice> flowNotices;
+    std::vector<LocationMessage> locationMessages;
     std::vector<ForwardEventRecord> events;
 };
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -8,6 +8,7 @@
 
 #include <pimentofold/dispatch.h>
 #include <pimentofold/flowactivity.h>
+#include <pimentofold/flowlocation/flowlocation.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
 #include <pimentofold/targetchoice.h>
@@ -72,6 +73,8 @@
     Time lastPacketAt = 0; ///< time of the caller's last packet
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
+    bool startedElsewhere = false; ///< the first opening packet went through another node, so there may be more offers than attempts here
+    bool locationReported = false; ///< other nodes have a location of the flow, see flowlocation.h
 };
 
 /// A packet that arrived before the configuration and the targets were known.
@@ -100,6 +103,7 @@
     Time dispatcherRetryAt = 0; ///< when an avoided dispatcher is used again; `never` when none is avoided
     std::unordered_map<FlowKey, EdgeFlow> flows;
     std::multimap<Time, FlowKey> answerChecks; ///< flows by the time at which their answer is due
+    FlowLocations locations;
     std::vector<EarlyPacket> earlyPackets;
     double meanAnswerTime = 0; ///< moving average of the time from an offer to the caller's next packet, in microseconds
     double answerTimeDeviation = 0; ///< moving average of the deviation from meanAnswerTime, in microseconds
@@ -124,6 +128,15 @@
 /// Handles a dispatcher's notice that a flow must not be offered again.
 void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow);
 
+/// Answers another node's question for the target of a flow. A flow that isn't known here is recorded with the target that the
+/// asking node uses then.
+/// @param named id of the target that the packet's token names; 0: none
+void handleLocate(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t named, Time now, ForwardOutput &out);
+
+/// Handles the answer to a question of this node, or stores the location of a flow that another node reports.
+/// @param target id; 0: not known, or the flow has ended
+void handleLocated(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out);
+
 /// Selects the nodes that may become dispatchers: those that started at least a few seconds before the newest node, because
 /// a node that has just joined doesn't know the load of the targets. When all nodes have started at about the same time, the
 /// oldest ones are selected, so that few services change their dispatcher while further nodes join. All nodes with the same
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 13> eventNames{"flow_placed",
+constexpr std::array<std::string_view, 16> eventNames{"flow_placed",
                                                       "flow_offered_again",
                                                       "flow_relayed",
                                                       "flow_waiting",
@@ -19,7 +19,10 @@
                                                       "no_route",
                                                       "no_target",
                                                       "unknown_token",
-                                                      "flow_refused"};
+                                                      "flow_refused",
+                                                      "flow_location_asked",
+                                                      "flow_located",
+                                                      "flow_location_unknown"};
 
 constexpr Time sweepInterval = second;
 /// Sweep interval while flows wait, because targets may gain room without the end of a flow being reported.
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -120,12 +120,36 @@
     }
 }
 
+std::vector<Id> holdersOf(const EdgeForwarder &forwarder, const FlowKey &key, std::size_t count)
+{
+    std::vector<Id> ids;
+    ids.reserve(forwarder.members.size());
+    for (const InstanceKey &it : forwarder.members) {
+        ids.push_back(it.instance);
+    }
+    return locationHolders(ids, forwarder.self.instance, key, count);
+}
+
+/// Reports the flow's target to other nodes, so that its packets get there even if this node restarts.
+/// @param target id; 0: the flow has ended
+/// @param count number of nodes
+void reportLocation(const EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, std::uint64_t target, std::size_t count, ForwardOutput &out)
+{
+    flow.locationReported = target != 0;
+    for (const Id it : holdersOf(forwarder, key, count)) {
+        out.locationMessages.push_back({false, it, key, target});
+    }
+}
+
 void endFlow(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
     if (flow.stage == FlowStage::Ended) {
         return;
     }
     flow.stage = FlowStage::Ended;
+    if (flow.locationReported) {
+        reportLocation(forwarder, key, flow, 0, locationQuestionCount, out);
+    }
     const EdgeTarget *target = findTarget(forwarder.table, flow.target);
     appendEvent(out, ForwardEvent::Ended, key, target, flow.attempts, now - flow.startedAt);
     notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, flow.target}, now, out);
@@ -150,7 +174,10 @@
         endFlow(forwarder, packet.flow, existing->second, now, out);
         forwarder.flows.erase(existing);
     }
+    dropQuestion(forwarder.locations, packet.flow);
+    recordLocation(forwarder.locations, packet.flow, 0, now);
     EdgeFlow flow;
+    flow.startedElsewhere = packet.openingAge > 0;
     flow.startedAt = now;
     flow.lastPacketAt = now;
     flow.openingAge = packet.openingAge;
@@ -176,6 +203,9 @@
     flow.openingPacket.clear();
     flow.openingPacket.shrink_to_fit();
     recordAnswer(target, now);
+    if (flow.attempts > 1 || flow.startedElsewhere) {
+        reportLocation(forwarder, key, flow, flow.target, locationHolderCount, out);
+    }
     if (flow.dispatcher != 0) {
         forwarder.dispatcherMisses.erase(flow.dispatcher);
     }
@@ -230,11 +260,17 @@
     notifyDispatcher(forwarder, {kind, flow.dispatcher, key, flow.target}, now, out);
 }
 
-void handleLaterPacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
+/// Forwards a packet after the opening one.
+/// @param located id of the target that other nodes have named; 0: the token decides if this node doesn't know the flow
+void forwardLaterPacket(EdgeForwarder &forwarder, const FlowPacket &packet, std::uint64_t located, Time now, ForwardOutput &out)
 {
     const auto existing = forwarder.flows.find(packet.flow);
     EdgeFlow *flow = existing == forwarder.flows.end() ? nullptr : &existing->second;
-    EdgeTarget *target = targetOf(forwarder, packet, flow);
+    EdgeTarget *target = flow == nullptr ? findTarget(forwarder.table, located) : nullptr;
+    const bool isLocated = target != nullptr;
+    if (!isLocated) {
+        target = targetOf(forwarder, packet, flow);
+    }
     if (target == nullptr) {
         appendEvent(out, ForwardEvent::UnknownToken, packet.flow, nullptr, 0, 0);
         out.events.back().token = packet.token;
@@ -243,6 +279,11 @@
     if (flow == nullptr) {
         flow = storeOpenFlow(forwarder, packet, *target, now, out);
     }
+    if (flow != nullptr && isLocated && packet.token != target->token) {
+        // The caller has the wrong token until the target's next answer. Nodes that didn't know the flow have recorded that token's
+        // target from the question.
+        reportLocation(forwarder, packet.flow, *flow, flow->target, locationQuestionCount, out);
+    }
     if (flow != nullptr) {
         flow->lastPacketAt = now;
         if (flow->stage == FlowStage::Opening) {
@@ -258,8 +299,63 @@
     out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
 }
 
+/// Asks other nodes for the target of a flow that this node doesn't know, and holds the packet.
+/// @return false when the packet has to be forwarded at once
+bool askForLocation(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
+{
+    std::vector<Id> holders = holdersOf(forwarder, packet.flow, locationQuestionCount);
+    if (!startQuestion(forwarder.locations, packet, holders, now)) {
+        return false;
+    }
+    const EdgeTarget *named = targetOf(forwarder, packet, nullptr);
+    for (const Id it : holders) {
+        out.locationMessages.push_back({true, it, packet.flow, named == nullptr ? 0 : named->record.id});
+    }
+    appendEvent(out, ForwardEvent::LocationAsked, packet.flow, nullptr, 0, 0);
+    return true;
+}
+
+/// @return whether a flow of this route may have been offered to more than one target
+bool mayHaveSeveralOffers(const TargetTable &table, const FlowKey &key)
+{
+    const EdgeRoute *route = findRoute(table, key.service);
+    std::size_t targets = 0;
+    for (std::size_t n = 0; route != nullptr && n < route->weightedServices.size(); ++n) {
+        const auto ids = table.services.find(route->weightedServices[n].service);
+        targets += ids == table.services.end() ? 0 : ids->second.size();
+    }
+    return targets > 1;
+}
+
+void handleLaterPacket(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
+{
+    if (isAsked(forwarder.locations, packet.flow)) {
+        holdPacket(forwarder.locations, packet);
+        return;
+    }
+    // Beyond the limit flows aren't stored, and each of their packets would cause a question.
+    const bool isUnknown = !forwarder.flows.contains(packet.flow) && forwarder.flows.size() < forwarder.settings.maxFlows;
+    const std::uint64_t located = isUnknown ? findLocation(forwarder.locations, packet.flow, now) : 0;
+    if (isUnknown && located == 0 && mayHaveSeveralOffers(forwarder.table, packet.flow) && askForLocation(forwarder, packet, now, out)) {
+        return;
+    }
+    forwardLaterPacket(forwarder, packet, located, now, out);
+}
+
+/// Forwards the packets that were held while a question was open.
+void forwardHeldPackets(EdgeForwarder &forwarder, EndedQuestion &question, Time now, ForwardOutput &out)
+{
+    const EdgeTarget *target = findTarget(forwarder.table, question.target);
+    appendEvent(out, target == nullptr ? ForwardEvent::LocationUnknown : ForwardEvent::Located, question.flow, target, 0, now - question.askedAt);
+    for (HeldPacket &it : question.packets) {
+        it.packet.bytes = it.bytes;
+        forwardLaterPacket(forwarder, it.packet, question.target, now, out);
+    }
+}
+
 void removeExpired(EdgeForwarder &forwarder, Time now)
 {
+    removeExpiredLocations(forwarder.locations, now);
     for (auto it = forwarder.flows.begin(); it != forwarder.flows.end();) {
         const EdgeFlow &flow = it->second;
         const Time idle = now - flow.lastPacketAt;
@@ -357,6 +453,28 @@
     }
 }
 
+void handleLocate(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t named, Time now, ForwardOutput &out)
+{
+    std::uint64_t target = findLocation(forwarder.locations, flow, now);
+    const auto known = forwarder.flows.find(flow);
+    if (known != forwarder.flows.end() && known->second.stage == FlowStage::Open) {
+        target = known->second.target;
+    }
+    if (target == 0) {
+        recordLocation(forwarder.locations, flow, named, now);
+    }
+    out.locationMessages.push_back({false, sender, flow, target});
+}
+
+void handleLocated(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out)
+{
+    if (!isAsked(forwarder.locations, flow)) {
+        recordLocation(forwarder.locations, flow, target, now);
+    } else if (std::optional<EndedQuestion> ended = answerQuestion(forwarder.locations, flow, sender, target)) {
+        forwardHeldPackets(forwarder, *ended, now, out);
+    }
+}
+
 std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members)
 {
     constexpr Time minAgeDifference = 3 * second;
@@ -412,6 +530,9 @@
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
     runAnswerChecks(forwarder, now, out);
+    for (EndedQuestion &it : expireQuestions(forwarder.locations, now)) {
+        forwardHeldPackets(forwarder, it, now, out);
+    }
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
         updateDispatchers(forwarder, now);
@@ -425,7 +546,7 @@
 Time nextForwarderTick(const EdgeForwarder &forwarder)
 {
     const Time check = forwarder.answerChecks.empty() ? never : forwarder.answerChecks.begin()->first;
-    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher)});
+    return std::min({check, nextQuestionDeadline(forwarder.locations), forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher)});
 }
 
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -108,6 +108,8 @@
     setGauge(m_metrics, "store_following", m_replication.leading ? 1 : 0);
     setGauge(m_metrics, "members", static_cast<double>(m_forwarder.members.size()));
     setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
+    setGauge(m_metrics, "flow_locations", static_cast<double>(m_forwarder.locations.reported.size()));
+    setGauge(m_metrics, "packets_held", static_cast<double>(m_forwarder.locations.heldPackets));
     setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.waitingFlows.size()));
     const FlowCounts counts = countFlows(table);
     setGauge(m_metrics, "target_flows_working", counts.working);
@@ -169,6 +171,9 @@
     for (const FlowNotice &it : out.flowNotices) {
         sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
+    for (const LocationMessage &it : out.locationMessages) {
+        sendFlowNotice(it.asks ? wire::EdgeKind::Locate : wire::EdgeKind::Located, it.to, it.flow, it.target);
+    }
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
@@ -250,6 +255,10 @@
     case wire::EdgeKind::Ended:
         onFlowNotice(message, now);
         break;
+    case wire::EdgeKind::Locate:
+    case wire::EdgeKind::Located:
+        onLocationMessage(message, now);
+        break;
     default:
         break;
     }
@@ -274,6 +283,20 @@
     }
 }
 
+void Edge::onLocationMessage(const wire::EdgeMessage &message, Time now)
+{
+    if (!message.__isset.flow) {
+        return;
+    }
+    ForwardOutput out;
+    if (message.kind == wire::EdgeKind::Locate) {
+        handleLocate(m_forwarder, message.sender, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+    } else {
+        handleLocated(m_forwarder, message.sender, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+    }
+    send(out, now);
+}
+
 void Edge::onPlaceRequest(const wire::EdgeMessage &message, Time now)
 {
     const std::optional<FlowPacket> packet = platform::decodePacket(message.packet);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -61,6 +61,8 @@
     void onChanges(const wire::EdgeMessage &message, Time now);
     void onPlaceRequest(const wire::EdgeMessage &message, Time now);
     void onFlowNotice(const wire::EdgeMessage &message, Time now);
+    /// Handles a question for a flow's location, an answer or a report.
+    void onLocationMessage(const wire::EdgeMessage &message, Time now);
     void sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
     /// @param acceptLarge whether the peer should send its changes even if they take more than maxParts datagrams
