--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -115,6 +115,8 @@
     setGauge(m_metrics, "store_following", m_replication.leading ? 1 : 0);
     setGauge(m_metrics, "members", static_cast<double>(m_forwarder.members.size()));
     setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
+    setGauge(m_metrics, "flow_locations", static_cast<double>(m_forwarder.locations.reported.size()));
+    setGauge(m_metrics, "packets_held", static_cast<double>(m_forwarder.locations.heldPackets));
     setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.waitingFlows.size()));
     const FlowCounts counts = countFlows(table);
     setGauge(m_metrics, "target_flows_working", counts.working);
@@ -191,6 +193,9 @@
     for (const FlowNotice &it : out.flowNotices) {
         sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
+    for (const LocationMessage &it : out.locationMessages) {
+        sendFlowNotice(it.asks ? wire::EdgeKind::Locate : wire::EdgeKind::Located, it.to, it.flow, it.target);
+    }
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
@@ -346,6 +351,10 @@
     case wire::EdgeKind::TargetLost:
         onTargetLost(message, now);
         break;
+    case wire::EdgeKind::Locate:
+    case wire::EdgeKind::Located:
+        onLocationMessage(message, now);
+        break;
     default:
         break;
     }
@@ -374,6 +383,20 @@
     }
 }
 
+void Edge::onLocationMessage(const wire::EdgeMessage &message, Time now)
+{
+    if (!message.__isset.flow) {
+        return;
+    }
+    ForwardOutput out;
+    if (message.kind == wire::EdgeKind::Locate) {
+        handleLocate(m_forwarder, message.sender, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+    } else {
+        handleLocated(m_forwarder, message.sender, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+    }
+    send(out, now);
+}
+
 void Edge::onPlaceRequest(const wire::EdgeMessage &message, Time now)
 {
     const std::optional<FlowPacket> packet = platform::decodePacket(message.packet);
@@ -399,20 +422,29 @@
 
 void Edge::reload(const EdgeSettings &settings)
 {
-    const bool addressChanged = settings.packetAddress != m_settings.packetAddress || settings.readinessAddress != m_settings.readinessAddress
-        || settings.peerAddress != m_settings.peerAddress || settings.storeAddress != m_settings.storeAddress;
-    logEvent(m_log, "reloaded", {{"seeds", joinAddresses(settings.seeds)}, {"needs_restart", static_cast<int>(addressChanged)}});
-    m_settings.seeds = settings.seeds;
-    m_settings.stopGracePeriod = settings.stopGracePeriod;
-    m_settings.evacuationBound = settings.evacuationBound;
+    if (const std::optional<RefusedSettings> refused = findRefusedChange(m_settings, settings)) {
+        refuseReload(*refused);
+        return;
+    }
+    const bool storeMoved = settings.storeAddress != m_settings.storeAddress;
+    const bool firstStart = m_settings.firstStart;
+    m_settings = settings;
+    m_settings.firstStart = firstStart; // of this process's start, whatever the file says meanwhile
+    logEvent(m_log,
+             "reloaded",
+             {{"seeds", joinAddresses(settings.seeds)}, {"store", toString(settings.storeAddress)}, {"store_moved", static_cast<int>(storeMoved)}});
     configureEvacuations();
     m_forwarder.table.slowStart.settings = slowStartSettings(settings);
+    if (storeMoved) {
+        m_store.setAddress(settings.storeAddress);
+        m_roster.setAddress(settings.storeAddress);
+    }
     m_peers.contactNodes(settings.seeds, monotonicNow());
 }
 
-void Edge::refuseReload(const std::string &problem)
+void Edge::refuseReload(const RefusedSettings &refused)
 {
-    logEvent(m_log, "reload_refused", {{"problem", problem}});
+    logEvent(m_log, "reload_refused", {{"field", refused.field}, {"value", refused.value}, {"reason", refused.reason}});
 }
 
 void Edge::logUnexpectedError(const std::exception &error)
