Count the bytes sent to other data centres by purpose

Bytes between data centres are the largest cost at 300 nodes, and no metric told what they are. peer_bytes_sent_total counts the datagrams to other nodes by purpose and scope, packet_bytes_to_targets_total the packets to targets by scope. libpimentofold_test, platform_test and pimentofold-edge_test pass.

--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -119,12 +119,26 @@
     counter(m_metrics, "packet_bytes_sent_total") = static_cast<std::int64_t>(m_packets.bytesSent());
     counter(m_metrics, "packet_send_drops_total") = static_cast<std::int64_t>(m_packets.sendDrops());
     counter(m_metrics, "log_events_held_back_total") = m_logBudget.held;
+    updateTrafficMetrics();
     HttpResponse response;
     response.contentType = "text/plain; version=0.0.4";
     response.body = renderMetrics(m_metrics);
     return response;
 }
 
+void Edge::updateTrafficMetrics()
+{
+    const auto setCounters = [&](const std::string &name, const ScopedBytes &bytes) {
+        counter(m_metrics, name + "scope=\"same\"}") = bytes.sameDataCentre;
+        counter(m_metrics, name + "scope=\"other\"}") = bytes.otherDataCentre;
+    };
+    for (std::size_t i = 0; i < trafficPurposes; ++i) {
+        const std::string purpose(name(static_cast<TrafficPurpose>(i)));
+        setCounters("peer_bytes_sent_total{purpose=\"" + purpose + "\",", m_peers.traffic().byPurpose[i]);
+    }
+    setCounters("packet_bytes_to_targets_total{", m_targetBytes);
+}
+
 void Edge::onPacket(std::string_view bytes)
 {
     const Time now = monotonicNow();
@@ -149,7 +163,10 @@
 void Edge::send(const ForwardOutput &out, Time now)
 {
     for (const ForwardedPacket &it : out.packets) {
-        m_packets.send(platform::encodeForwarded(it), it.to);
+        const std::string bytes = platform::encodeForwarded(it);
+        const EdgeTarget *target = findTarget(m_forwarder.table, it.target);
+        countBytes(m_targetBytes, target != nullptr && target->record.dataCentre == m_settings.dataCentre, bytes.size());
+        m_packets.send(bytes, it.to);
     }
     for (const FlowReset &it : out.resets) {
         m_packets.send(platform::encodeReset(it), {it.flow.caller.ip, m_settings.packetAddress.port});
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -12,6 +12,7 @@
 #include <pimentofold-edge/peertransport.h>
 #include <pimentofold-edge/rosterclient.h>
 #include <pimentofold-edge/storeclient.h>
+#include <pimentofold/balancing/traffic.h>
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/edgeforward.h>
 #include <pimentofold/edgesettings.h>
@@ -85,6 +86,8 @@
     void onStateChanged();
     HttpResponse readinessResponse() const;
     HttpResponse metricsResponse();
+    /// Sets the counters of sent bytes by purpose and data centre.
+    void updateTrafficMetrics();
     void onStopTick();
 
     EdgeSettings m_settings;
@@ -94,6 +97,7 @@
     EdgeForwarder m_forwarder;
     StoreReplication m_replication;
     ChangesAssembler m_changesAssembler;
+    ScopedBytes m_targetBytes; ///< of packets sent to targets, with the target's id in front
     UdpSocket m_packets;
     HttpResponderServer m_readiness;
     std::unique_ptr<HttpResponderServer> m_metricsServer;
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -89,7 +89,7 @@
 
 void PeerTransport::send(const wire::EdgeMessage &message, const Address &to)
 {
-    m_socket.send(withTag(edgeTag, m_codec.encode(message)), to);
+    sendDatagram(purposeOf(message.kind), withTag(edgeTag, m_codec.encode(message)), to);
 }
 
 bool PeerTransport::send(const wire::EdgeMessage &message, Id to)
@@ -102,6 +102,17 @@
     return true;
 }
 
+void PeerTransport::sendDatagram(TrafficPurpose purpose, std::string_view datagram, const Address &to)
+{
+    countBytes(m_traffic, purpose, m_ownDataCentre.contains(to), datagram.size());
+    m_socket.send(datagram, to);
+}
+
+const PeerTraffic &PeerTransport::traffic() const
+{
+    return m_traffic;
+}
+
 void PeerTransport::broadcast(wire::EdgeMessage message, std::size_t rotation)
 {
     m_rotation = rotation;
@@ -111,7 +122,7 @@
     for (const auto &[dataCentre, dataCentrePeers] : m_peersByDataCentre) {
         const std::vector<Address> &candidates = dataCentrePeers.alive.empty() ? dataCentrePeers.unreliable : dataCentrePeers.alive;
         if (dataCentre != m_membership.self.dataCentre) {
-            m_socket.send(datagram, candidates[rotation % candidates.size()]);
+            sendDatagram(purposeOf(message.kind), datagram, candidates[rotation % candidates.size()]);
         }
     }
 }
@@ -127,7 +138,7 @@
         copy.__isset.relayTo = false;
         const std::string datagram = withTag(edgeTag, m_codec.encode(copy));
         for (const wire::EdgeEndpoint &it : message.relayTo) {
-            m_socket.send(datagram, fromWire(it));
+            sendDatagram(purposeOf(message.kind), datagram, fromWire(it));
         }
     }
 }
@@ -235,7 +246,7 @@
 void PeerTransport::applyOutput(MembershipOutput &&output)
 {
     for (const MemberMessage &it : output.messages) {
-        m_socket.send(withTag(membershipTag, m_codec.encode(it.message)), parseAddress(it.address));
+        sendDatagram(TrafficPurpose::Membership, withTag(membershipTag, m_codec.encode(it.message)), parseAddress(it.address));
     }
     for (const MemberChange &it : output.changes) {
         logEvent(m_log,
@@ -252,11 +263,18 @@
 {
     m_peerAddresses.clear();
     m_peersByDataCentre.clear();
+    m_ownDataCentre.clear();
     for (const auto &[id, member] : m_membership.members) {
-        if (id == m_membership.self.key.instance || member.state == wire::MemberState::Dead || !isAddress(member.address)) {
+        if (id == m_membership.self.key.instance || !isAddress(member.address)) {
             continue;
         }
         const Address address = parseAddress(member.address);
+        if (member.dataCentre == m_membership.self.dataCentre) {
+            m_ownDataCentre.insert(address);
+        }
+        if (member.state == wire::MemberState::Dead) {
+            continue;
+        }
         DataCentrePeers &dataCentrePeers = m_peersByDataCentre[member.dataCentre];
         (member.state == wire::MemberState::Alive ? dataCentrePeers.alive : dataCentrePeers.unreliable).push_back(address);
         if (member.state != wire::MemberState::Leaving) {
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -2,11 +2,13 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <libnet/loop.h>
 #include <libnet/udpsocket.h>
+#include <pimentofold/balancing/traffic.h>
 #include <pimentofold/codec.h>
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/edgesettings.h>
@@ -63,6 +65,8 @@
     /// @param order sort key of a node
     /// @return number of live members whose sort key is lower than this node's
     int rankBy(const std::function<std::uint64_t(Id)> &order) const;
+    /// @return bytes sent since the start
+    const PeerTraffic &traffic() const;
 
 private:
     /// Members of one data centre that run, other than this node.
@@ -71,6 +75,8 @@
         std::vector<Address> unreliable; ///< suspected or leaving
     };
 
+    /// Sends a datagram and counts its bytes.
+    void sendDatagram(TrafficPurpose purpose, std::string_view datagram, const Address &to);
     /// Sends to the other members of the own data centre, by relay groups.
     void sendToOwnDataCentre(wire::EdgeMessage message);
     void onDatagram(std::string_view bytes, const Address &from);
@@ -88,6 +94,8 @@
     MembershipState m_membership;
     std::map<Id, Address> m_peerAddresses; ///< of the other live members; leaving ones are not included
     std::map<std::string, DataCentrePeers> m_peersByDataCentre;
+    std::set<Address> m_ownDataCentre; ///< of the other members of the own data centre, in whatever state
+    PeerTraffic m_traffic;
     std::size_t m_rotation = 0; ///< selects the relays in the own data centre
     Random m_random;
     UdpSocket m_socket;
