Dispatch within the data centre

A flow was hashed over the dispatchers of all data centres, so about two thirds of the openings, of the notices about them and of the callers' packets crossed a boundary. With the option localDispatch (default false), targets of a data centre with slots for a dispatcher are owned by its own nodes, and openings stay there. Data centres with fewer slots or without nodes share dispatchers as before. A dispatcher that also owns targets elsewhere uses them once its own have a flow more.

--- /dev/null
+++ b/src/include/pimentofold/balancing/localdispatch.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <pimentofold/targetchoice.h>
+
+/// Division of a service's targets among dispatchers by data centre.
+///
+/// A data centre whose targets have enough slots for a dispatcher gets dispatchers of its own, so that neither opening
+/// packets nor the notices about them leave it. The targets of all other data centres are divided among dispatchers that
+/// are chosen from all nodes. All nodes with the same members and targets get the same division.
+namespace pimentofold {
+
+/// Value of PlacementSettings::otherDataCentreCost with local dispatch. A node may own targets in its own data centre and, as a
+/// dispatcher for data centres without nodes, targets elsewhere. With one flow, the targets elsewhere are used once those of
+/// the own data centre have a flow more, but no flow waits here while a slot is free there.
+constexpr double localDispatchDistanceCost = 1;
+
+/// Nodes that may become dispatchers.
+struct DispatcherCandidates {
+    std::vector<InstanceKey> all;
+    /// By data centre; without an entry, a data centre gets no dispatchers of its own.
+    std::map<std::string, std::vector<InstanceKey>, std::less<>> byDataCentre;
+};
+
+/// A target with its place.
+struct PlacedTarget {
+    TargetEntry entry;
+    std::string_view dataCentre;
+};
+
+/// The dispatchers of one service.
+struct ServiceDispatchers {
+    /// Dispatchers of the openings that arrive in the own data centre: those of the data centre if it has some, else all
+    /// dispatchers of the service.
+    DispatcherTable table;
+    std::map<std::string, DispatcherTable, std::less<>> byDataCentre; ///< of data centres with dispatchers of their own
+    std::vector<Id> owners; ///< of each target that the division was made from; 0: none
+};
+
+/// Divides the targets of a service.
+/// @param ownDataCentre data centre in which the openings arrive
+/// @param slotsPerDispatcher a group of targets gets one dispatcher for each full or started group of this many slots. A data
+///        centre with fewer slots gets no dispatchers of its own.
+ServiceDispatchers divideTargets(
+    Id service, std::span<const PlacedTarget> targets, const DispatcherCandidates &candidates, std::string_view ownDataCentre, int slotsPerDispatcher);
+
+} // namespace pimentofold
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -50,6 +50,8 @@
     /// A service has one dispatcher for each full or started group of this many slots. With this size a dispatcher knows the
     /// load of enough slots to balance well, and its flows take only a small part of a small instance's capacity.
     int slotsPerDispatcher = 64;
+    /// Openings and targets of a data centre with enough slots are dispatched by its own nodes, see localdispatch.h.
+    bool localDispatch = false;
 };
 
 /// Stage of a flow as seen from the caller's packets.
@@ -93,7 +95,9 @@
     Dispatcher dispatcher; ///< for the flows that this node places itself or on behalf of other nodes
     InstanceKey self;
     std::vector<InstanceKey> members; ///< live edge nodes of the region, including this one
-    std::map<std::string, DispatcherTable, std::less<>> dispatchers; ///< by service
+    std::unordered_map<Id, std::string> memberDataCentres; ///< by member
+    /// By service, the dispatchers of the openings that arrive in this node's data centre.
+    std::map<std::string, DispatcherTable, std::less<>> dispatchers;
     std::map<Id, DispatcherMisses> dispatcherMisses; ///< by dispatcher
     Time lastRunAt = 0; ///< last call of detectPause()
     Time dropOpeningsUntil = 0; ///< opening packets are dropped until then after a pause
--- /dev/null
+++ b/src/libpimentofold/balancing/localdispatch.cpp
@@ -0,0 +1,98 @@
+#include <pimentofold/balancing/localdispatch.h>
+
+#include <algorithm>
+
+namespace pimentofold {
+
+namespace {
+
+/// Targets that are divided among the same dispatchers.
+struct TargetGroup {
+    std::vector<TargetEntry> entries;
+    std::vector<std::size_t> positions; ///< of the entries in the list of all targets
+    int slots = 0; ///< of the targets that accept new flows
+};
+
+void append(TargetGroup &group, const TargetEntry &entry, std::size_t position)
+{
+    group.entries.push_back(entry);
+    group.positions.push_back(position);
+    group.slots += entry.serving ? entry.slots : 0;
+}
+
+/// Moves the groups of data centres without dispatchers of their own into one.
+TargetGroup takeShared(std::map<std::string, TargetGroup, std::less<>> &groups, const DispatcherCandidates &candidates, int slotsPerDispatcher)
+{
+    TargetGroup shared;
+    for (auto it = groups.begin(); it != groups.end();) {
+        const auto found = candidates.byDataCentre.find(it->first);
+        if (found != candidates.byDataCentre.end() && !found->second.empty() && it->second.slots >= slotsPerDispatcher) {
+            ++it;
+            continue;
+        }
+        for (std::size_t i = 0; i < it->second.entries.size(); ++i) {
+            append(shared, it->second.entries[i], it->second.positions[i]);
+        }
+        it = groups.erase(it);
+    }
+    return shared;
+}
+
+DispatcherTable makeGroupTable(Id service, const TargetGroup &group, const std::vector<InstanceKey> &candidates, int slotsPerDispatcher)
+{
+    const int count = std::max((group.slots + slotsPerDispatcher - 1) / slotsPerDispatcher, 1);
+    return makeDispatcherTable(service, group.entries, candidates, count);
+}
+
+void recordOwners(const TargetGroup &group, const DispatcherTable &table, std::vector<Id> &owners)
+{
+    for (std::size_t i = 0; i < group.positions.size(); ++i) {
+        owners[group.positions[i]] = table.dispatchers.empty() ? 0 : table.dispatchers[table.owners[i]].instance;
+    }
+}
+
+/// Adds the dispatchers of @p other with the slots that they own there.
+void appendDispatchers(DispatcherTable &table, const DispatcherTable &other)
+{
+    const std::int64_t before = table.cumulativeSlots.empty() ? 0 : table.cumulativeSlots.back();
+    for (std::size_t i = 0; i < other.dispatchers.size(); ++i) {
+        table.dispatchers.push_back(other.dispatchers[i]);
+        table.cumulativeSlots.push_back(before + other.cumulativeSlots[i]);
+    }
+}
+
+} // namespace
+
+ServiceDispatchers
+divideTargets(Id service, std::span<const PlacedTarget> targets, const DispatcherCandidates &candidates, std::string_view ownDataCentre, int slotsPerDispatcher)
+{
+    std::map<std::string, TargetGroup, std::less<>> groups;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const auto it = groups.try_emplace(std::string(targets[i].dataCentre)).first;
+        append(it->second, targets[i].entry, i);
+    }
+    const TargetGroup shared = takeShared(groups, candidates, slotsPerDispatcher);
+    ServiceDispatchers result;
+    result.owners.resize(targets.size());
+    result.table = makeGroupTable(service, shared, candidates.all, slotsPerDispatcher);
+    recordOwners(shared, result.table, result.owners);
+    for (const auto &[dataCentre, group] : groups) {
+        const std::vector<InstanceKey> &members = candidates.byDataCentre.find(dataCentre)->second;
+        const DispatcherTable &table = result.byDataCentre[dataCentre] = makeGroupTable(service, group, members, slotsPerDispatcher);
+        recordOwners(group, table, result.owners);
+    }
+    const auto own = result.byDataCentre.find(ownDataCentre);
+    if (own != result.byDataCentre.end()) {
+        result.table = own->second;
+        return result;
+    }
+    if (shared.slots == 0 && !result.byDataCentre.empty()) {
+        result.table = {};
+    }
+    for (const auto &[dataCentre, table] : result.byDataCentre) {
+        appendDispatchers(result.table, table);
+    }
+    return result;
+}
+
+} // namespace pimentofold
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <pimentofold/balancing/localdispatch.h>
+
 namespace pimentofold {
 
 namespace {
@@ -206,7 +208,8 @@
     flow.stage = FlowStage::Open;
     flow.startedAt = now;
     flow.target = target.record.id;
-    flow.dispatcher = dispatcherOf(forwarder, key);
+    // With local dispatch, the flow may have been placed in another data centre, by the dispatcher of its target.
+    flow.dispatcher = forwarder.settings.localDispatch ? target.owner : dispatcherOf(forwarder, key);
     // Whether the dispatcher counts a request isn't known here, so the first packet's activity is reported in any case.
     flow.countedAsWorking = packet.payloadBytes == 0;
     notifyDispatcher(forwarder, {FlowNoticeKind::Opened, flow.dispatcher, key, flow.target}, now, out);
@@ -258,6 +261,44 @@
     out.packets.push_back({target->record.address, target->record.id, target->token, std::string(packet.bytes)});
 }
 
+/// @return the members that may be dispatchers, without those that are avoided
+DispatcherCandidates usableCandidates(EdgeForwarder &forwarder, Time now)
+{
+    std::vector<InstanceKey> usable;
+    std::map<std::string, std::vector<InstanceKey>, std::less<>> byDataCentre;
+    forwarder.dispatcherRetryAt = never;
+    for (const InstanceKey &it : forwarder.members) {
+        const auto missed = forwarder.dispatcherMisses.find(it.instance);
+        if (missed != forwarder.dispatcherMisses.end() && missed->second.avoidUntil > now) {
+            forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
+            continue;
+        }
+        usable.push_back(it);
+        const auto place = forwarder.memberDataCentres.find(it.instance);
+        if (forwarder.settings.localDispatch && place != forwarder.memberDataCentres.end()) {
+            byDataCentre[place->second].push_back(it);
+        }
+    }
+    DispatcherCandidates candidates;
+    candidates.all = dispatcherCandidates(usable);
+    for (const auto &[dataCentre, members] : byDataCentre) {
+        candidates.byDataCentre[dataCentre] = dispatcherCandidates(members);
+    }
+    return candidates;
+}
+
+/// @return the targets of a service, in the order of @p ids
+std::vector<PlacedTarget> placedTargets(const TargetTable &table, const std::vector<std::uint64_t> &ids, Time now)
+{
+    std::vector<PlacedTarget> targets;
+    targets.reserve(ids.size());
+    for (const std::uint64_t id : ids) {
+        const EdgeTarget &target = *findTarget(table, id);
+        targets.push_back({{static_cast<Id>(id), target.record.slots, acceptsNewFlows(target, now)}, target.record.dataCentre});
+    }
+    return targets;
+}
+
 void removeExpired(EdgeForwarder &forwarder, Time now)
 {
     for (auto it = forwarder.flows.begin(); it != forwarder.flows.end();) {
@@ -379,33 +420,16 @@
 
 void updateDispatchers(EdgeForwarder &forwarder, Time now)
 {
-    std::vector<InstanceKey> members;
-    forwarder.dispatcherRetryAt = never;
-    for (const InstanceKey &it : forwarder.members) {
-        const auto missed = forwarder.dispatcherMisses.find(it.instance);
-        if (missed != forwarder.dispatcherMisses.end() && missed->second.avoidUntil > now) {
-            forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
-            continue;
-        }
-        members.push_back(it);
-    }
-    const std::vector<InstanceKey> candidates = dispatcherCandidates(members);
+    const DispatcherCandidates candidates = usableCandidates(forwarder, now);
     forwarder.dispatchers.clear();
     for (const auto &[service, ids] : forwarder.table.services) {
-        std::vector<TargetEntry> entries;
-        int slots = 0;
-        for (const std::uint64_t id : ids) {
-            const EdgeTarget &target = *findTarget(forwarder.table, id);
-            const bool accepting = acceptsNewFlows(target, now);
-            entries.push_back({static_cast<Id>(id), target.record.slots, accepting});
-            slots += accepting ? target.record.slots : 0;
-        }
-        const int count = std::max((slots + forwarder.settings.slotsPerDispatcher - 1) / forwarder.settings.slotsPerDispatcher, 1);
-        const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatcherTable(idOf(service), entries, candidates, count);
+        const std::vector<PlacedTarget> targets = placedTargets(forwarder.table, ids, now);
+        ServiceDispatchers found =
+            divideTargets(idOf(service), targets, candidates, forwarder.dispatcher.settings.dataCentre, forwarder.settings.slotsPerDispatcher);
         for (std::size_t i = 0; i < ids.size(); ++i) {
-            const Id owner = table.dispatchers.empty() ? 0 : table.dispatchers[table.owners[i]].instance;
-            findTarget(forwarder.table, ids[i])->owner = owner == forwarder.self.instance ? 0 : owner;
+            findTarget(forwarder.table, ids[i])->owner = found.owners[i] == forwarder.self.instance ? 0 : found.owners[i];
         }
+        forwarder.dispatchers[service] = std::move(found.table);
     }
 }
 
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -311,6 +311,7 @@
 void Edge::onMembersChanged()
 {
     m_forwarder.members = m_peers.members();
+    m_forwarder.memberDataCentres = m_peers.memberDataCentres();
     updateDispatchers(m_forwarder, monotonicNow());
 }
 
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -1,5 +1,7 @@
 #include <pimentofold-edge/edgeoptions.h>
 
+#include <pimentofold/balancing/localdispatch.h>
+
 namespace pimentofold {
 
 namespace {
@@ -36,6 +38,10 @@
     options.dispatch.maxFlows = options.forward.maxFlows;
     constexpr std::int64_t maxSlots = 1'000'000;
     options.forward.slotsPerDispatcher = static_cast<int>(takeInteger(top, "slotsPerDispatcher", 1, maxSlots, options.forward.slotsPerDispatcher));
+    options.forward.localDispatch = takeBoolean(top, "localDispatch", options.forward.localDispatch);
+    if (options.forward.localDispatch) {
+        options.dispatch.placement.otherDataCentreCost = localDispatchDistanceCost;
+    }
     constexpr double maxFlowsPerSlot = 1000;
     options.dispatch.flowsPerSlot = takeNumber(top, "flowsPerSlot", 1, maxFlowsPerSlot, options.dispatch.flowsPerSlot);
     readMilliseconds(top, "waitLimitMs", options.dispatch.maxWaitTime);
--- a/src/pimentofold-edge/edgeoptions_test.cpp
+++ b/src/pimentofold-edge/edgeoptions_test.cpp
@@ -14,8 +14,11 @@
 {
     CHECK(parseEdgeOptions(parseSettings("{} // defaults", "f")).metricsPort == 9464);
     CHECK(parseEdgeOptions(parseSettings(R"({"flowsPerSlot": 3, "waitLimitMs": 900})", "f")).dispatch.maxWaitTime == 900 * millisecond);
+    CHECK_FALSE(EdgeOptions().forward.localDispatch);
+    CHECK(parseEdgeOptions(parseSettings(R"({"localDispatch": true})", "f")).forward.localDispatch);
     const EdgeOptions shipped = parseEdgeOptions(readSettings(PIMENTOFOLD_SOURCE_DIR "/deploy/edge.json"));
     CHECK(shipped.dispatch.flowsPerSlot == DispatchSettings().flowsPerSlot);
+    CHECK(shipped.forward.localDispatch == ForwardSettings().localDispatch);
     CHECK(shipped.replication.heartbeatTimeout == ReplicationSettings().heartbeatTimeout);
     struct Row {
         std::string text;
@@ -26,6 +29,7 @@
         {R"({"mostFlows": 0})", "mostFlows"},
         {R"({"flowsPerSlot": "two"})", "flowsPerSlot"},
         {R"({"beatIntervalMs": -1})", "beatIntervalMs"},
+        {R"({"localDispatch": 1})", "localDispatch"},
         {R"({"unknown": 1})", "unknown"},
     };
     for (const Row &row : rows) {
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -203,6 +203,15 @@
     return keys;
 }
 
+std::unordered_map<Id, std::string> PeerTransport::memberDataCentres() const
+{
+    std::unordered_map<Id, std::string> result;
+    for (const Member &it : liveMembers(m_membership)) {
+        result[it.key.instance] = it.dataCentre;
+    }
+    return result;
+}
+
 int PeerTransport::rankBy(const std::function<std::uint64_t(Id)> &order) const
 {
     const std::uint64_t own = order(m_membership.self.key.instance);
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <libnet/loop.h>
@@ -62,6 +63,8 @@
     InstanceKey self() const;
     /// @return the live members, including this node
     std::vector<InstanceKey> members() const;
+    /// @return data centres of the live members, including this node
+    std::unordered_map<Id, std::string> memberDataCentres() const;
     /// @param order sort key of a node
     /// @return number of live members whose sort key is lower than this node's
     int rankBy(const std::function<std::uint64_t(Id)> &order) const;
