Let the share of new flows leave a data centre that its targets can't serve

With local dispatch, a data centre without room made its callers wait while others were idle. leaveShare() decides the share from the wait here, the shortest reported wait elsewhere with the extra transit time, and the room there. A dispatcher relays first attempts only, and never an opening from another data centre.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <pimentofold/balancing/dispatchload.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/placement.h>
 #include <pimentofold/random.h>
@@ -133,6 +134,7 @@
     Id dispatcher = 0;
     int attempt = 1; ///< see OpeningFlow
     std::string bytes; ///< the opening packet as received
+    Id originNode = 0; ///< node that received the opening packet from the caller; 0: this node
 };
 
 /// Notifies the node that requested placement that the dispatcher holds the flow until a target has room.
@@ -172,6 +174,8 @@
     std::vector<HeldNotice> heldNotices;
     std::vector<SettledNotice> settledNotices;
     std::vector<FlowNotice> flowNotices;
+    std::vector<LoadReport> loadReports;
+    std::vector<LeaveShareChange> leaveShareChanges;
     std::vector<ForwardEventRecord> events;
 };
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <pimentofold/balancing/balancing.h>
 #include <pimentofold/dispatch.h>
 #include <pimentofold/flowactivity.h>
 #include <pimentofold/flowpacket.h>
@@ -98,6 +99,7 @@
     std::unordered_map<Id, std::string> memberDataCentres; ///< by member
     /// By service, the dispatchers of the openings that arrive in this node's data centre.
     std::map<std::string, DispatcherTable, std::less<>> dispatchers;
+    Balancing balancing; ///< of the services that this node dispatches for its data centre
     std::map<Id, DispatcherMisses> dispatcherMisses; ///< by dispatcher
     Time lastRunAt = 0; ///< last call of detectPause()
     Time dropOpeningsUntil = 0; ///< opening packets are dropped until then after a pause
--- a/src/libpimentofold/balancing/localdispatch_test.cpp
+++ b/src/libpimentofold/balancing/localdispatch_test.cpp
@@ -4,7 +4,7 @@
 #include <numeric>
 #include <set>
 
-#include <libpimentofold/edgetestdata.h>
+#include <libpimentofold/balancing/regiontestdata.h>
 #include <pimentofold/balancing/localdispatch.h>
 
 using namespace pimentofold;
@@ -15,22 +15,12 @@
 constexpr int slotsPerDispatcher = 64;
 constexpr Id service = 7;
 
-std::string dataCentreName(int n)
-{
-    return "dc" + std::to_string(n);
-}
-
-/// A data centre of the tests: node i of data centre d has the id 1000 * d + i.
+/// A data centre of the tests.
 struct Place {
     int nodes = 0;
     int targets = 0; ///< of two slots each
 };
 
-InstanceKey makeNode(int dataCentre, int n)
-{
-    return {1000 * dataCentre + n, n};
-}
-
 DispatcherCandidates makeCandidates(const std::vector<Place> &places)
 {
     DispatcherCandidates candidates;
@@ -54,11 +44,6 @@
     return targets;
 }
 
-Id dataCentreOf(Id node)
-{
-    return node / 1000;
-}
-
 /// @return how many of 3,000 flows go to a dispatcher of each data centre
 std::vector<int> spread(const DispatcherTable &table, std::size_t dataCentres)
 {
@@ -103,7 +88,7 @@
         for (std::size_t i = 0; i < targets.size(); ++i) {
             REQUIRE(first.owners[i] != 0);
             if (first.byDataCentre.contains(targets[i].dataCentre)) {
-                CHECK(dataCentreName(static_cast<int>(dataCentreOf(first.owners[i]))) == targets[i].dataCentre);
+                CHECK(dataCentreName(dataCentreOf(first.owners[i])) == targets[i].dataCentre);
             }
         }
         const std::vector<int> flows = spread(first.table, names.size());
@@ -153,33 +138,6 @@
 
 namespace {
 
-/// @return forwarder of node @p self in a region of three data centres with 10 nodes and 40 targets each, where the nodes
-///         of the data centres in @p gone are no longer members
-EdgeForwarder makeRegionForwarder(int dataCentre, int self, bool localDispatch, const std::set<int> &gone = {})
-{
-    EdgeForwarder forwarder = makeForwarder(120, 0);
-    forwarder.settings.localDispatch = localDispatch;
-    if (localDispatch) {
-        forwarder.dispatcher.settings.placement.otherDataCentreCost = localDispatchDistanceCost;
-    }
-    forwarder.dispatcher.settings.dataCentre = dataCentreName(dataCentre);
-    forwarder.self = makeNode(dataCentre, self);
-    forwarder.members.clear();
-    for (int d = 0; d < 3; ++d) {
-        for (int n = 1; n <= 10 && !gone.contains(d); ++n) {
-            forwarder.members.push_back(makeNode(d, n));
-            forwarder.memberDataCentres[makeNode(d, n).instance] = dataCentreName(d);
-        }
-    }
-    for (int id = 1; id <= 120; ++id) {
-        TargetRecord record = makeTarget(static_cast<std::uint64_t>(id), 200 + id);
-        record.dataCentre = dataCentreName(id % 3);
-        applyTarget(forwarder.table, record, 0);
-    }
-    updateDispatchers(forwarder, 0);
-    return forwarder;
-}
-
 /// Opens flows at a node of data centre 0.
 /// @return number of openings that were relayed to, or placed in, another data centre
 int openingsThatLeave(EdgeForwarder &forwarder, int flows)
@@ -222,7 +180,7 @@
         CAPTURE(row.gone.size());
         int left = 0;
         for (int self = 1; self <= 10; ++self) {
-            EdgeForwarder forwarder = makeRegionForwarder(0, self, row.localDispatch, row.gone);
+            EdgeForwarder forwarder = makeRegionForwarder({.gone = row.gone}, makeNode(0, self), row.localDispatch);
             left += openingsThatLeave(forwarder, flowsPerNode);
         }
         CHECK(left >= row.minLeft);
@@ -234,9 +192,9 @@
 TEST_CASE("local dispatch: a data centre without targets opens its flows elsewhere")
 {
     for (int self = 1; self <= 10; ++self) {
-        EdgeForwarder forwarder = makeRegionForwarder(0, self, true);
+        EdgeForwarder forwarder = makeRegionForwarder({}, makeNode(0, self));
         for (int id = 3; id <= 120; id += 3) {
-            removeTarget(forwarder.table, static_cast<std::uint64_t>(id), 400 + id, 0);
+            removeTarget(forwarder.table, static_cast<std::uint64_t>(id), 20'000 + id, 0);
         }
         updateDispatchers(forwarder, 5 * second);
         for (int n = 1; n <= 100; ++n) {
@@ -252,7 +210,7 @@
 // itself, in its own data centre, and the next dispatchers in rank take over.
 TEST_CASE("local dispatch: dispatchers that don't answer are replaced within the data centre")
 {
-    EdgeForwarder forwarder = makeRegionForwarder(0, 1, true);
+    EdgeForwarder forwarder = makeRegionForwarder({}, makeNode(0, 1));
     const std::vector<InstanceKey> before = forwarder.dispatchers.find("shop")->second.dispatchers;
     for (int n = 1; n <= 100; ++n) {
         const Time start = n * (10 * millisecond);
@@ -274,7 +232,7 @@
 TEST_CASE("local dispatch: a flow that arrives from another data centre is reported to the owner of its target")
 {
     for (std::uint64_t id = 1; id <= 120; ++id) {
-        EdgeForwarder forwarder = makeRegionForwarder(0, 1, true);
+        EdgeForwarder forwarder = makeRegionForwarder({}, makeNode(0, 1));
         ForwardOutput out;
         handlePacket(forwarder, makeData(1, tokenOf(id)), second, out);
         const Id owner = findTarget(forwarder.table, id)->owner;
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include <pimentofold/balancing/localdispatch.h>
+#include <pimentofold/balancing/balancing.h>
 
 namespace pimentofold {
 
@@ -52,6 +52,40 @@
     appendEvent(out, ForwardEvent::Refused, key, nullptr, 0, 0);
 }
 
+/// @return whether the node that received an opening packet is in this node's data centre
+bool isFromOwnDataCentre(const EdgeForwarder &forwarder, const OpeningFlow &flow)
+{
+    const auto origin = forwarder.memberDataCentres.find(flow.originNode);
+    return flow.originNode == 0 || (origin != forwarder.memberDataCentres.end() && origin->second == forwarder.balancing.dataCentre);
+}
+
+/// Relays an opening packet to another data centre if the flow is to leave this one. Only first attempts leave, so that a
+/// dispatcher elsewhere that doesn't answer costs one attempt. An opening packet from another data centre never leaves again.
+/// @return whether the packet was relayed
+bool relayElsewhere(EdgeForwarder &forwarder, const OpeningFlow &flow, ForwardOutput &out)
+{
+    const Dispatcher &dispatcher = forwarder.dispatcher;
+    const bool isKnown = dispatcher.placedFlows.contains(flow.key) || dispatcher.waitingFlows.contains(flow.key);
+    if (forwarder.balancing.services.empty() || flow.attempt > 1 || isKnown || !isFromOwnDataCentre(forwarder, flow)) {
+        return false;
+    }
+    const EdgeRoute *route = findRoute(forwarder.table, flow.key.service);
+    if (route == nullptr) {
+        return false;
+    }
+    const std::string &service = route->weightedServices.front().service;
+    countOpening(forwarder.balancing, service);
+    const std::optional<Id> to = leaveTo(forwarder.balancing, service, std::hash<FlowKey>{}(flow.key));
+    if (!to) {
+        return false;
+    }
+    ++forwarder.balancing.flowsLeft;
+    out.relayedOpenings.push_back({*to, flow.attempt, flow.openingPacket, flow.originNode});
+    appendEvent(out, ForwardEvent::Relayed, flow.key, nullptr, flow.attempt, 0);
+    out.events.back().node = *to;
+    return true;
+}
+
 /// Starts a placement attempt: relays the opening packet to the flow's dispatcher, or places the flow at this node.
 void attemptPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
@@ -59,12 +93,15 @@
     flow.lastOfferAt = now;
     forwarder.answerChecks.emplace(now + answerTimeout(forwarder), key);
     if (flow.dispatcher != 0) {
-        out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket});
+        out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket, 0});
         appendEvent(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
         out.events.back().node = flow.dispatcher;
         return;
     }
     const OpeningFlow opening = toOpeningFlow(key, flow);
+    if (relayElsewhere(forwarder, opening, out)) {
+        return;
+    }
     const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, opening, now, out);
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
@@ -168,6 +205,16 @@
     attemptPlacement(forwarder, packet.flow, stored, now, out);
 }
 
+/// Makes the owner of the target the dispatcher of a flow that has left the data centre, since it has placed the flow.
+void followToOwner(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, const EdgeTarget &target, Time now, ForwardOutput &out)
+{
+    const bool left = target.record.dataCentre != forwarder.dispatcher.settings.dataCentre;
+    if (forwarder.settings.localDispatch && left && flow.dispatcher != target.owner) {
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
+        flow.dispatcher = target.owner;
+    }
+}
+
 void markFlowOpen(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, EdgeTarget &target, Time now, ForwardOutput &out)
 {
     if (flow.attempts == 1) {
@@ -181,6 +228,7 @@
     if (flow.dispatcher != 0) {
         forwarder.dispatcherMisses.erase(flow.dispatcher);
     }
+    followToOwner(forwarder, key, flow, target, now, out);
     appendEvent(out, ForwardEvent::Opened, key, &target, flow.attempts, now - flow.startedAt);
 }
 
@@ -373,7 +421,7 @@
 {
     if (now < forwarder.dropOpeningsUntil) {
         appendEvent(out, ForwardEvent::Stale, flow.key, nullptr, flow.attempt, 0);
-    } else if (canPlaceFlows(forwarder)) {
+    } else if (canPlaceFlows(forwarder) && !relayElsewhere(forwarder, flow, out)) {
         placeFlow(forwarder.dispatcher, forwarder.table, flow, now, out);
     }
 }
@@ -422,6 +470,8 @@
 {
     const DispatcherCandidates candidates = usableCandidates(forwarder, now);
     forwarder.dispatchers.clear();
+    forwarder.balancing.dataCentre = forwarder.dispatcher.settings.dataCentre;
+    forwarder.balancing.self = forwarder.self.instance;
     for (const auto &[service, ids] : forwarder.table.services) {
         const std::vector<PlacedTarget> targets = placedTargets(forwarder.table, ids, now);
         ServiceDispatchers found =
@@ -429,14 +479,17 @@
         for (std::size_t i = 0; i < ids.size(); ++i) {
             findTarget(forwarder.table, ids[i])->owner = found.owners[i] == forwarder.self.instance ? 0 : found.owners[i];
         }
+        updateBalance(forwarder.balancing, service, found, targets);
         forwarder.dispatchers[service] = std::move(found.table);
     }
+    removeOtherServices(forwarder.balancing, forwarder.dispatchers);
 }
 
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
     runAnswerChecks(forwarder, now, out);
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
+    tickBalancing(forwarder.balancing, forwarder.dispatcher, forwarder.table, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
         updateDispatchers(forwarder, now);
     }
@@ -449,7 +502,7 @@
 Time nextForwarderTick(const EdgeForwarder &forwarder)
 {
     const Time check = forwarder.answerChecks.empty() ? never : forwarder.answerChecks.begin()->first;
-    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher)});
+    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher), forwarder.balancing.nextTickAt});
 }
 
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <pimentofold-edge/edgelog.h>
+#include <pimentofold/balancing/loadwire.h>
 #include <platform/packetcodec.h>
 
 namespace pimentofold {
@@ -67,6 +68,7 @@
     m_logBudget.burst = options.logBurst;
     m_forwarder.settings = options.forward;
     m_forwarder.dispatcher.settings = options.dispatch;
+    m_forwarder.balancing.settings = options.balancing;
     m_replication.settings = options.replication;
     if (options.metricsPort != 0) {
         m_metricsServer = std::make_unique<HttpResponderServer>(Address{settings.packetAddress.ip, options.metricsPort},
@@ -120,6 +122,7 @@
     counter(m_metrics, "packet_send_drops_total") = static_cast<std::int64_t>(m_packets.sendDrops());
     counter(m_metrics, "log_events_held_back_total") = m_logBudget.held;
     updateTrafficMetrics();
+    updateBalancingMetrics();
     HttpResponse response;
     response.contentType = "text/plain; version=0.0.4";
     response.body = renderMetrics(m_metrics);
@@ -139,6 +142,16 @@
     setCounters("packet_bytes_to_targets_total{", m_targetBytes);
 }
 
+void Edge::updateBalancingMetrics()
+{
+    constexpr std::string_view gauge = "leave_share{";
+    std::erase_if(m_metrics.gauges, [&](const auto &it) { return it.first.starts_with(gauge); });
+    for (const auto &[service, balance] : m_forwarder.balancing.services) {
+        setGauge(m_metrics, std::string(gauge) + "service=\"" + service + "\"}", balance.decision.share);
+    }
+    counter(m_metrics, "flows_left_data_centre_total") = m_forwarder.balancing.flowsLeft;
+}
+
 void Edge::onPacket(std::string_view bytes)
 {
     const Time now = monotonicNow();
@@ -175,6 +188,10 @@
         wire::EdgeMessage message = newMessage(wire::EdgeKind::Place);
         message.__set_packet(it.bytes);
         message.__set_attempt(it.attempt);
+        if (it.originNode != 0) {
+            // The dispatcher that gets the packet answers to the node that received it.
+            message.sender = it.originNode;
+        }
         m_peers.send(message, it.dispatcher);
     }
     for (const HeldNotice &it : out.heldNotices) {
@@ -186,11 +203,41 @@
     for (const FlowNotice &it : out.flowNotices) {
         sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
+    sendLoadReports(out);
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
 }
 
+void Edge::sendLoadReports(const ForwardOutput &out)
+{
+    for (const LoadReport &it : out.loadReports) {
+        wire::EdgeMessage message = newMessage(wire::EdgeKind::DispatchLoad);
+        message.__set_loads({toWire(it.load)});
+        m_peers.send(message, it.to);
+    }
+    for (const LeaveShareChange &it : out.leaveShareChanges) {
+        logEvent(m_log,
+                 "leave_share_changed",
+                 {{"service", it.service},
+                  {"before", it.before},
+                  {"share", it.share},
+                  {"to", it.mainDestination.empty() ? "none" : it.mainDestination},
+                  {"working", it.working},
+                  {"waiting", it.waiting},
+                  {"slots", it.slots}});
+    }
+}
+
+void Edge::onDispatchLoads(const wire::EdgeMessage &message, Time now)
+{
+    ForwardOutput out;
+    for (const wire::EdgeDispatchLoad &it : message.loads) {
+        handleDispatchLoad(m_forwarder.balancing, message.sender, fromWire(it), now, out);
+    }
+    send(out, now);
+}
+
 void Edge::sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target)
 {
     if (to == 0) {
@@ -267,6 +314,9 @@
     case wire::EdgeKind::Ended:
         onFlowNotice(message, now);
         break;
+    case wire::EdgeKind::DispatchLoad:
+        onDispatchLoads(message, now);
+        break;
     default:
         break;
     }
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -62,6 +62,9 @@
     void onChanges(const wire::EdgeMessage &message, Time now);
     void onPlaceRequest(const wire::EdgeMessage &message, Time now);
     void onFlowNotice(const wire::EdgeMessage &message, Time now);
+    void onDispatchLoads(const wire::EdgeMessage &message, Time now);
+    /// Sends the load reports, and logs the changes of the share of flows that leaves the data centre.
+    void sendLoadReports(const ForwardOutput &out);
     void sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
     /// @param acceptLarge whether the peer should send its changes even if they take more than maxParts datagrams
@@ -86,6 +89,8 @@
     void onStateChanged();
     HttpResponse readinessResponse() const;
     HttpResponse metricsResponse();
+    /// Sets the metrics of flows that leave the data centre.
+    void updateBalancingMetrics();
     /// Sets the counters of sent bytes by purpose and data centre.
     void updateTrafficMetrics();
     void onStopTick();
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -42,6 +42,7 @@
     if (options.forward.localDispatch) {
         options.dispatch.placement.otherDataCentreCost = localDispatchDistanceCost;
     }
+    readMilliseconds(top, "otherDataCentreMs", options.balancing.leave.extraTransit);
     constexpr double maxFlowsPerSlot = 1000;
     options.dispatch.flowsPerSlot = takeNumber(top, "flowsPerSlot", 1, maxFlowsPerSlot, options.dispatch.flowsPerSlot);
     readMilliseconds(top, "waitLimitMs", options.dispatch.maxWaitTime);
--- a/src/pimentofold-edge/edgeoptions.h
+++ b/src/pimentofold-edge/edgeoptions.h
@@ -13,6 +13,7 @@
 struct EdgeOptions {
     ForwardSettings forward;
     DispatchSettings dispatch;
+    BalancingSettings balancing;
     ReplicationSettings replication;
     std::uint16_t metricsPort = 9464; ///< TCP port of the metrics page; 0: no metrics page
     double logEventsPerSecond = 200; ///< limit for the events of each name
