Membership updates and first states cross a data centre boundary less often

An update of the membership crossed in most of its 3 n log n transmissions, and the complete state for a node that starts came from a seed anywhere. With local dispatch, about six members of a data centre carry an update to others, digests go to neighbours, and a seed passes the first request of a node on to a member of the node's data centre.

--- a/src/include/pimentofold/membership/membership.h
+++ b/src/include/pimentofold/membership/membership.h
@@ -44,6 +44,15 @@
     int indirectProbes = 3; ///< members that are asked to probe a target which has not acknowledged
     Time baseSuspicionTimeout = 3 * second; ///< multiplied by log10 of the number of members, see suspicionTimeout()
     std::size_t updatesPerMessage = 12;
+    /// Sends updates and digests mostly within the data centre. Each update leaves it through carrierCount members only, and
+    /// probes of other data centres are fewer. Otherwise an update crosses a boundary in most of its transmissions, whose
+    /// number is about 3 n log n for n members.
+    bool preferOwnDataCentre = false;
+    /// Number of members of a data centre that carry an update to others, on average. Each member decides by a hash, so that
+    /// with 6 no member carries an update in one of 400 cases; a digest repairs that.
+    std::size_t carrierCount = 6;
+    /// With preferOwnDataCentre, one of this many digests to fetch missing entries goes to any data centre.
+    std::size_t digestsPerCrossing = 8;
     /// Number of random members that receive a suspicion, refutation, leave or death immediately. With probes alone, a
     /// refutation needs several seconds to reach all members, which is as long as a suspicion lasts.
     std::size_t urgentFanout = 3;
@@ -124,6 +133,7 @@
     Random random;
     std::map<Id, Member> members; ///< all known members, including this one and dead ones
     std::vector<std::string> seeds; ///< addresses, "ip:port"
+    std::size_t ownDataCentreCount = 0; ///< live members of the own data centre, as of the last round of probes; 0: not known yet
     std::vector<Id> probeOrder; ///< members still to be probed in the current round
     Probe probe;
     Time nextProbeAt = 0;
--- a/src/libpimentofold/membership/membership.cpp
+++ b/src/libpimentofold/membership/membership.cpp
@@ -49,6 +49,43 @@
     return live;
 }
 
+/// @return up to @p count random live members of the own data centre other than this one
+std::vector<const Member *> randomNeighbours(MembershipState &state, std::size_t count)
+{
+    std::vector<const Member *> live = otherLiveMembers(state);
+    std::erase_if(live, [&](const Member *it) { return it->dataCentre != state.self.dataCentre; });
+    count = std::min(count, live.size());
+    for (std::size_t n = 0; n < count; ++n) {
+        std::swap(live[n], live[n + below(state.random, live.size() - n)]);
+    }
+    live.resize(count);
+    return live;
+}
+
+/// @return the members that receive urgent updates
+std::vector<const Member *> urgentRecipients(MembershipState &state)
+{
+    if (!state.options.preferOwnDataCentre) {
+        return randomLiveMembers(state, state.options.urgentFanout, 0);
+    }
+    std::vector<const Member *> recipients = randomNeighbours(state, state.options.urgentFanout);
+    const std::vector<const Member *> any = randomLiveMembers(state, 1, 0);
+    recipients.insert(recipients.end(), any.begin(), any.end());
+    return recipients;
+}
+
+/// @return the member that is asked for missing entries; nothing without other members
+std::vector<const Member *> catchUpRecipient(MembershipState &state)
+{
+    if (state.options.preferOwnDataCentre && below(state.random, state.options.digestsPerCrossing) != 0) {
+        std::vector<const Member *> neighbour = randomNeighbours(state, 1);
+        if (!neighbour.empty()) {
+            return neighbour;
+        }
+    }
+    return randomLiveMembers(state, 1, 0);
+}
+
 wire::PeerMessage newMessage(const MembershipState &state, wire::PeerKind::type kind, std::int64_t sequence)
 {
     wire::PeerMessage message;
@@ -153,7 +190,9 @@
 
 void refillProbeOrder(MembershipState &state)
 {
+    state.ownDataCentreCount = 0;
     for (const auto &[id, member] : state.members) {
+        state.ownDataCentreCount += isLive(member) && member.dataCentre == state.self.dataCentre ? 1 : 0;
         if (member.state != State::Dead && id != state.self.key.instance) {
             state.probeOrder.push_back(id);
         }
@@ -246,7 +285,7 @@
     if (!state.catchingUp || now < state.nextDigestAt || state.updateBudget < replyReserveBytes || !consumeBudget(state, messageOverheadBytes, now)) {
         return;
     }
-    for (const Member *it : randomLiveMembers(state, 1, 0)) {
+    for (const Member *it : catchUpRecipient(state)) {
         sendPing(state, *it, ++state.sequence, now, out);
     }
 }
@@ -301,7 +340,7 @@
         return;
     }
     state.urgentPending = false;
-    for (const Member *it : randomLiveMembers(state, state.options.urgentFanout, 0)) {
+    for (const Member *it : urgentRecipients(state)) {
         sendUpdates(state, *it, now, out);
     }
 }
--- a/src/libpimentofold/membership/memberupdates.cpp
+++ b/src/libpimentofold/membership/memberupdates.cpp
@@ -230,8 +230,25 @@
     return (static_cast<unsigned char>(filter[bit / 8]) >> (bit % 8) & 1U) != 0;
 }
 
+/// @return whether this member sends updates about a member to other data centres
+bool carriesToOthers(const MembershipState &state, const Member &about)
+{
+    if (about.key.instance == state.self.key.instance || state.ownDataCentreCount <= state.options.carrierCount) {
+        return true;
+    }
+    const auto toUnsigned = [](std::int64_t n) { return static_cast<std::uint64_t>(n); };
+    const std::uint64_t update = mix(toUnsigned(about.key.instance), toUnsigned(about.key.incarnation + about.stateVersion));
+    return mix(update, toUnsigned(state.self.key.instance)) % state.ownDataCentreCount < state.options.carrierCount;
+}
+
 } // namespace
 
+bool isElsewhere(const MembershipState &state, Id recipient)
+{
+    const auto it = state.members.find(recipient);
+    return state.options.preferOwnDataCentre && it != state.members.end() && it->second.dataCentre != state.self.dataCentre;
+}
+
 bool mergeUpdate(MembershipState &state, const wire::MemberUpdate &update, Time now, MembershipOutput &out)
 {
     if (update.state < State::Alive || update.state > State::Dead) {
@@ -319,11 +336,12 @@
         addUpdate(state, message, known->second, false);
     }
     const int limit = maxTransmissions(state);
+    const bool elsewhere = isElsewhere(state, recipient);
     for (const auto &[sent, alive, tie, id] : transmissionOrder(state)) {
-        if (id == recipient) {
+        const Member &member = state.members.at(id);
+        if (id == recipient || (elsewhere && !carriesToOthers(state, member))) {
             continue;
         }
-        const Member &member = state.members.at(id);
         if (!addUpdate(state, message, member, member.state == State::Alive)) {
             break;
         }
--- a/src/libpimentofold/membership/memberupdates.h
+++ b/src/libpimentofold/membership/memberupdates.h
@@ -34,6 +34,9 @@
 /// Copies MembershipState::self to its entry in MembershipState::members and queues the update.
 void publishSelf(MembershipState &state, Time now);
 
+/// @return whether the member is in another data centre and updates are to stay in the own one, see preferOwnDataCentre
+bool isElsewhere(const MembershipState &state, Id recipient);
+
 /// Adds queued updates to a message, up to the limits on count, message size and rate.
 /// @param recipient instance that the message goes to, 0 if unknown; if it isn't recorded as alive, its own entry is
 ///     added first, so that it can refute it
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -53,6 +53,7 @@
     , m_readiness(settings.readinessAddress, [this](const HttpRequest &) { return readinessResponse(); })
     , m_peers(
           settings,
+          options.forward.localDispatch,
           randomSeed(),
           m_log,
           [this](const wire::EdgeMessage &message, const Address &from) { onPeerMessage(message, from); },
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -32,8 +32,9 @@
 void Edge::startReplication()
 {
     onMembersChanged();
-    updateReplication(m_replication.startedAt);
+    // First, so that a seed that gets the request for the state already knows this node's data centre.
     m_peers.tick(m_replication.startedAt);
+    updateReplication(m_replication.startedAt);
     m_replicationTimer.start(std::min(m_replication.settings.startupPeerWait, startupInterval));
 }
 
@@ -77,17 +78,23 @@
     if (!isAheadOf(m_replication, base)) {
         return;
     }
+    const bool relayed = message.__isset.relayTo && message.relayTo.size() == 1;
+    const bool isInitial = base == KnownRevisions();
+    if (m_forwarder.settings.localDispatch && isInitial && !relayed && m_peers.relayToDataCentreOf(from, message)) {
+        return;
+    }
+    const Address to = relayed ? fromWire(message.relayTo.front()) : from;
     const StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_replication.known, now);
     const std::vector<wire::EdgeChanges> parts = toWire(changes);
     wire::EdgeMessage response = newMessage(wire::EdgeKind::Changes);
     if (parts.size() > maxParts && !message.large) {
         response.__set_large(true);
-        m_peers.send(response, from);
+        m_peers.send(response, to);
         return;
     }
     for (const wire::EdgeChanges &it : parts) {
         response.__set_changes(it);
-        m_peers.send(response, from);
+        m_peers.send(response, to);
     }
 }
 
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -54,6 +54,7 @@
 } // namespace
 
 PeerTransport::PeerTransport(const EdgeSettings &settings,
+                             bool preferOwnDataCentre,
                              std::uint64_t randomSeed,
                              EventLog &log,
                              std::function<void(const wire::EdgeMessage &, const Address &)> onMessage,
@@ -66,6 +67,7 @@
 {
     m_random.state = randomSeed;
     m_membership.options = edgeMembershipOptions();
+    m_membership.options.preferOwnDataCentre = preferOwnDataCentre;
     std::vector<std::string> seeds;
     for (const Address &it : settings.seeds) {
         seeds.push_back(toString(it));
@@ -104,7 +106,9 @@
 
 void PeerTransport::sendDatagram(TrafficPurpose purpose, std::string_view datagram, const Address &to)
 {
-    countBytes(m_traffic, purpose, m_ownDataCentre.contains(to), datagram.size());
+    const auto dataCentre = m_dataCentres.find(to);
+    const bool same = dataCentre != m_dataCentres.end() && dataCentre->second == m_membership.self.dataCentre;
+    countBytes(m_traffic, purpose, same, datagram.size());
     m_socket.send(datagram, to);
 }
 
@@ -170,6 +174,31 @@
     return true;
 }
 
+bool PeerTransport::relayToDataCentreOf(const Address &from, const wire::EdgeMessage &message)
+{
+    // A member that has run for this long knows the state, unless the store and all other nodes have failed.
+    constexpr std::int64_t minRunTime = 5 * second;
+    const auto dataCentre = m_dataCentres.find(from);
+    if (dataCentre == m_dataCentres.end() || dataCentre->second == m_membership.self.dataCentre) {
+        return false;
+    }
+    const std::int64_t startedBefore = wallNow() * (millisecond / microsecond) - minRunTime;
+    std::vector<Address> relays;
+    for (const auto &[id, member] : m_membership.members) {
+        const bool running = member.state == wire::MemberState::Alive && member.key.incarnation < startedBefore;
+        if (running && member.dataCentre == dataCentre->second && parseAddress(member.address) != from) {
+            relays.push_back(parseAddress(member.address));
+        }
+    }
+    if (relays.empty()) {
+        return false;
+    }
+    wire::EdgeMessage copy = message;
+    copy.__set_relayTo({toWire(from)});
+    send(copy, relays[below(m_random, relays.size())]);
+    return true;
+}
+
 void PeerTransport::contactNodes(const std::vector<Address> &nodes, Time now)
 {
     MembershipOutput output;
@@ -272,15 +301,13 @@
 {
     m_peerAddresses.clear();
     m_peersByDataCentre.clear();
-    m_ownDataCentre.clear();
+    m_dataCentres.clear();
     for (const auto &[id, member] : m_membership.members) {
         if (id == m_membership.self.key.instance || !isAddress(member.address)) {
             continue;
         }
         const Address address = parseAddress(member.address);
-        if (member.dataCentre == m_membership.self.dataCentre) {
-            m_ownDataCentre.insert(address);
-        }
+        m_dataCentres[address] = member.dataCentre;
         if (member.state == wire::MemberState::Dead) {
             continue;
         }
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,10 +24,12 @@
 {
 public:
     /// Opens the socket and contacts the seeds.
+    /// @param preferOwnDataCentre whether membership updates are sent mostly within the data centre, see MembershipOptions
     /// @param randomSeed of the random selection of peers
     /// @param onMessage called with each message of another node and the address that it came from
     /// @param onMembersChanged called when the state of a member has changed: it joined, leaves, is suspected or dead
     PeerTransport(const EdgeSettings &settings,
+                  bool preferOwnDataCentre,
                   std::uint64_t randomSeed,
                   EventLog &log,
                   std::function<void(const wire::EdgeMessage &message, const Address &from)> onMessage,
@@ -54,6 +55,11 @@
     /// Sends to a random live member of the own data centre.
     /// @return false when there is no other member
     bool sendToRandomPeer(const wire::EdgeMessage &message);
+    /// Passes the request of a node that has just started on to a member of that node's data centre, with the node's address in
+    /// `relayTo`, so that the response doesn't leave the data centre.
+    /// @param from address of the node that sent the request
+    /// @return false when the node is in this data centre, or when no member is known to have run there for some seconds
+    bool relayToDataCentreOf(const Address &from, const wire::EdgeMessage &message);
     /// Adds nodes that may be running to the seeds and contacts all seeds.
     void contactNodes(const std::vector<Address> &nodes, Time now);
     /// @return addresses of the live members, including this node
@@ -97,7 +103,7 @@
     MembershipState m_membership;
     std::map<Id, Address> m_peerAddresses; ///< of the other live members; leaving ones are not included
     std::map<std::string, DataCentrePeers> m_peersByDataCentre;
-    std::set<Address> m_ownDataCentre; ///< of the other members of the own data centre, in whatever state
+    std::map<Address, std::string> m_dataCentres; ///< of the other members, in whatever state
     PeerTraffic m_traffic;
     std::size_t m_rotation = 0; ///< selects the relays in the own data centre
     Random m_random;
--- a/src/pimentofold-edge/peertransport_test.cpp
+++ b/src/pimentofold-edge/peertransport_test.cpp
@@ -15,19 +15,19 @@
 
 namespace {
 
-wire::PeerMessage announcement(const std::string &address, const std::string &dataCentre = "dc1")
+wire::PeerMessage announcement(const std::string &address, const std::string &dataCentre = "dc1", std::int64_t instance = 77)
 {
     wire::MemberUpdate member;
-    member.key.instance = 77;
+    member.key.instance = instance;
     member.key.incarnation = 1;
     member.state = wire::MemberState::Alive;
-    member.name = "n77";
+    member.name = "n" + std::to_string(instance);
     member.address = address;
     member.balancerAddress = address;
     member.dataCentre = dataCentre;
     wire::PeerMessage message;
     message.kind = wire::PeerKind::Ping;
-    message.sender.instance = 77;
+    message.sender.instance = instance;
     message.sender.incarnation = 1;
     message.__set_members({member});
     return message;
@@ -49,7 +49,7 @@
         settings.peerAddress = {0x7f000001, ++port};
         EventLog log;
         PeerTransport transport(
-            settings, 1, log, [](const wire::EdgeMessage &, const Address &) {}, [] {});
+            settings, false, 1, log, [](const wire::EdgeMessage &, const Address &) {}, [] {});
         int answers = 0;
         UdpSocket peer({0x7f000001, 0}, [&](std::string_view, const Address &) { ++answers; });
         Codec codec;
@@ -83,7 +83,7 @@
         settings.peerAddress = {0x7f000001, ++port};
         EventLog log;
         PeerTransport transport(
-            settings, 1, log, [](const wire::EdgeMessage &, const Address &) {}, [] {});
+            settings, false, 1, log, [](const wire::EdgeMessage &, const Address &) {}, [] {});
         std::size_t received = 0;
         UdpSocket peer({0x7f000001, 0}, [&](std::string_view bytes, const Address &) { received += bytes.front() == 'E' ? bytes.size() : 0; });
         Codec codec;
@@ -100,3 +100,52 @@
         CHECK((row.same ? counted.otherDataCentre : counted.sameDataCentre) == 0);
     }
 }
+
+// Guards against the complete state that crosses a boundary for each node that starts: a seed elsewhere passes the request on
+// to a node that has run for some time in the data centre of the node that starts.
+TEST_CASE("the request of a starting node is answered in its data centre")
+{
+    struct Row {
+        std::string starting; ///< data centre of the node that starts
+        std::string other; ///< data centre of the other member
+        bool relayed;
+    };
+    const Row rows[] = {{"dc2", "dc2", true}, {"dc2", "dc3", false}, {"dc1", "dc1", false}};
+    std::uint16_t port = 22'140;
+    for (const Row &row : rows) {
+        CAPTURE(row.starting);
+        CAPTURE(row.other);
+        EdgeSettings settings;
+        settings.node = "n1";
+        settings.dataCentre = "dc1";
+        settings.peerAddress = {0x7f000001, ++port};
+        EventLog log;
+        PeerTransport transport(
+            settings, true, 1, log, [](const wire::EdgeMessage &, const Address &) {}, [] {});
+        Codec codec;
+        std::vector<wire::EdgeMessage> received;
+        UdpSocket starting({0x7f000001, 0}, [](std::string_view, const Address &) {});
+        UdpSocket other({0x7f000001, 0}, [&](std::string_view bytes, const Address &) {
+            if (bytes.front() == 'E') {
+                codec.decode(bytes.substr(1), received.emplace_back());
+            }
+        });
+        const auto announce = [&](UdpSocket &socket, const std::string &dataCentre, std::int64_t instance) {
+            const std::string address = "127.0.0.1:" + std::to_string(socket.localAddress().port);
+            socket.send(std::string("M").append(codec.encode(announcement(address, dataCentre, instance))), settings.peerAddress);
+        };
+        announce(starting, row.starting, 77);
+        announce(other, row.other, 78);
+        runUntil([&] { return transport.members().size() == 3; });
+        wire::EdgeMessage fetch;
+        fetch.kind = wire::EdgeKind::Fetch;
+        fetch.sender = 77;
+        const Address from{0x7f000001, starting.localAddress().port};
+        REQUIRE(transport.relayToDataCentreOf(from, fetch) == row.relayed);
+        if (row.relayed) {
+            runUntil([&] { return !received.empty(); });
+            REQUIRE(received.front().relayTo.size() == 1);
+            CHECK(toString(fromWire(received.front().relayTo.front())) == toString(from));
+        }
+    }
+}
