Local dispatch: the last attempt of a flow goes to another data centre

With local dispatch, the attempts after the third prefer another data centre, whoever owns the targets. The test runs callers, nodes and targets of three data centres: nothing fails, a cut, targets gone, draining or silent, dispatchers or all nodes gone, too much demand at one.

--- a/src/include/pimentofold/balancing/localdispatch.h
+++ b/src/include/pimentofold/balancing/localdispatch.h
@@ -19,6 +19,9 @@
 /// dispatcher for data centres without nodes, targets elsewhere. With one flow, the targets elsewhere are used once those of
 /// the own data centre have a flow more, but no flow waits here while a slot is free there.
 constexpr double localDispatchDistanceCost = 1;
+/// Value of PlacementSettings::maxLocalAttempts with local dispatch: the two attempts of a dispatcher and the first one of the
+/// node itself. The last of the usual four attempts goes elsewhere, in case that no target of the data centre answers.
+constexpr int localDispatchAttempts = 3;
 
 /// Nodes that may become dispatchers.
 struct DispatcherCandidates {
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -21,6 +21,9 @@
     double unansweredCost = 1.5; ///< load, in flows, that each opening packet without an answer adds
     double warmupSlowdown = 0.6; ///< relative increase of the time that requests take during a target's warm-up
     double otherDataCentreCost = 0.1; ///< load, in flows, that a target in another data centre gets added
+    /// After this many attempts, a target in the own data centre gets otherDataCentreCost added instead, whoever owns the
+    /// targets, since the whole data centre may not answer; 0: never.
+    int maxLocalAttempts = 0;
 };
 
 /// Requirements of one placement.
@@ -29,6 +32,7 @@
     std::span<const std::uint64_t> triedTargets; ///< targets that the flow was already offered to; they are chosen only when there is no other
     std::string_view dataCentre; ///< data centre of this node
     bool preferOwned = false; ///< prefer targets that this node owns as a dispatcher
+    int attempt = 1; ///< placement attempt of the flow, from 1
 };
 
 /// Draws one of the route's services by weight and selects one of its targets.
--- a/src/libpimentofold/balancing/regiontestdata.h
+++ b/src/libpimentofold/balancing/regiontestdata.h
@@ -41,6 +41,7 @@
     forwarder.settings.localDispatch = localDispatch;
     if (localDispatch) {
         forwarder.dispatcher.settings.placement.otherDataCentreCost = localDispatchDistanceCost;
+        forwarder.dispatcher.settings.placement.maxLocalAttempts = localDispatchAttempts;
     }
     forwarder.dispatcher.settings.dataCentre = dataCentreName(dataCentreOf(self.instance));
     forwarder.self = self;
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -107,7 +107,7 @@
 {
     const std::span<const std::uint64_t> tried =
         placed == nullptr ? std::span<const std::uint64_t>() : std::span<const std::uint64_t>(placed->offeredTargets.data(), placed->offerCount);
-    PlacementQuery query{route, tried, dispatcher.settings.dataCentre, flow.preferOwned};
+    PlacementQuery query{route, tried, dispatcher.settings.dataCentre, flow.preferOwned, flow.attempt};
     return choosePlacementTarget(table, dispatcher.settings.placement, query, now, dispatcher.random);
 }
 
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -21,6 +21,12 @@
 /// is well below the drain time of every installation.
 constexpr Time drainingUseLimit = second;
 
+/// @return whether the flow has been tried so often that a target in another data centre is preferred
+bool prefersOtherDataCentre(const PlacementSettings &settings, const PlacementQuery &query)
+{
+    return settings.maxLocalAttempts > 0 && query.attempt > settings.maxLocalAttempts;
+}
+
 Preference preferenceOf(const EdgeTarget &target, const PlacementSettings &settings, const PlacementQuery &query, Time now)
 {
     if (!acceptsNewFlows(target, now)) {
@@ -33,15 +39,16 @@
     if (isSuspected(target, settings) && now < target.nextProbeAt) {
         return Preference::Suspected;
     }
-    return query.preferOwned && target.owner != 0 ? Preference::OwnedElsewhere : Preference::Preferred;
+    return query.preferOwned && target.owner != 0 && !prefersOtherDataCentre(settings, query) ? Preference::OwnedElsewhere : Preference::Preferred;
 }
 
-double costOf(const EdgeTarget &target, const PlacementSettings &settings, std::string_view dataCentre, Time now)
+double costOf(const EdgeTarget &target, const PlacementSettings &settings, const PlacementQuery &query, Time now)
 {
     const double slowdown = now < target.warmupEndsAt ? 1 + settings.warmupSlowdown : 1;
     // Once a probe of a suspected target is due, its unanswered packets must not raise its cost, or it would not get the probe.
     const double unansweredPenalty = isSuspected(target, settings) ? 0 : settings.unansweredCost * target.unansweredOpenings;
-    const double distancePenalty = target.record.dataCentre == dataCentre ? 0 : settings.otherDataCentreCost;
+    const bool isOther = target.record.dataCentre != query.dataCentre;
+    const double distancePenalty = isOther == prefersOtherDataCentre(settings, query) ? 0 : settings.otherDataCentreCost;
     return ((target.workingFlows + target.idleLoad + 1) * slowdown + unansweredPenalty + distancePenalty) / std::max(target.record.slots, 1);
 }
 
@@ -78,7 +85,7 @@
         if (preference == Preference::Excluded || preference > bestPreference) {
             continue;
         }
-        const double cost = costOf(target, settings, query.dataCentre, now);
+        const double cost = costOf(target, settings, query, now);
         const bool better = preference < bestPreference || cost < bestCost || (cost == bestCost && target.lastFlowAt < best->lastFlowAt);
         if (better) {
             best = &target;
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -41,6 +41,7 @@
     options.forward.localDispatch = takeBoolean(top, "localDispatch", options.forward.localDispatch);
     if (options.forward.localDispatch) {
         options.dispatch.placement.otherDataCentreCost = localDispatchDistanceCost;
+        options.dispatch.placement.maxLocalAttempts = localDispatchAttempts;
     }
     readMilliseconds(top, "otherDataCentreMs", options.balancing.leave.extraTransit);
     constexpr double maxFlowsPerSlot = 1000;
