--- a/src/libpimentofold/balancing/leaveshare_test.cpp
+++ b/src/libpimentofold/balancing/leaveshare_test.cpp
@@ -296,3 +296,51 @@
         CHECK(percent(ours.late, ours.flows) <= row.maxLate);
     }
 }
+
+// Guards against single wrong decisions: flows to data centres that are silent or full, flows that stay open and leave as easily
+// as others, a sudden move of all flows.
+TEST_CASE("leave share: one decision")
+{
+    constexpr LocalLoad full{64, 64, 40, workTime, 0, 2000, 1};
+    constexpr LocalLoad fullAndOpen{64, 64, 40, workTime, 0.8, 2000, 1};
+    constexpr LocalLoad idle{64, 10, 0, workTime, 0, 300, 1};
+    constexpr LocalLoad none{0, 0, 0, workTime, 0, 2000, 1};
+    constexpr Time interval = 50 * millisecond;
+    const NeighbourLoad roomy{"dc1", 64, 10, 0, 0, 0};
+    const NeighbourLoad busy{"dc2", 64, 64, 200, 100 * millisecond, 0};
+    const NeighbourLoad silent{"dc1", 64, 10, 0, 0, second};
+    const LeaveShare half{0.5, 0.5, {{"dc1", 0.5}, {"dc2", 0.5}}};
+    struct Row {
+        std::string name;
+        LocalLoad local;
+        std::vector<NeighbourLoad> others;
+        LeaveShare before;
+        double min;
+        double max;
+    };
+    const Row rows[] = {
+        {"no reports", full, {}, half, 0, 0},
+        {"only silent ones", full, {silent}, half, 0, 0},
+        {"one has become silent", full, {silent, busy}, half, 0, 0.25},
+        {"room elsewhere", full, {roomy}, {}, 0.01, 0.1},
+        {"flows stay open", fullAndOpen, {roomy}, {}, 0.005, 0.05},
+        {"others are full", full, {busy}, {}, 0, 0},
+        {"idle", idle, {roomy}, {}, 0, 0},
+        {"idle again", idle, {roomy, busy}, half, 0.39, 0.49},
+        {"no targets", none, {roomy, busy}, {}, 1, 1},
+        {"no targets and no reports", none, {silent}, half, 0, 0},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        const LeaveShare decision = leaveShare(row.local, row.others, row.before, interval, LeaveSettings());
+        CHECK(decision.share >= row.min);
+        CHECK(decision.share <= row.max);
+        for (std::uint64_t n = 0; n < 200; ++n) {
+            const std::optional<std::string_view> to = destinationOf(decision, mix(n, 3));
+            const bool isFresh = std::ranges::any_of(row.others, [&](const NeighbourLoad &it) { return to == it.dataCentre && it.age < second; });
+            CHECK((!to || isFresh));
+        }
+    }
+    const double shareOfOpen = leaveShare(fullAndOpen, std::span(&roomy, 1), {}, interval, LeaveSettings()).share;
+    CHECK(shareOfOpen < leaveShare(full, std::span(&roomy, 1), {}, interval, LeaveSettings()).share);
+}
