--- a/src/libpimentofold/membership/membershiptraffic_test.cpp
+++ b/src/libpimentofold/membership/membershiptraffic_test.cpp
@@ -253,3 +253,46 @@
     }
     CHECK(healed < 20 * second);
 }
+
+// Guards against a data centre that stays wrong or unknown after a node of an earlier version has left it out.
+TEST_CASE("membership: a data centre that was left out is unknown until a member names it")
+{
+    struct Row {
+        bool severalDataCentres;
+        std::string first; ///< data centre in the first entry
+        std::string then; ///< in the second entry, which is the same otherwise
+        std::string known;
+    };
+    const Row rows[] = {
+        {true, "", "", ""},
+        {true, "", "dc1", "dc1"},
+        {true, "dc1", "", "dc1"},
+        {true, "dc1", "dc2", "dc1"},
+        {false, "", "dc1", "dc0"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.first);
+        CAPTURE(row.then);
+        MembershipState state;
+        state.options.severalDataCentres = row.severalDataCentres;
+        startMembership(state, makeMember(0, 1), {}, 1, 0);
+        for (const std::string &dataCentre : {row.first, row.then}) {
+            const Member other = makeMember(1, 1);
+            wire::MemberUpdate update;
+            update.key.instance = other.key.instance;
+            update.key.incarnation = other.key.incarnation;
+            update.state = wire::MemberState::Alive;
+            update.name = other.name;
+            update.address = other.address;
+            update.balancerAddress = other.address;
+            update.dataCentre = dataCentre;
+            wire::PeerMessage message;
+            message.kind = wire::PeerKind::Ack;
+            message.sender = update.key;
+            message.__set_members({update});
+            MembershipOutput out;
+            handleMembership(state, message, other.address, 0, out);
+        }
+        CHECK(state.members.at(makeMember(1, 1).key.instance).dataCentre == row.known);
+    }
+}
