Merge leaving the data centre

The division among dispatchers leaves out evacuated targets and weighs cold ones, as before the merge; evacuated targets are no room of their data centre.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <pimentofold/balancing/dispatchload.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/placement.h>
 #include <pimentofold/random.h>
@@ -138,6 +139,7 @@
     Id dispatcher = 0;
     int attempt = 1; ///< see OpeningFlow
     std::string bytes; ///< the opening packet as received
+    Id originNode = 0; ///< node that received the opening packet from the caller; 0: this node
 };
 
 /// Notifies the node that requested placement that the dispatcher holds the flow until a target has room.
@@ -193,6 +195,8 @@
     std::vector<RefusedNotice> refusedNotices;
     std::vector<FlowNotice> flowNotices;
     std::vector<LocationMessage> locationMessages;
+    std::vector<LoadReport> loadReports;
+    std::vector<LeaveShareChange> leaveShareChanges;
     std::vector<ForwardEventRecord> events;
     std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
     std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -108,7 +108,7 @@
 
 PlacementQuery queryFor(const Dispatcher &dispatcher, const OpeningFlow &flow, std::span<const std::uint64_t> tried, const EdgeRoute &route)
 {
-    return {route, tried, dispatcher.settings.dataCentre, flow.preferOwned, dispatcher.settings.flowsPerSlot};
+    return {route, tried, dispatcher.settings.dataCentre, flow.preferOwned, dispatcher.settings.flowsPerSlot, flow.attempt};
 }
 
 EdgeTarget *chooseTargetFor(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const PlacedFlow *placed, const EdgeRoute &route, Time now)
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include <pimentofold/balancing/balancing.h>
 #include <pimentofold/evacuation/evacuation.h>
 #include <pimentofold/targetloss/targetloss.h>
 
@@ -61,6 +62,40 @@
     refuseFlow(key, out);
 }
 
+/// @return whether the node that received an opening packet is in this node's data centre
+bool isFromOwnDataCentre(const EdgeForwarder &forwarder, const OpeningFlow &flow)
+{
+    const auto origin = forwarder.memberDataCentres.find(flow.originNode);
+    return flow.originNode == 0 || (origin != forwarder.memberDataCentres.end() && origin->second == forwarder.balancing.dataCentre);
+}
+
+/// Relays an opening packet to another data centre if the flow is to leave this one. Only first attempts leave, so that a
+/// dispatcher elsewhere that doesn't answer costs one attempt. An opening packet from another data centre never leaves again.
+/// @return whether the packet was relayed
+bool relayElsewhere(EdgeForwarder &forwarder, const OpeningFlow &flow, ForwardOutput &out)
+{
+    const Dispatcher &dispatcher = forwarder.dispatcher;
+    const bool isKnown = dispatcher.placedFlows.contains(flow.key) || dispatcher.waitingFlows.contains(flow.key);
+    if (forwarder.balancing.services.empty() || flow.attempt > 1 || isKnown || !isFromOwnDataCentre(forwarder, flow)) {
+        return false;
+    }
+    const EdgeRoute *route = findRoute(forwarder.table, flow.key.service);
+    if (route == nullptr) {
+        return false;
+    }
+    const std::string &service = route->weightedServices.front().service;
+    countOpening(forwarder.balancing, service);
+    const std::optional<Id> to = leaveTo(forwarder.balancing, service, std::hash<FlowKey>{}(flow.key));
+    if (!to) {
+        return false;
+    }
+    ++forwarder.balancing.flowsLeft;
+    out.relayedOpenings.push_back({*to, flow.attempt, flow.openingPacket, flow.originNode});
+    appendEvent(out, ForwardEvent::Relayed, flow.key, nullptr, flow.attempt, 0);
+    out.events.back().node = *to;
+    return true;
+}
+
 /// Starts a placement attempt: relays the opening packet to the flow's dispatcher, or places the flow at this node.
 void attemptPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
@@ -68,12 +103,15 @@
     flow.lastOfferAt = now;
     forwarder.answerChecks.emplace(now + answerTimeout(forwarder), key);
     if (flow.dispatcher != 0) {
-        out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket});
+        out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket, 0});
         appendEvent(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
         out.events.back().node = flow.dispatcher;
         return;
     }
     const OpeningFlow opening = toOpeningFlow(key, flow);
+    if (relayElsewhere(forwarder, opening, out)) {
+        return;
+    }
     const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, opening, now, out);
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
@@ -213,6 +251,16 @@
     attemptPlacement(forwarder, packet.flow, stored, now, out);
 }
 
+/// Makes the owner of the target the dispatcher of a flow that has left the data centre, since it has placed the flow.
+void followToOwner(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, const EdgeTarget &target, Time now, ForwardOutput &out)
+{
+    const bool left = target.record.dataCentre != forwarder.dispatcher.settings.dataCentre;
+    if (forwarder.settings.localDispatch && left && flow.dispatcher != target.owner) {
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
+        flow.dispatcher = target.owner;
+    }
+}
+
 void markFlowOpen(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, EdgeTarget &target, Time now, ForwardOutput &out)
 {
     if (flow.attempts == 1) {
@@ -230,6 +278,7 @@
     if (flow.dispatcher != 0) {
         forwarder.dispatcherMisses.erase(flow.dispatcher);
     }
+    followToOwner(forwarder, key, flow, target, now, out);
     appendEvent(out, ForwardEvent::Opened, key, &target, flow.attempts, now - flow.startedAt);
 }
 
@@ -257,7 +306,8 @@
     flow.stage = FlowStage::Open;
     flow.startedAt = now;
     flow.target = target.record.id;
-    flow.dispatcher = dispatcherOf(forwarder, key);
+    // With local dispatch, the flow may have been placed in another data centre, by the dispatcher of its target.
+    flow.dispatcher = forwarder.settings.localDispatch ? target.owner : dispatcherOf(forwarder, key);
     // Whether the dispatcher counts a request isn't known here, so the first packet's activity is reported in any case.
     flow.countedAsWorking = packet.payloadBytes == 0;
     notifyDispatcher(forwarder, {FlowNoticeKind::Opened, flow.dispatcher, key, flow.target}, now, out);
@@ -375,6 +425,52 @@
     }
 }
 
+/// @return the members that may be dispatchers, without those that are avoided
+DispatcherCandidates usableCandidates(EdgeForwarder &forwarder, Time now)
+{
+    std::vector<InstanceKey> usable;
+    std::map<std::string, std::vector<InstanceKey>, std::less<>> byDataCentre;
+    forwarder.dispatcherRetryAt = never;
+    for (const InstanceKey &it : forwarder.members) {
+        const auto missed = forwarder.dispatcherMisses.find(it.instance);
+        if (missed != forwarder.dispatcherMisses.end() && missed->second.avoidUntil > now) {
+            forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
+            continue;
+        }
+        usable.push_back(it);
+        const auto place = forwarder.memberDataCentres.find(it.instance);
+        if (forwarder.settings.localDispatch && place != forwarder.memberDataCentres.end() && !place->second.empty()) {
+            byDataCentre[place->second].push_back(it);
+        }
+    }
+    DispatcherCandidates candidates;
+    candidates.all = dispatcherCandidates(usable);
+    for (const auto &[dataCentre, members] : byDataCentre) {
+        candidates.byDataCentre[dataCentre] = dispatcherCandidates(members);
+    }
+    return candidates;
+}
+
+/// @return the targets of a service, in the order of @p ids
+std::vector<PlacedTarget> placedTargets(const TargetTable &table, const std::vector<std::uint64_t> &ids, Time now)
+{
+    std::vector<PlacedTarget> targets;
+    std::vector<TargetEntry> weighted;
+    targets.reserve(ids.size());
+    weighted.reserve(ids.size());
+    for (const std::uint64_t id : ids) {
+        const EdgeTarget &target = *findTarget(table, id);
+        const bool accepting = acceptsNewFlows(target, now) && !isEvacuated(table, target);
+        weighted.push_back({static_cast<Id>(id), target.record.slots, accepting});
+        targets.push_back({weighted.back(), target.record.dataCentre});
+    }
+    weighColdTargets(table, weighted, now);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        targets[i].weightedSlots = weighted[i].slots;
+    }
+    return targets;
+}
+
 void removeExpired(EdgeForwarder &forwarder, Time now)
 {
     removeExpiredLocations(forwarder.locations, now);
@@ -467,7 +563,7 @@
 {
     if (now < forwarder.dropOpeningsUntil) {
         appendEvent(out, ForwardEvent::Stale, flow.key, nullptr, flow.attempt, 0);
-    } else if (canPlaceFlows(forwarder)) {
+    } else if (canPlaceFlows(forwarder) && !relayElsewhere(forwarder, flow, out)) {
         placeFlow(forwarder.dispatcher, forwarder.table, flow, now, out);
     }
 }
@@ -546,36 +642,23 @@
 
 void updateDispatchers(EdgeForwarder &forwarder, Time now)
 {
-    std::vector<InstanceKey> members;
-    forwarder.dispatcherRetryAt = never;
-    for (const InstanceKey &it : forwarder.members) {
-        const auto missed = forwarder.dispatcherMisses.find(it.instance);
-        if (missed != forwarder.dispatcherMisses.end() && missed->second.avoidUntil > now) {
-            forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
-            continue;
-        }
-        members.push_back(it);
-    }
-    const std::vector<InstanceKey> candidates = dispatcherCandidates(members);
+    const DispatcherCandidates candidates = usableCandidates(forwarder, now);
     forwarder.dispatchers.clear();
+    forwarder.balancing.dataCentre = forwarder.dispatcher.settings.dataCentre;
+    forwarder.balancing.self = forwarder.self.instance;
     for (const auto &[service, ids] : forwarder.table.services) {
-        std::vector<TargetEntry> entries;
-        int slots = 0;
-        for (const std::uint64_t id : ids) {
-            const EdgeTarget &target = *findTarget(forwarder.table, id);
-            const bool accepting = acceptsNewFlows(target, now) && !isEvacuated(forwarder.table, target);
-            entries.push_back({static_cast<Id>(id), target.record.slots, accepting});
-            slots += accepting ? target.record.slots : 0;
-        }
-        weighColdTargets(forwarder.table, entries, now);
-        const int count = std::max((slots + forwarder.settings.slotsPerDispatcher - 1) / forwarder.settings.slotsPerDispatcher, 1);
-        const DispatcherTable &table = forwarder.dispatchers[service] = makeDispatcherTable(idOf(service), entries, candidates, count);
+        const std::vector<PlacedTarget> targets = placedTargets(forwarder.table, ids, now);
+        ServiceDispatchers found =
+            divideTargets(idOf(service), targets, candidates, forwarder.dispatcher.settings.dataCentre, forwarder.settings.slotsPerDispatcher);
         for (std::size_t i = 0; i < ids.size(); ++i) {
-            const Id owner = table.dispatchers.empty() ? 0 : table.dispatchers[table.owners[i]].instance;
-            findTarget(forwarder.table, ids[i])->owner = owner == forwarder.self.instance ? 0 : owner;
+            findTarget(forwarder.table, ids[i])->owner = found.owners[i] == forwarder.self.instance ? 0 : found.owners[i];
         }
+        updateBalance(forwarder.balancing, service, found, targets);
+        forwarder.dispatchers[service] = std::move(found.table);
     }
-    updateColdOwners(forwarder.table, memberView(forwarder, members.size() < forwarder.members.size()), now);
+    removeOtherServices(forwarder.balancing, forwarder.dispatchers);
+    const bool avoidsDispatchers = forwarder.dispatcherRetryAt != never;
+    updateColdOwners(forwarder.table, memberView(forwarder, avoidsDispatchers), now);
     updateOwnership(forwarder, now);
 }
 
@@ -587,6 +670,7 @@
     }
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
     tickTargetLoss(forwarder, now, out);
+    tickBalancing(forwarder.balancing, forwarder.dispatcher, forwarder.table, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
         updateDispatchers(forwarder, now);
     }
@@ -600,8 +684,12 @@
 Time nextForwarderTick(const EdgeForwarder &forwarder)
 {
     const Time check = forwarder.answerChecks.empty() ? never : forwarder.answerChecks.begin()->first;
-    return std::min(
-        {check, nextQuestionDeadline(forwarder.locations), forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher), nextLossTick(forwarder)});
+    return std::min({check,
+                     nextQuestionDeadline(forwarder.locations),
+                     forwarder.nextSweepAt,
+                     nextDispatcherTick(forwarder.dispatcher),
+                     nextLossTick(forwarder),
+                     forwarder.balancing.nextTickAt});
 }
 
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
--- a/src/libpimentofold/membership/memberupdates.cpp
+++ b/src/libpimentofold/membership/memberupdates.cpp
@@ -53,7 +53,7 @@
     update.address = member.address;
     const std::string host = hostOf(member.address);
     update.balancerAddress = hostOf(member.balancerAddress) == host ? member.balancerAddress.substr(host.size()) : member.balancerAddress;
-    update.dataCentre = member.dataCentre == state.self.dataCentre ? "" : member.dataCentre;
+    update.dataCentre = member.dataCentre == state.self.dataCentre && !state.options.severalDataCentres ? "" : member.dataCentre;
     return update;
 }
 
@@ -65,7 +65,7 @@
     member.name = update.name;
     member.address = update.address;
     member.balancerAddress = update.balancerAddress.starts_with(':') ? hostOf(update.address) + update.balancerAddress : update.balancerAddress;
-    member.dataCentre = update.dataCentre.empty() ? state.self.dataCentre : update.dataCentre;
+    member.dataCentre = update.dataCentre.empty() && !state.options.severalDataCentres ? state.self.dataCentre : update.dataCentre;
     member.stateVersion = update.stateVersion;
     member.stateSince = now;
     return member;
@@ -230,8 +230,25 @@
     return (static_cast<unsigned char>(filter[bit / 8]) >> (bit % 8) & 1U) != 0;
 }
 
+/// @return whether this member sends updates about a member to other data centres
+bool carriesToOthers(const MembershipState &state, const Member &about)
+{
+    if (about.key.instance == state.self.key.instance || state.ownDataCentreCount <= state.options.carrierCount) {
+        return true;
+    }
+    const auto toUnsigned = [](std::int64_t n) { return static_cast<std::uint64_t>(n); };
+    const std::uint64_t update = mix(toUnsigned(about.key.instance), toUnsigned(about.key.incarnation + about.stateVersion));
+    return mix(update, toUnsigned(state.self.key.instance)) % state.ownDataCentreCount < state.options.carrierCount;
+}
+
 } // namespace
 
+bool isElsewhere(const MembershipState &state, Id recipient)
+{
+    const auto it = state.members.find(recipient);
+    return state.options.preferOwnDataCentre && it != state.members.end() && it->second.dataCentre != state.self.dataCentre;
+}
+
 bool mergeUpdate(MembershipState &state, const wire::MemberUpdate &update, Time now, MembershipOutput &out)
 {
     if (update.state < State::Alive || update.state > State::Dead) {
@@ -256,6 +273,12 @@
         out.changes.push_back({claim, {}});
         return true;
     }
+    if (it->second.dataCentre.empty() && !claim.dataCentre.empty() && precedence(claim) == precedence(it->second)) {
+        // The entry came from a node of an earlier version, which left the data centre out.
+        it->second.dataCentre = claim.dataCentre;
+        out.changes.push_back({it->second, it->second.state});
+        return true;
+    }
     if (precedence(claim) <= precedence(it->second) || !checkDeathClaim(state, it->second, claim, now)) {
         return false;
     }
@@ -319,11 +342,12 @@
         addUpdate(state, message, known->second, false);
     }
     const int limit = maxTransmissions(state);
+    const bool elsewhere = isElsewhere(state, recipient);
     for (const auto &[sent, alive, tie, id] : transmissionOrder(state)) {
-        if (id == recipient) {
+        const Member &member = state.members.at(id);
+        if (id == recipient || (elsewhere && !carriesToOthers(state, member))) {
             continue;
         }
-        const Member &member = state.members.at(id);
         if (!addUpdate(state, message, member, member.state == State::Alive)) {
             break;
         }
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <pimentofold-edge/edgelog.h>
+#include <pimentofold/balancing/loadwire.h>
 #include <pimentofold/targetloss/targetloss.h>
 #include <platform/packetcodec.h>
 
@@ -56,6 +57,7 @@
     , m_readiness(settings.readinessAddress, [this](const HttpRequest &) { return readinessResponse(); })
     , m_peers(
           settings,
+          options.forward.localDispatch,
           randomSeed(),
           m_log,
           [this](const wire::EdgeMessage &message, const Address &from) { onPeerMessage(message, from); },
@@ -71,6 +73,7 @@
     m_logBudget.burst = options.logBurst;
     m_forwarder.settings = options.forward;
     m_forwarder.dispatcher.settings = options.dispatch;
+    m_forwarder.balancing.settings = options.balancing;
     m_replication.settings = options.replication;
     m_forwarder.targetLoss.settings = options.targetLoss;
     if (options.metricsPort != 0) {
@@ -134,12 +137,37 @@
     counter(m_metrics, "packet_bytes_sent_total") = static_cast<std::int64_t>(m_packets.bytesSent());
     counter(m_metrics, "packet_send_drops_total") = static_cast<std::int64_t>(m_packets.sendDrops());
     counter(m_metrics, "log_events_held_back_total") = m_logBudget.held;
+    updateTrafficMetrics();
+    updateBalancingMetrics();
     HttpResponse response;
     response.contentType = "text/plain; version=0.0.4";
     response.body = renderMetrics(m_metrics);
     return response;
 }
 
+void Edge::updateTrafficMetrics()
+{
+    const auto setCounters = [&](const std::string &name, const ScopedBytes &bytes) {
+        counter(m_metrics, name + "scope=\"same\"}") = bytes.sameDataCentre;
+        counter(m_metrics, name + "scope=\"other\"}") = bytes.otherDataCentre;
+    };
+    for (std::size_t i = 0; i < trafficPurposes; ++i) {
+        const std::string purpose(name(static_cast<TrafficPurpose>(i)));
+        setCounters("peer_bytes_sent_total{purpose=\"" + purpose + "\",", m_peers.traffic().byPurpose[i]);
+    }
+    setCounters("packet_bytes_to_targets_total{", m_targetBytes);
+}
+
+void Edge::updateBalancingMetrics()
+{
+    constexpr std::string_view gauge = "leave_share{";
+    std::erase_if(m_metrics.gauges, [&](const auto &it) { return it.first.starts_with(gauge); });
+    for (const auto &[service, balance] : m_forwarder.balancing.services) {
+        setGauge(m_metrics, std::string(gauge) + "service=\"" + service + "\"}", balance.decision.share);
+    }
+    counter(m_metrics, "flows_left_data_centre_total") = m_forwarder.balancing.flowsLeft;
+}
+
 void Edge::onPacket(std::string_view bytes)
 {
     const Time now = monotonicNow();
@@ -164,7 +192,10 @@
 void Edge::send(const ForwardOutput &out, Time now)
 {
     for (const ForwardedPacket &it : out.packets) {
-        m_packets.send(platform::encodeForwarded(it), it.to);
+        const std::string bytes = platform::encodeForwarded(it);
+        const EdgeTarget *target = findTarget(m_forwarder.table, it.target);
+        countBytes(m_targetBytes, target != nullptr && target->record.dataCentre == m_settings.dataCentre, bytes.size());
+        m_packets.send(bytes, it.to);
     }
     for (const FlowReset &it : out.resets) {
         m_packets.send(platform::encodeReset(it), {it.flow.caller.ip, m_settings.packetAddress.port});
@@ -173,6 +204,10 @@
         wire::EdgeMessage message = newMessage(wire::EdgeKind::Place);
         message.__set_packet(it.bytes);
         message.__set_attempt(it.attempt);
+        if (it.originNode != 0) {
+            // The dispatcher that gets the packet answers to the node that received it.
+            message.sender = it.originNode;
+        }
         m_peers.send(message, it.dispatcher);
     }
     for (const HeldNotice &it : out.heldNotices) {
@@ -196,6 +231,7 @@
     for (const LocationMessage &it : out.locationMessages) {
         sendFlowNotice(it.asks ? wire::EdgeKind::Locate : wire::EdgeKind::Located, it.to, it.flow, it.target);
     }
+    sendLoadReports(out);
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
@@ -251,6 +287,35 @@
     send(out, now);
 }
 
+void Edge::sendLoadReports(const ForwardOutput &out)
+{
+    for (const LoadReport &it : out.loadReports) {
+        wire::EdgeMessage message = newMessage(wire::EdgeKind::DispatchLoad);
+        message.__set_loads({toWire(it.load)});
+        m_peers.send(message, it.to);
+    }
+    for (const LeaveShareChange &it : out.leaveShareChanges) {
+        logEvent(m_log,
+                 "leave_share_changed",
+                 {{"service", it.service},
+                  {"before", it.before},
+                  {"share", it.share},
+                  {"to", it.mainDestination.empty() ? "none" : it.mainDestination},
+                  {"working", it.working},
+                  {"waiting", it.waiting},
+                  {"slots", it.slots}});
+    }
+}
+
+void Edge::onDispatchLoads(const wire::EdgeMessage &message, Time now)
+{
+    ForwardOutput out;
+    for (const wire::EdgeDispatchLoad &it : message.loads) {
+        handleDispatchLoad(m_forwarder.balancing, message.sender, fromWire(it), now, out);
+    }
+    send(out, now);
+}
+
 void Edge::sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target)
 {
     if (to == 0) {
@@ -355,6 +420,9 @@
     case wire::EdgeKind::Located:
         onLocationMessage(message, now);
         break;
+    case wire::EdgeKind::DispatchLoad:
+        onDispatchLoads(message, now);
+        break;
     default:
         break;
     }
@@ -417,6 +485,7 @@
 void Edge::onMembersChanged()
 {
     m_forwarder.members = m_peers.members();
+    m_forwarder.memberDataCentres = m_peers.memberDataCentres();
     updateDispatchers(m_forwarder, monotonicNow());
 }
 
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -12,6 +12,7 @@
 #include <pimentofold-edge/peertransport.h>
 #include <pimentofold-edge/rosterclient.h>
 #include <pimentofold-edge/storeclient.h>
+#include <pimentofold/balancing/traffic.h>
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/edgeforward.h>
 #include <pimentofold/edgesettings.h>
@@ -78,6 +79,9 @@
     void onTargetLost(const wire::EdgeMessage &message, Time now);
     /// Handles a question for a flow's location, an answer or a report.
     void onLocationMessage(const wire::EdgeMessage &message, Time now);
+    void onDispatchLoads(const wire::EdgeMessage &message, Time now);
+    /// Sends the load reports, and logs the changes of the share of flows that leaves the data centre.
+    void sendLoadReports(const ForwardOutput &out);
     void sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
     /// @param acceptLarge whether the peer should send its changes even if they take more than maxParts datagrams
@@ -102,6 +106,10 @@
     void onStateChanged();
     HttpResponse readinessResponse() const;
     HttpResponse metricsResponse();
+    /// Sets the metrics of flows that leave the data centre.
+    void updateBalancingMetrics();
+    /// Sets the counters of sent bytes by purpose and data centre.
+    void updateTrafficMetrics();
     void onStopTick();
 
     EdgeSettings m_settings;
@@ -111,6 +119,7 @@
     EdgeForwarder m_forwarder;
     StoreReplication m_replication;
     ChangesAssembler m_changesAssembler;
+    ScopedBytes m_targetBytes; ///< of packets sent to targets, with the target's id in front
     UdpSocket m_packets;
     HttpResponderServer m_readiness;
     std::unique_ptr<HttpResponderServer> m_metricsServer;
--- a/src/pimentofold-edge/edgeoptions.h
+++ b/src/pimentofold-edge/edgeoptions.h
@@ -13,6 +13,7 @@
 struct EdgeOptions {
     ForwardSettings forward;
     DispatchSettings dispatch;
+    BalancingSettings balancing;
     ReplicationSettings replication;
     TargetLossSettings targetLoss;
     std::uint16_t metricsPort = 9464; ///< TCP port of the metrics page; 0: no metrics page
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -38,8 +38,9 @@
 void Edge::startReplication()
 {
     onMembersChanged();
-    updateReplication(m_replication.startedAt);
+    // First, so that a seed that gets the request for the state already knows this node's data centre.
     m_peers.tick(m_replication.startedAt);
+    updateReplication(m_replication.startedAt);
     m_replicationTimer.start(std::min(m_replication.settings.startupPeerWait, startupInterval));
 }
 
@@ -85,10 +86,16 @@
     if (!isAheadOf(m_replication, base)) {
         return;
     }
+    const bool relayed = message.__isset.relayTo && message.relayTo.size() == 1;
+    const bool isInitial = base == KnownRevisions();
+    if (m_forwarder.settings.localDispatch && isInitial && !relayed && m_peers.relayToDataCentreOf(from, message)) {
+        return;
+    }
+    const Address to = relayed ? fromWire(message.relayTo.front()) : from;
     wire::EdgeMessage response = newMessage(wire::EdgeKind::Changes);
     addEvacuations(response);
     if (m_replication.known.config <= base.config && m_replication.known.targets <= base.targets) {
-        m_peers.send(response, from);
+        m_peers.send(response, to);
         return;
     }
     StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_replication.known, now);
@@ -100,14 +107,14 @@
     if ((parts.size() > maxParts || !routesFit) && !message.large) {
         wire::EdgeMessage refusal = response;
         refusal.__set_large(true);
-        m_peers.send(refusal, from);
+        m_peers.send(refusal, to);
         if (parts.size() > maxParts) {
             return;
         }
     }
     for (const wire::EdgeChanges &it : parts) {
         response.__set_changes(it);
-        m_peers.send(response, from);
+        m_peers.send(response, to);
         response.__isset.evacuations = false; // the first part has carried them
     }
 }
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -29,6 +29,7 @@
     options.updateBytesPerSecond = 2'000;
     options.reconnectInterval = 2 * second;
     options.deadRetention = 2 * minute;
+    options.severalDataCentres = true;
     return options;
 }
 
@@ -54,6 +55,7 @@
 } // namespace
 
 PeerTransport::PeerTransport(const EdgeSettings &settings,
+                             bool preferOwnDataCentre,
                              std::uint64_t randomSeed,
                              EventLog &log,
                              std::function<void(const wire::EdgeMessage &, const Address &)> onMessage,
@@ -66,6 +68,7 @@
 {
     m_random.state = randomSeed;
     m_membership.options = edgeMembershipOptions();
+    m_membership.options.preferOwnDataCentre = preferOwnDataCentre;
     std::vector<std::string> seeds;
     for (const Address &it : settings.seeds) {
         seeds.push_back(toString(it));
@@ -89,7 +92,7 @@
 
 void PeerTransport::send(const wire::EdgeMessage &message, const Address &to)
 {
-    m_socket.send(withTag(edgeTag, m_codec.encode(message)), to);
+    sendDatagram(purposeOf(message.kind), withTag(edgeTag, m_codec.encode(message)), to);
 }
 
 bool PeerTransport::send(const wire::EdgeMessage &message, Id to)
@@ -102,6 +105,19 @@
     return true;
 }
 
+void PeerTransport::sendDatagram(TrafficPurpose purpose, std::string_view datagram, const Address &to)
+{
+    const auto dataCentre = m_dataCentres.find(to);
+    const bool same = dataCentre != m_dataCentres.end() && dataCentre->second == m_membership.self.dataCentre;
+    countBytes(m_traffic, purpose, same, datagram.size());
+    m_socket.send(datagram, to);
+}
+
+const PeerTraffic &PeerTransport::traffic() const
+{
+    return m_traffic;
+}
+
 void PeerTransport::broadcast(wire::EdgeMessage message, std::size_t rotation)
 {
     m_rotation = rotation;
@@ -111,7 +127,7 @@
     for (const auto &[dataCentre, dataCentrePeers] : m_peersByDataCentre) {
         const std::vector<Address> &candidates = dataCentrePeers.alive.empty() ? dataCentrePeers.unreliable : dataCentrePeers.alive;
         if (dataCentre != m_membership.self.dataCentre) {
-            m_socket.send(datagram, candidates[rotation % candidates.size()]);
+            sendDatagram(purposeOf(message.kind), datagram, candidates[rotation % candidates.size()]);
         }
     }
 }
@@ -127,7 +143,7 @@
         copy.__isset.relayTo = false;
         const std::string datagram = withTag(edgeTag, m_codec.encode(copy));
         for (const wire::EdgeEndpoint &it : message.relayTo) {
-            m_socket.send(datagram, fromWire(it));
+            sendDatagram(purposeOf(message.kind), datagram, fromWire(it));
         }
     }
 }
@@ -151,11 +167,45 @@
 
 bool PeerTransport::sendToRandomPeer(const wire::EdgeMessage &message)
 {
+    std::vector<Address> candidates;
     const auto own = m_peersByDataCentre.find(m_membership.self.dataCentre);
-    if (own == m_peersByDataCentre.end() || own->second.alive.empty()) {
+    if (own != m_peersByDataCentre.end()) {
+        candidates = own->second.alive;
+    }
+    if (candidates.empty()) {
+        for (const auto &[dataCentre, peers] : m_peersByDataCentre) {
+            candidates.insert(candidates.end(), peers.alive.begin(), peers.alive.end());
+        }
+    }
+    if (candidates.empty()) {
+        return false;
+    }
+    send(message, candidates[below(m_random, candidates.size())]);
+    return true;
+}
+
+bool PeerTransport::relayToDataCentreOf(const Address &from, const wire::EdgeMessage &message)
+{
+    // A member that has run for this long knows the state, unless the store and all other nodes have failed.
+    constexpr std::int64_t minRunTime = 5 * second;
+    const auto dataCentre = m_dataCentres.find(from);
+    if (dataCentre == m_dataCentres.end() || dataCentre->second == m_membership.self.dataCentre) {
         return false;
     }
-    send(message, own->second.alive[below(m_random, own->second.alive.size())]);
+    const std::int64_t startedBefore = wallNow() * (millisecond / microsecond) - minRunTime;
+    std::vector<Address> relays;
+    for (const auto &[id, member] : m_membership.members) {
+        const bool running = member.state == wire::MemberState::Alive && member.key.incarnation < startedBefore;
+        if (running && member.dataCentre == dataCentre->second && parseAddress(member.address) != from) {
+            relays.push_back(parseAddress(member.address));
+        }
+    }
+    if (relays.empty()) {
+        return false;
+    }
+    wire::EdgeMessage copy = message;
+    copy.__set_relayTo({toWire(from)});
+    send(copy, relays[below(m_random, relays.size())]);
     return true;
 }
 
@@ -198,6 +248,15 @@
     return it == m_membership.members.end() ? std::string() : it->second.dataCentre;
 }
 
+std::unordered_map<Id, std::string> PeerTransport::memberDataCentres() const
+{
+    std::unordered_map<Id, std::string> result;
+    for (const Member &it : liveMembers(m_membership)) {
+        result[it.key.instance] = it.dataCentre;
+    }
+    return result;
+}
+
 int PeerTransport::rankBy(const std::function<std::uint64_t(Id)> &order) const
 {
     const std::uint64_t own = order(m_membership.self.key.instance);
@@ -241,7 +300,7 @@
 void PeerTransport::applyOutput(MembershipOutput &&output)
 {
     for (const MemberMessage &it : output.messages) {
-        m_socket.send(withTag(membershipTag, m_codec.encode(it.message)), parseAddress(it.address));
+        sendDatagram(TrafficPurpose::Membership, withTag(membershipTag, m_codec.encode(it.message)), parseAddress(it.address));
     }
     for (const MemberChange &it : output.changes) {
         logEvent(m_log,
@@ -258,11 +317,16 @@
 {
     m_peerAddresses.clear();
     m_peersByDataCentre.clear();
+    m_dataCentres.clear();
     for (const auto &[id, member] : m_membership.members) {
-        if (id == m_membership.self.key.instance || member.state == wire::MemberState::Dead || !isAddress(member.address)) {
+        if (id == m_membership.self.key.instance || !isAddress(member.address)) {
             continue;
         }
         const Address address = parseAddress(member.address);
+        m_dataCentres[address] = member.dataCentre;
+        if (member.state == wire::MemberState::Dead) {
+            continue;
+        }
         DataCentrePeers &dataCentrePeers = m_peersByDataCentre[member.dataCentre];
         (member.state == wire::MemberState::Alive ? dataCentrePeers.alive : dataCentrePeers.unreliable).push_back(address);
         if (member.state != wire::MemberState::Leaving) {
