Take nodes of unreachable data centres out of readiness

Cause: nodes of a data centre that was evacuated and cut off kept attracting flows that they could place nowhere. Change: each node keeps evidence by data centre (unanswered openings and pings, silence). Targets in an unreachable data centre get single probes only, its nodes don't become dispatchers, and a node without a target for its flows isn't ready. Off unless the settings name several data centres and bounds.evacuate_ms.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -179,6 +179,7 @@
     std::vector<SettledNotice> settledNotices;
     std::vector<RefusedNotice> refusedNotices;
     std::vector<FlowNotice> flowNotices;
+    std::vector<Id> pings; ///< nodes to be pinged, see reachabilitystate.h
     std::vector<ForwardEventRecord> events;
 };
 
@@ -213,6 +214,7 @@
     NoRoute,
     NoTarget, ///< no target accepts new flows, or too many flows are waiting
     Evacuated, ///< only targets in evacuated data centres would accept the flow; it has to be refused
+    Unreachable, ///< only targets in unreachable data centres would accept the flow; see refusesUnreachable()
 };
 
 /// Offers a flow to a target, or lets the flow wait when no target has room. A flow that was offered before is offered to
--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -22,6 +22,7 @@
     Address storeAddress; ///< of the platform's store
     bool firstStart = false; ///< all nodes of the system start for the first time, a few seconds before any traffic
     Time evacuationBound = 0; ///< an evacuation of a data centre has to be in force within this time; 0: evacuations are off
+    int dataCentreCount = 0; ///< data centres that the settings name; 0: none
     std::optional<double> coldOvershoot; ///< factor on the openings per second that a cold target can take; nothing: not set
     std::optional<double> coldSlack; ///< openings in any second beyond this product; nothing: not set
     Time targetHeartbeat = 1200 * millisecond; ///< interval at which targets renew their entries in the store
--- a/src/include/pimentofold/membership/membership.h
+++ b/src/include/pimentofold/membership/membership.h
@@ -159,6 +159,10 @@
 /// random seed or dead member per MembershipOptions::reconnectInterval.
 void contactSeeds(MembershipState &state, Time now, MembershipOutput &out);
 
+/// Pings a known member, also one that is recorded as dead. The ping carries no updates, and a missing acknowledgement has no effect
+/// on the member's state. Unknown members are ignored.
+void pingMember(MembershipState &state, Id instance, MembershipOutput &out);
+
 /// Sets the incarnation of this instance after its balancer has restarted. Lower values are ignored.
 void setIncarnation(MembershipState &state, std::int64_t incarnation, Time now);
 
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -10,6 +10,7 @@
 #include <pimentofold/edgeconfig.h>
 #include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowpacket.h>
+#include <pimentofold/reachability/reachabilitystate.h>
 #include <pimentofold/slowstart/slowstart.h>
 #include <pimentofold/types.h>
 
@@ -71,6 +72,7 @@
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< target ids by token
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
     EvacuationState evacuations;
+    Reachability reachability; ///< of the data centres from this node
     SlowStart slowStart; ///< limits of cold targets and what this node has sent to them
 };
 
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -4,6 +4,7 @@
 #include <span>
 
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/reachability/reachability.h>
 
 namespace pimentofold {
 
@@ -87,6 +88,7 @@
         target.nextProbeAt = now + dispatcher.settings.placement.maxProbeInterval;
     }
     recordColdOpening(table, target, now);
+    recordOffer(table, target, now);
     out.packets.push_back({target.record.address, target.record.id, target.token, flow.openingPacket});
     appendEvent(out, placed.offerCount > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, flow.key, &target, static_cast<int>(placed.offerCount), 0);
 }
@@ -143,12 +145,27 @@
     return PlaceResult::Evacuated;
 }
 
+/// Forgets a flow for which only unreachable targets are left, and notifies the node that asked for its placement if the flow has
+/// to be refused at once. Without a notice that node places the flow itself, by its own evidence.
+PlaceResult refuseUnreachable(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, Time now, ForwardOutput &out)
+{
+    removePlacedFlow(dispatcher, table, flow.key);
+    appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
+    if (flow.originNode != 0 && refusesUnreachable(table.reachability, now)) {
+        out.refusedNotices.push_back({flow.originNode, flow.key});
+    }
+    return PlaceResult::Unreachable;
+}
+
 /// Lets a flow wait for which no target was found, if a cold target may get it later. A flow for which only evacuated targets are
 /// left is refused.
 /// @return the result of the placement
 PlaceResult waitOrRefuse(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
 {
     if (!isHeldBack(dispatcher, table, flow, route, now)) {
+        if (hasUnreachableTargets(table, route, now)) {
+            return refuseUnreachable(dispatcher, table, flow, now, out);
+        }
         if (hasEvacuatedTargets(table, route, now)) {
             return refuseEvacuated(dispatcher, table, flow, out);
         }
@@ -216,9 +233,12 @@
         }
         EdgeTarget *target = chooseTargetFor(dispatcher, table, next->second.flow, nullptr, *route, now);
         const bool heldBack = target == nullptr && isHeldBack(dispatcher, table, next->second.flow, *route, now);
-        if (target == nullptr && !heldBack && hasEvacuatedTargets(table, *route, now)) {
+        const bool unreachable = target == nullptr && !heldBack && hasUnreachableTargets(table, *route, now);
+        if (unreachable || (target == nullptr && !heldBack && hasEvacuatedTargets(table, *route, now))) {
             appendEvent(out, ForwardEvent::NoTarget, next->first, nullptr, next->second.flow.attempt, now - next->second.waitingSince);
-            out.refusedNotices.push_back({next->second.flow.originNode, next->first});
+            if (!unreachable || refusesUnreachable(table.reachability, now)) {
+                out.refusedNotices.push_back({next->second.flow.originNode, next->first});
+            }
             dispatcher.waitingFlows.erase(next);
             continue;
         }
@@ -437,6 +457,9 @@
 {
     if (EdgeTarget *answered = findTarget(table, notice.target); answered != nullptr && notice.kind != FlowNoticeKind::WorkStarted) {
         recordAnswer(*answered, now);
+        if (notice.kind == FlowNoticeKind::WorkEnded) {
+            recordHeard(table.reachability, answered->record.dataCentre, now);
+        }
     }
     switch (notice.kind) {
     case FlowNoticeKind::Opened:
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/reachability/reachability.h>
 
 namespace pimentofold {
 
@@ -66,7 +67,12 @@
     ++flow.attempts;
     flow.lastOfferAt = now;
     forwarder.answerChecks.emplace(now + answerTimeout(forwarder), key);
+    Reachability &reachability = forwarder.table.reachability;
+    if (isStranded(reachability, key.service) || isUnreachableNode(reachability, flow.dispatcher)) {
+        flow.dispatcher = 0;
+    }
     if (flow.dispatcher != 0) {
+        recordRelay(reachability, flow.dispatcher, now);
         out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket});
         appendEvent(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
         out.events.back().node = flow.dispatcher;
@@ -77,7 +83,7 @@
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
         refuseFlow(key, out);
-    } else if (result == PlaceResult::Evacuated) {
+    } else if (result == PlaceResult::Evacuated || (result == PlaceResult::Unreachable && refusesUnreachable(reachability, now))) {
         refuseEvacuatedFlow(key, flow, out);
     } else if (result == PlaceResult::Waiting) {
         handleHeldNotice(forwarder, key, now);
@@ -167,6 +173,7 @@
         endFlow(forwarder, packet.flow, existing->second, now, out);
         forwarder.flows.erase(existing);
     }
+    recordRouteOpening(forwarder.table.reachability, packet.flow.service, now);
     EdgeFlow flow;
     flow.startedAt = now;
     flow.lastPacketAt = now;
@@ -195,8 +202,10 @@
     flow.openingPacket.clear();
     flow.openingPacket.shrink_to_fit();
     recordAnswer(target, now);
+    recordHeard(forwarder.table.reachability, target.record.dataCentre, now);
     if (flow.dispatcher != 0) {
         forwarder.dispatcherMisses.erase(flow.dispatcher);
+        recordHeardFromNode(forwarder.table.reachability, flow.dispatcher, now);
     }
     appendEvent(out, ForwardEvent::Opened, key, &target, flow.attempts, now - flow.startedAt);
 }
@@ -259,6 +268,7 @@
         out.events.back().token = packet.token;
         return;
     }
+    const bool isKnown = flow != nullptr;
     if (flow == nullptr) {
         flow = storeOpenFlow(forwarder, packet, *target, now, out);
     }
@@ -271,6 +281,9 @@
         if (packet.finishes || packet.resets) {
             endFlow(forwarder, packet.flow, *flow, now, out);
         } else if (flow->stage == FlowStage::Open) {
+            if (isKnown && change == ActivityChange::AnswerStarted) {
+                recordTargetAnswer(forwarder.table, *target, now);
+            }
             reportActivity(forwarder, packet.flow, *flow, *target, change, now, out);
         }
     }
@@ -319,6 +332,20 @@
     return view;
 }
 
+/// Derives the dispatchers again after a data centre has become reachable or unreachable. Nodes and targets there that didn't answer
+/// get flows again once they are reachable.
+void onReachabilityChanged(EdgeForwarder &forwarder, Time now)
+{
+    const Reachability &reachability = forwarder.table.reachability;
+    std::erase_if(forwarder.dispatcherMisses, [&](const auto &it) { return !isUnreachableNode(reachability, it.first); });
+    for (auto &[id, target] : forwarder.table.targets) {
+        if (!isUnreachable(reachability, target.record.dataCentre)) {
+            target.nextProbeAt = std::min(target.nextProbeAt, now);
+        }
+    }
+    updateDispatchers(forwarder, now);
+}
+
 } // namespace
 
 bool knowsTargets(const EdgeForwarder &forwarder)
@@ -340,6 +367,7 @@
     }
     forwarder.dropOpeningsUntil = now + forwarder.settings.backlogDropTime;
     restartOwnership(forwarder.table, now);
+    restartEvidence(forwarder.table.reachability, now);
     return pause;
 }
 
@@ -432,6 +460,9 @@
             forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
             continue;
         }
+        if (isUnreachableNode(forwarder.table.reachability, it.instance)) {
+            continue;
+        }
         members.push_back(it);
     }
     const std::vector<InstanceKey> candidates = dispatcherCandidates(members);
@@ -458,6 +489,9 @@
 
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
+    if (tickReachability(forwarder.table, now, out.pings)) {
+        onReachabilityChanged(forwarder, now);
+    }
     runAnswerChecks(forwarder, now, out);
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
@@ -473,7 +507,7 @@
 Time nextForwarderTick(const EdgeForwarder &forwarder)
 {
     const Time check = forwarder.answerChecks.empty() ? never : forwarder.answerChecks.begin()->first;
-    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher)});
+    return std::min({check, forwarder.nextSweepAt, nextDispatcherTick(forwarder.dispatcher), nextReachabilityTick(forwarder.table.reachability)});
 }
 
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
--- a/src/libpimentofold/membership/membership.cpp
+++ b/src/libpimentofold/membership/membership.cpp
@@ -419,6 +419,17 @@
     }
 }
 
+void pingMember(MembershipState &state, Id instance, MembershipOutput &out)
+{
+    const auto member = state.members.find(instance);
+    if (member == state.members.end() || instance == state.self.key.instance) {
+        return;
+    }
+    wire::PeerMessage message = newMessage(state, wire::PeerKind::Ping, ++state.sequence);
+    message.__set_recipient(toWire(member->second.key));
+    out.messages.push_back({member->second.address, std::move(message)});
+}
+
 void setIncarnation(MembershipState &state, std::int64_t incarnation, Time now)
 {
     if (incarnation > state.self.key.incarnation) {
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/reachability/reachability.h>
 
 namespace pimentofold {
 
@@ -99,7 +100,7 @@
     Candidate bestCold; // used when no warm target has room
     for (const std::uint64_t id : ids->second) {
         EdgeTarget &target = *findTarget(table, id);
-        if (isEvacuated(table, target)) {
+        if (isEvacuated(table, target) || isWithheld(table, target, now)) {
             continue;
         }
         const Preference preference = preferenceOf(target, settings, query, now);
@@ -138,7 +139,8 @@
         }
         const auto isHeldBack = [&](std::uint64_t id) {
             const EdgeTarget &target = *findTarget(table, id);
-            return isCold(table, target, now) && !isEvacuated(table, target) && preferenceOf(target, settings, query, now) != Preference::Excluded;
+            return isCold(table, target, now) && !isEvacuated(table, target) && !isWithheld(table, target, now)
+                && preferenceOf(target, settings, query, now) != Preference::Excluded;
         };
         if (std::ranges::any_of(ids->second, isHeldBack)) {
             return true;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <pimentofold-edge/edgelog.h>
+#include <pimentofold/reachability/reachability.h>
 #include <platform/packetcodec.h>
 
 namespace pimentofold {
@@ -78,6 +79,7 @@
     m_forwarder.self = m_peers.self();
     configureReplication();
     configureEvacuations();
+    configureReachability();
     logEvent(m_log,
              "started",
              {{"data_centre", settings.dataCentre},
@@ -92,7 +94,7 @@
 HttpResponse Edge::readinessResponse() const
 {
     HttpResponse response;
-    const bool isReady = m_stopStartedAt == never && canPlaceFlows(m_forwarder);
+    const bool isReady = m_stopStartedAt == never && canPlaceFlows(m_forwarder) && isReadyForFlows(m_forwarder.table.reachability);
     response.status = isReady ? statusOk : statusUnavailable;
     return response;
 }
@@ -116,6 +118,7 @@
     setGauge(m_metrics, "target_flows_idle", counts.idle);
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
     setGauge(m_metrics, "evacuated_data_centres", static_cast<double>(table.evacuations.dataCentres.size()));
+    setGauge(m_metrics, "unreachable_data_centres", static_cast<double>(table.reachability.unreachableCount));
     setGauge(m_metrics, "cold_targets", static_cast<double>(countColdTargets(table, now)));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
     counter(m_metrics, "cold_openings_total") = table.slowStart.openings;
@@ -184,6 +187,9 @@
     for (const FlowNotice &it : out.flowNotices) {
         sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
+    for (const Id it : out.pings) {
+        m_peers.ping(it);
+    }
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
@@ -209,9 +215,44 @@
     tickForwarder(m_forwarder, now, out);
     send(out, now);
     logSlowStart();
+    logReachability(now);
     scheduleForwardTick();
 }
 
+void Edge::configureReachability()
+{
+    m_peers.setHeardHandler([this](Id node) { recordHeardFromNode(m_forwarder.table.reachability, node, monotonicNow()); });
+    enableReachability(m_forwarder.table, usesReachability(m_settings));
+}
+
+void Edge::logReachability(Time now)
+{
+    const Reachability &state = m_forwarder.table.reachability;
+    std::vector<std::string> unreachable = unreachableDataCentres(state);
+    if (unreachable != m_unreachableDataCentres) {
+        for (const std::string &it : unreachable) {
+            if (std::ranges::find(m_unreachableDataCentres, it) == m_unreachableDataCentres.end()) {
+                logEvent(m_log, "data_centre_unreachable", {{"data_centre", it}, {"silent_us", now - state.dataCentres.at(it).lastHeardAt}});
+            }
+        }
+        for (const std::string &it : m_unreachableDataCentres) {
+            if (std::ranges::find(unreachable, it) == unreachable.end()) {
+                logEvent(m_log, "data_centre_reachable", {{"data_centre", it}});
+            }
+        }
+        m_unreachableDataCentres = std::move(unreachable);
+    }
+    if (isReadyForFlows(state) == m_reachabilityReady) {
+        return;
+    }
+    m_reachabilityReady = isReadyForFlows(state);
+    if (m_reachabilityReady) {
+        logEvent(m_log, "ready", {{"reason", "targets_reachable"}});
+    } else {
+        logEvent(m_log, "not_ready", {{"reason", "no_target_reachable"}, {"openings", state.openingsAtDecision}, {"answers", state.answersAtDecision}});
+    }
+}
+
 void Edge::logSlowStart()
 {
     const SlowStart &slowStart = m_forwarder.table.slowStart;
@@ -328,6 +369,7 @@
 void Edge::onMembersChanged()
 {
     m_forwarder.members = m_peers.members();
+    setNodes(m_forwarder.table.reachability, m_peers.otherNodes());
     updateDispatchers(m_forwarder, monotonicNow());
 }
 
@@ -339,7 +381,9 @@
     m_settings.seeds = settings.seeds;
     m_settings.stopGracePeriod = settings.stopGracePeriod;
     m_settings.evacuationBound = settings.evacuationBound;
+    m_settings.dataCentreCount = settings.dataCentreCount;
     configureEvacuations();
+    configureReachability();
     m_forwarder.table.slowStart.settings = slowStartSettings(settings);
     m_peers.contactNodes(settings.seeds, monotonicNow());
 }
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -54,6 +54,10 @@
     void onForwardTick();
     /// Logs when slow start stops to use cold targets, because this node has lost the majority, and when it uses them again.
     void logSlowStart();
+    /// Turns reachability on or off, as the settings say.
+    void configureReachability();
+    /// Logs which data centres have become reachable or unreachable, and changes of the readiness that follow from it.
+    void logReachability(Time now);
     void scheduleForwardTick();
 
     void onPeerMessage(const wire::EdgeMessage &message, const Address &from);
@@ -122,6 +126,8 @@
     EvacuationState m_announcedEvacuations; ///< as of the last announceEvacuations()
     std::size_t m_initialFetches = 0; ///< number of requests for an initial state
     bool m_slowStartPaused = false; ///< as last logged
+    std::vector<std::string> m_unreachableDataCentres; ///< as last logged
+    bool m_reachabilityReady = true; ///< as last logged
     std::size_t m_heartbeatsSent = 0; ///< selects the relays of a broadcast
     Time m_storeReadAt = 0; ///< when the store was last read because a peer had too many changes to send
 };
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -73,6 +73,11 @@
     startMembership(m_membership, selfMember(settings), seeds, randomSeed, monotonicNow());
 }
 
+void PeerTransport::setHeardHandler(std::function<void(Id)> onHeard)
+{
+    m_onHeard = std::move(onHeard);
+}
+
 void PeerTransport::tick(Time now)
 {
     MembershipOutput output;
@@ -159,6 +164,24 @@
     return true;
 }
 
+void PeerTransport::ping(Id node)
+{
+    MembershipOutput output;
+    pingMember(m_membership, node, output);
+    applyOutput(std::move(output));
+}
+
+std::unordered_map<Id, ReachableNode> PeerTransport::otherNodes() const
+{
+    std::unordered_map<Id, ReachableNode> nodes;
+    for (const auto &[id, member] : m_membership.members) {
+        if (id != m_membership.self.key.instance && member.state != wire::MemberState::Leaving && isAddress(member.address)) {
+            nodes[id] = {member.dataCentre, member.state != wire::MemberState::Dead};
+        }
+    }
+    return nodes;
+}
+
 void PeerTransport::contactNodes(const std::vector<Address> &nodes, Time now)
 {
     MembershipOutput output;
@@ -210,6 +233,7 @@
         } else if (bytes.front() == edgeTag) {
             wire::EdgeMessage message;
             m_codec.decode(body, message);
+            m_onHeard(message.sender);
             m_onMessage(message, from);
         }
     } catch (const DecodeError &error) {
@@ -221,6 +245,7 @@
 {
     wire::PeerMessage message;
     m_codec.decode(bytes, message);
+    m_onHeard(message.sender.instance);
     for (const wire::MemberUpdate &it : message.members) {
         if (it.key.instance == m_membership.self.key.instance && it.key.incarnation > m_membership.self.key.incarnation) {
             // The system time was set back since the previous process of this node started, so its incarnation is higher.
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <libnet/loop.h>
@@ -12,6 +13,7 @@
 #include <pimentofold/edgesettings.h>
 #include <pimentofold/eventlog.h>
 #include <pimentofold/membership/membership.h>
+#include <pimentofold/reachability/reachabilitystate.h>
 
 #include "edge_types.h"
 
@@ -31,6 +33,9 @@
                   std::function<void(const wire::EdgeMessage &message, const Address &from)> onMessage,
                   std::function<void()> onMembersChanged);
 
+    /// Sets a function that is called with the id of the sending node for each message of any kind.
+    void setHeardHandler(std::function<void(Id)> onHeard);
+
     /// Runs the timers of the membership protocol: probes, and time-outs of suspicions. To be called about every 50 ms.
     void tick(Time now);
     /// Announces this node's planned stop to the other members.
@@ -51,6 +56,10 @@
     /// Sends to a random live member of the own data centre.
     /// @return false when there is no other member
     bool sendToRandomPeer(const wire::EdgeMessage &message);
+    /// Asks a node for a sign of life. Has no effect on the membership.
+    void ping(Id node);
+    /// @return the other nodes that may be running, including those declared dead in the last minutes but none that has left
+    std::unordered_map<Id, ReachableNode> otherNodes() const;
     /// Adds nodes that may be running to the seeds and contacts all seeds.
     void contactNodes(const std::vector<Address> &nodes, Time now);
     /// @return addresses of the live members, including this node
@@ -83,6 +92,7 @@
     EventLog &m_log;
     std::function<void(const wire::EdgeMessage &, const Address &)> m_onMessage;
     std::function<void()> m_onMembersChanged;
+    std::function<void(Id)> m_onHeard = [](Id) {};
     Address m_address;
     Codec m_codec;
     MembershipState m_membership;
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -1,5 +1,6 @@
 #include <platform/settingslines.h>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -96,6 +97,12 @@
     return parts;
 }
 
+/// @return the number of data centres that the file names, in fields `zones.NAME`
+int countDataCentres(const SettingsLines &lines)
+{
+    return static_cast<int>(std::ranges::count_if(lines.values, [](const auto &it) { return it.first.starts_with("zones."); }));
+}
+
 /// @return the port for messages between nodes: the first port of the range that the platform keeps free on every instance
 std::uint16_t readPeerPort(const SettingsLines &lines)
 {
@@ -133,6 +140,7 @@
     const auto bootstrap = lines.values.find("bootstrap");
     settings.firstStart = bootstrap != lines.values.end() && bootstrap->second == "true";
     settings.evacuationBound = optionalDuration(lines, "bounds.evacuate_ms", millisecond, 0);
+    settings.dataCentreCount = countDataCentres(lines);
     settings.coldOvershoot = optionalNumber(lines, "bounds.cold_overshoot");
     settings.coldSlack = optionalNumber(lines, "bounds.cold_slack");
     settings.targetHeartbeat = optionalDuration(lines, "heartbeat_ms", millisecond, settings.targetHeartbeat);
