Reachability: cases of evidence, refusals, pings and settings

Change: tables for evidence, pings, refusals, relayed openings, reload and settings; routes are examined every 100 ms. Measured: libpimentofold_test cases of reachability and membership and platform_test pass.

--- a/src/libpimentofold/membership/membership_test.cpp
+++ b/src/libpimentofold/membership/membership_test.cpp
@@ -181,3 +181,30 @@
     expected.erase(expected.begin() + 3);
     CHECK(rankInstances(members, "watcher", 20) == expected);
 }
+
+// Guards against pings for other purposes that change the recorded state of a member, and against those that get no answer.
+TEST_CASE("a ping outside of the probes is acknowledged and changes no member")
+{
+    MembershipState states[2];
+    for (int n = 0; n < 2; ++n) {
+        Member self;
+        self.key = {n + 1, 1};
+        self.address = "10.0.0." + std::to_string(n + 1) + ":1";
+        startMembership(states[n], self, {}, 1, 0);
+    }
+    Member dead = states[1].self;
+    dead.state = wire::MemberState::Dead;
+    states[0].members[2] = dead;
+    MembershipOutput ping;
+    pingMember(states[0], 99, ping);
+    pingMember(states[0], 1, ping);
+    CHECK(ping.messages.empty());
+    pingMember(states[0], 2, ping);
+    REQUIRE(ping.messages.size() == 1);
+    CHECK(ping.changes.empty());
+    MembershipOutput ack;
+    handleMembership(states[1], ping.messages.front().message, states[0].self.address, second, ack);
+    REQUIRE(ack.messages.size() == 1);
+    CHECK(ack.messages.front().message.kind == wire::PeerKind::Ack);
+    CHECK(states[0].members.at(2).state == wire::MemberState::Dead);
+}
--- a/src/libpimentofold/reachability/reachability.cpp
+++ b/src/libpimentofold/reachability/reachability.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Interval at which routes are examined while a data centre is unreachable.
-constexpr Time evaluationInterval = 50 * millisecond;
+constexpr Time evaluationInterval = 100 * millisecond;
 constexpr Time pruneInterval = second;
 /// Routes beyond this number have no influence on the readiness.
 constexpr std::size_t maxRoutes = 1'000;
--- a/src/libpimentofold/reachability/reachability_test.cpp
+++ b/src/libpimentofold/reachability/reachability_test.cpp
@@ -29,6 +29,7 @@
     double loss = 0; ///< share of the packets to and from dc2 that are lost
     bool deadTarget = false; ///< a target of dc2 that answers nothing
     bool peersAnswer = true; ///< false: nodes answer no pings
+    bool fabricSends = false; ///< the fabric sends packets although the node isn't ready, as when few nodes of the data centre aren't
 };
 
 /// Outcome of a run.
@@ -40,6 +41,7 @@
     int opened = 0;
     int lost = 0; ///< flows that never opened here, weren't refused, and all of whose opening packets came to this node
     int refused = 0;
+    Time firstRefusalAt = never;
     int offersAcross = 0; ///< to targets in cut data centres, from a second after the cut's begin
     int relaysAcross = 0; ///< the same for relayed openings
     int pings = 0;
@@ -128,7 +130,7 @@
     /// @return whether the fabric sends this node no packets: from its second failed check on, at most a second later
     bool isWithheld() const
     {
-        return m_notReadySince != never && m_now - m_notReadySince > second;
+        return !m_scenario.fabricSends && m_notReadySince != never && m_now - m_notReadySince > second;
     }
 
     void sendOpenings()
@@ -225,6 +227,9 @@
             }
         }
         m_outcome.refused += static_cast<int>(out.resets.size());
+        if (!out.resets.empty()) {
+            m_outcome.firstRefusalAt = std::min(m_outcome.firstRefusalAt, m_now);
+        }
         for (const FlowReset &it : out.resets) {
             m_unopened.erase(it.flow.caller.port);
         }
@@ -425,3 +430,144 @@
     CHECK(outcome.unreachableAt <= cutAt + second);
     CHECK(outcome.notReadyAt == never);
 }
+
+// Guards against refusing flows whose retransmission another node could place, and against callers that wait for their timeout when
+// the fabric goes on to send them here.
+TEST_CASE("openings without a target are refused after the time in which the fabric moves them")
+{
+    Scenario scenario;
+    scenario.evacuated = {"dc1"};
+    scenario.cut = others;
+    scenario.fabricSends = true;
+    const Outcome outcome = runScenario(scenario);
+    CHECK(outcome.firstRefusalAt >= outcome.notReadyAt + silentTime);
+    CHECK(outcome.firstRefusalAt < outcome.notReadyAt + silentTime + 200 * millisecond);
+    CHECK(outcome.readyAgainAt <= cutAt + scenario.cutTime + second);
+}
+
+// Guards against a dispatcher that refuses flows of other nodes at once, and against one that never tells them.
+TEST_CASE("a dispatcher that reaches no target refuses a relayed opening after the silent time")
+{
+    for (const Time age : {Time{0}, silentTime - 1, silentTime}) {
+        EdgeForwarder forwarder = makeForwarder(6, 0);
+        enableReachability(forwarder.table, true);
+        std::vector<Id> pings;
+        recordRouteOpening(forwarder.table.reachability, shopAddress, second);
+        for (std::uint64_t n = 0; n < 8; ++n) {
+            recordAttempt(forwarder.table.reachability, "dc1", n, second + static_cast<Time>(n) * attemptSpacing);
+        }
+        Time now = second + unreachableSilence;
+        CHECK(tickReachability(forwarder.table, now, pings));
+        REQUIRE_FALSE(isReadyForFlows(forwarder.table.reachability));
+        now += age;
+        forwarder.table.reachability.dataCentres.at("dc1").nextOpeningProbeAt = now + 1;
+        OpeningFlow flow;
+        flow.key = makeKey(1);
+        flow.openingPacket = "opening";
+        flow.originNode = 7;
+        ForwardOutput out;
+        placeForPeer(forwarder, flow, now, out);
+        CHECK(out.packets.empty());
+        CHECK(out.refusedNotices.size() == (age == silentTime ? 1 : 0));
+    }
+}
+
+// Guards against verdicts from fewer attempts, fewer peers or a shorter silence than the rule asks for.
+TEST_CASE("a data centre is unreachable only with enough evidence")
+{
+    struct Row {
+        std::uint64_t attempts;
+        std::uint64_t peers;
+        Time interval; ///< between attempts
+        Time heardAt; ///< after the first attempt; never: not at all
+        Time pausedAt; ///< end of a pause of the process, after the first attempt; never: none
+        bool unreachable;
+    };
+    const Row rows[] = {
+        {8, 3, 20 * millisecond, never, never, true},
+        {8, 2, 20 * millisecond, never, never, false},
+        {7, 7, 20 * millisecond, never, never, false},
+        {8, 8, 5 * millisecond, never, never, false}, // closer than attemptSpacing, so that four are recorded
+        {8, 8, 70 * millisecond, never, never, false}, // some are too old, others may still be answered
+        {8, 8, 20 * millisecond, 10 * millisecond, never, false},
+        {8, 8, 20 * millisecond, 300 * millisecond, never, false},
+        {8, 8, 20 * millisecond, never, 300 * millisecond, false},
+        {5'000, 7, millisecond / 10, never, never, true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(&row - rows);
+        Reachability state;
+        state.enabled = true;
+        const Time start = 10 * second;
+        const Time end = start + unreachableSilence;
+        for (std::uint64_t n = 0; n < row.attempts; ++n) {
+            recordAttempt(state, "dc2", n % row.peers, start + static_cast<Time>(n) * row.interval);
+        }
+        if (row.heardAt != never) {
+            recordHeard(state, "dc2", start + row.heardAt);
+        }
+        if (row.pausedAt != never) {
+            restartEvidence(state, start + row.pausedAt);
+        }
+        std::vector<Id> pings;
+        updateEvidence(state, end, pings);
+        CHECK(isUnreachable(state, "dc2") == row.unreachable);
+        CHECK(state.changed == row.unreachable);
+    }
+}
+
+// Guards against pings to a data centre from which something is heard, and against pings that never end.
+TEST_CASE("nodes are pinged only while a data centre is silent and owes an answer")
+{
+    Reachability state;
+    state.enabled = true;
+    setNodes(state, {{1, {"dc2", true}}, {2, {"dc2", true}}, {3, {"dc2", false}}, {4, {"dc3", false}}});
+    recordHeard(state, "dc2", second);
+    CHECK(nextEvidenceUpdate(state) == never);
+    recordAttempt(state, "dc2", 100, second);
+    recordAttempt(state, "dc3", 200, second);
+    std::vector<Id> pings;
+    updateEvidence(state, second + attemptAnswerTime, pings);
+    CHECK(pings == std::vector<Id>{4}); // the only one known, though declared dead
+    pings.clear();
+    updateEvidence(state, second + pingAfterSilence, pings);
+    std::ranges::sort(pings);
+    REQUIRE(pings.size() == 2);
+    CHECK(pings.front() != 3);
+    recordHeardFromNode(state, 1, second + 2 * pingAfterSilence);
+    recordHeardFromNode(state, 4, second + 2 * pingAfterSilence);
+    CHECK(nextEvidenceUpdate(state) == never);
+}
+
+// Guards against a node that uses the part without being asked to.
+TEST_CASE("reachability is on only with several data centres and a bound for evacuations")
+{
+    EdgeSettings settings;
+    CHECK_FALSE(usesReachability(settings));
+    settings.dataCentreCount = 3;
+    CHECK_FALSE(usesReachability(settings));
+    settings.evacuationBound = 5 * second;
+    CHECK(usesReachability(settings));
+    settings.dataCentreCount = 1;
+    CHECK_FALSE(usesReachability(settings));
+}
+
+// Guards against targets that stay excluded, and nodes that stay not ready, when a reload turns reachability off.
+TEST_CASE("turning reachability off ends all verdicts")
+{
+    EdgeForwarder forwarder = makeForwarder(6, 0);
+    enableReachability(forwarder.table, true);
+    for (std::uint64_t n = 0; n < 8; ++n) {
+        recordAttempt(forwarder.table.reachability, "dc1", n, second + static_cast<Time>(n) * attemptSpacing);
+    }
+    recordRouteOpening(forwarder.table.reachability, shopAddress, second);
+    std::vector<Id> pings;
+    CHECK(tickReachability(forwarder.table, second + unreachableSilence, pings));
+    CHECK_FALSE(isReadyForFlows(forwarder.table.reachability));
+    enableReachability(forwarder.table, false);
+    CHECK(isReadyForFlows(forwarder.table.reachability));
+    CHECK(tickReachability(forwarder.table, 2 * second, pings));
+    CHECK(nextReachabilityTick(forwarder.table.reachability) == never);
+    recordAttempt(forwarder.table.reachability, "dc1", 1, 2 * second);
+    CHECK(forwarder.table.reachability.dataCentres.empty());
+}
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -344,6 +344,7 @@
     REQUIRE(settings.seeds.size() == 2);
     CHECK(toString(settings.seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.stopGracePeriod == 6 * second);
+    CHECK(settings.dataCentreCount == 2);
     CHECK(settings.evacuationBound == 0);
     CHECK(parseSettingsLines(settingsText + "bounds.evacuate_ms=5000\n", "f").evacuationBound == 5 * second);
     CHECK_FALSE(settings.firstStart);
