Record members of other data centres with their data centre

Cause: entries of members in the sender's data centre are sent without it, and a receiver in another data centre recorded its own one. Broadcasts across data centres and evidence by data centre were then based on the wrong groups. Change: a message that carries entries names the sender's data centre once.

--- a/src/libpimentofold/membership/membership.cpp
+++ b/src/libpimentofold/membership/membership.cpp
@@ -449,7 +449,10 @@
     }
     state.lastHeardAt = now;
     bool anyChange = false;
-    for (const wire::MemberUpdate &it : message.members) {
+    for (wire::MemberUpdate it : message.members) {
+        if (it.dataCentre.empty() && message.__isset.dataCentre) {
+            it.dataCentre = message.dataCentre;
+        }
         anyChange = mergeUpdate(state, it, now, out) || anyChange;
     }
     if (message.kind == wire::PeerKind::Ping) {
--- a/src/libpimentofold/membership/membership_test.cpp
+++ b/src/libpimentofold/membership/membership_test.cpp
@@ -208,3 +208,40 @@
     CHECK(ack.messages.front().message.kind == wire::PeerKind::Ack);
     CHECK(states[0].members.at(2).state == wire::MemberState::Dead);
 }
+
+// Guards against recording members under the data centre of the receiver when they are in that of the sender.
+TEST_CASE("members of other data centres are recorded with their data centre")
+{
+    MembershipState states[3];
+    const std::string dataCentres[] = {"dc1", "dc2", "dc2"};
+    for (int n = 0; n < 3; ++n) {
+        Member self;
+        self.name = "n" + std::to_string(n);
+        self.key = {idOf(self.name), 1};
+        self.address = "10.0.0." + std::to_string(n + 1) + ":1";
+        self.balancerAddress = self.address;
+        self.dataCentre = dataCentres[n];
+        startMembership(states[n], self, n == 0 ? std::vector<std::string>() : std::vector<std::string>{"10.0.0.1:1"}, 1 + static_cast<std::uint64_t>(n), 0);
+    }
+    for (Time now = 0; now < 20 * second; now += 100 * millisecond) {
+        for (MembershipState &sender : states) {
+            MembershipOutput out;
+            tickMembership(sender, now, out);
+            for (std::size_t n = 0; n < out.messages.size() && n < 1'000; ++n) {
+                const MemberMessage message = out.messages[n];
+                const auto to = std::ranges::find_if(states, [&](const MembershipState &it) { return it.self.address == message.address; });
+                const auto from =
+                    std::ranges::find_if(states, [&](const MembershipState &it) { return it.self.key.instance == message.message.sender.instance; });
+                REQUIRE(to != std::end(states));
+                REQUIRE(from != std::end(states));
+                handleMembership(*to, message.message, from->self.address, now, out);
+            }
+        }
+    }
+    for (const MembershipState &it : states) {
+        REQUIRE(it.members.size() == 3);
+        for (int n = 0; n < 3; ++n) {
+            CHECK(it.members.at(states[n].self.key.instance).dataCentre == dataCentres[n]);
+        }
+    }
+}
--- a/src/libpimentofold/membership/memberupdates.cpp
+++ b/src/libpimentofold/membership/memberupdates.cpp
@@ -37,7 +37,7 @@
 }
 
 /// Encodes an entry without the values that the receiver can derive, which saves a third of the bytes: the instance is a
-/// hash of the name, the data centre usually equals the sender's, and the balancer usually has the agent's IP address.
+/// hash of the name, the data centre usually equals the sender's, which the message has once, and the balancer usually has the agent's IP address.
 /// @param full includes name and addresses; otherwise only the state of a member that the receiver knows
 wire::MemberUpdate toWire(const MembershipState &state, const Member &member, bool full)
 {
@@ -161,7 +161,7 @@
 /// @return bytes that can still be added to the message
 std::size_t remainingBytes(const wire::PeerMessage &message)
 {
-    std::size_t used = messageOverheadBytes + message.digest.size();
+    std::size_t used = messageOverheadBytes + message.digest.size() + message.dataCentre.size();
     for (const wire::MemberUpdate &it : message.members) {
         used += sizeOf(it);
     }
@@ -173,10 +173,16 @@
 {
     wire::MemberUpdate update = toWire(state, member, full);
     const std::size_t size = sizeOf(update);
-    if (message.members.size() >= state.options.updatesPerMessage || size > remainingBytes(message) || static_cast<double>(size) > state.updateBudget) {
+    if (message.members.size() >= state.options.updatesPerMessage || size + state.self.dataCentre.size() > remainingBytes(message)
+        || static_cast<double>(size) > state.updateBudget) {
         return false;
     }
     state.updateBudget -= static_cast<double>(size);
+    if (full && update.dataCentre.empty() && !message.__isset.dataCentre) {
+        // The receiver may be in another data centre.
+        message.__set_dataCentre(state.self.dataCentre);
+        state.updateBudget -= static_cast<double>(message.dataCentre.size());
+    }
     message.members.push_back(std::move(update));
     message.__isset.members = true;
     return true;
