--- a/src/libpimentofold/reachability/reachability_test.cpp
+++ b/src/libpimentofold/reachability/reachability_test.cpp
@@ -571,3 +571,62 @@
     recordAttempt(forwarder.table.reachability, "dc1", 1, 2 * second);
     CHECK(forwarder.table.reachability.dataCentres.empty());
 }
+
+// Guards against dispatchers that this node doesn't reach, each of which costs a flow two answer timeouts, and against relaying
+// flows for which no target is left.
+TEST_CASE("dispatchers in an unreachable data centre are skipped until it is reachable again")
+{
+    EdgeForwarder forwarder = makeForwarder(0, 0);
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        TargetRecord record = makeTarget(id, 10 + static_cast<std::int64_t>(id));
+        record.dataCentre = id % 2 == 0 ? "dc1" : "dc2";
+        record.slots = 50;
+        applyTarget(forwarder.table, record, 0);
+    }
+    enableReachability(forwarder.table, true);
+    std::unordered_map<Id, ReachableNode> nodes;
+    for (Id node = 100; node < 108; ++node) {
+        nodes[node] = {node % 2 == 0 ? "dc1" : "dc2", true};
+        forwarder.members.push_back({node, 1});
+    }
+    forwarder.members.push_back({200, 100 * second}); // a node that started later, so that all others may be dispatchers
+    setNodes(forwarder.table.reachability, nodes);
+    updateDispatchers(forwarder, 0);
+    const auto countAcross = [&] {
+        return std::ranges::count_if(forwarder.dispatchers.at("shop").dispatchers,
+                                     [](const InstanceKey &it) { return it.instance >= 100 && it.instance % 2 == 1; });
+    };
+    const auto relays = [&](std::uint16_t firstPort, Time now) {
+        ForwardOutput out;
+        for (std::uint16_t port = firstPort; port < firstPort + 50; ++port) {
+            handlePacket(forwarder, makeOpening(port), now, out);
+        }
+        return out.relayedOpenings.size();
+    };
+    REQUIRE(countAcross() == 4);
+    forwarder.dispatcherMisses[101] = {2, never - 1};
+    Time now = second;
+    recordHeard(forwarder.table.reachability, "dc1", now);
+    for (std::uint64_t n = 0; n < 8; ++n) {
+        recordAttempt(forwarder.table.reachability, "dc2", n, now + static_cast<Time>(n) * attemptSpacing);
+    }
+    now += unreachableSilence;
+    forwarder.lastRunAt = now;
+    ForwardOutput cut;
+    tickForwarder(forwarder, now, cut);
+    REQUIRE(isUnreachable(forwarder.table.reachability, "dc2"));
+    CHECK(countAcross() == 0);
+    CHECK(relays(1, now) > 0);
+
+    CHECK(replaceEvacuations(forwarder.table.evacuations, {50, {"dc1"}}));
+    now += 150 * millisecond; // dc1 has been examined again
+    tickForwarder(forwarder, now, cut);
+    REQUIRE_FALSE(isReadyForFlows(forwarder.table.reachability));
+    CHECK(relays(100, now) == 0);
+
+    recordHeardFromNode(forwarder.table.reachability, 103, now);
+    tickForwarder(forwarder, now, cut);
+    CHECK(isReadyForFlows(forwarder.table.reachability));
+    CHECK(countAcross() == 4);
+    CHECK(forwarder.dispatcherMisses.empty());
+}
--- a/src/pimentofold-edge/peertransport_test.cpp
+++ b/src/pimentofold-edge/peertransport_test.cpp
@@ -1,3 +1,4 @@
+#include <memory>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -65,3 +66,42 @@
         runUntil([&] { return answers > before; });
     }
 }
+
+// Guards against pings that a node doesn't answer, and against answers that don't count as a sign of life.
+TEST_CASE("a node answers a ping, and its messages count as signs of life")
+{
+    EventLog log;
+    const auto start = [&](const std::string &name, std::uint16_t port) {
+        EdgeSettings settings;
+        settings.node = name;
+        settings.dataCentre = "dc-" + name;
+        settings.peerAddress = {0x7f000001, port};
+        settings.seeds = {{0x7f000001, 22'140}};
+        return std::make_unique<PeerTransport>(
+            settings, port, log, [](const wire::EdgeMessage &, const Address &) {}, [] {});
+    };
+    const auto node = start("n1", 22'140);
+    const auto peer = start("n2", 22'141);
+    {
+        Timer tick([&] {
+            node->tick(monotonicNow());
+            peer->tick(monotonicNow());
+        });
+        tick.start(0, 50 * millisecond);
+        runUntil([&] { return node->members().size() == 2 && peer->members().size() == 2; });
+    }
+    // Without ticks the nodes send nothing but answers. Earlier ones are awaited here.
+    const Time joined = monotonicNow();
+    Timer wake([] {});
+    wake.start(0, 10 * millisecond);
+    runUntil([&] { return monotonicNow() - joined > 300 * millisecond; });
+    const Id other = idOf("n2");
+    REQUIRE(node->otherNodes().contains(other));
+    CHECK(node->otherNodes().at(other).dataCentre == "dc-n2");
+    CHECK(node->otherNodes().at(other).live);
+    std::vector<Id> heard;
+    node->setHeardHandler([&](Id from) { heard.push_back(from); });
+    node->ping(other);
+    runUntil([&] { return !heard.empty(); });
+    CHECK(heard == std::vector<Id>{other});
+}
