--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -79,6 +79,7 @@
     m_forwarder.self = m_peers.self();
     configureReplication();
     configureEvacuations();
+    m_peers.setHeardHandler([this](Id node) { onHeard(node); });
     configureReachability();
     logEvent(m_log,
              "started",
@@ -221,10 +222,18 @@
 
 void Edge::configureReachability()
 {
-    m_peers.setHeardHandler([this](Id node) { recordHeardFromNode(m_forwarder.table.reachability, node, monotonicNow()); });
     enableReachability(m_forwarder.table, usesReachability(m_settings));
 }
 
+void Edge::onHeard(Id node)
+{
+    Reachability &state = m_forwarder.table.reachability;
+    recordHeardFromNode(state, node, monotonicNow());
+    if (state.changed) {
+        scheduleForwardTick();
+    }
+}
+
 void Edge::logReachability(Time now)
 {
     const Reachability &state = m_forwarder.table.reachability;
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -56,6 +56,8 @@
     void logSlowStart();
     /// Turns reachability on or off, as the settings say.
     void configureReachability();
+    /// Records a sign of life of a node.
+    void onHeard(Id node);
     /// Logs which data centres have become reachable or unreachable, and changes of the readiness that follow from it.
     void logReachability(Time now);
     void scheduleForwardTick();
