Reachability: refuse only flows without any reachable service

Cause: a flow of a route with two services was refused when the drawn one was unreachable, though a further draw could place it. Change: a route counts as unreachable only if none of its services has a target in a reachable data centre. Measured: 'a route with a reachable service is not refused for its unreachable one' fails without the change and passes with it; libpimentofold_test 196, platform_test 11, pimentofold-edge_test 5 cases passed.

--- a/src/include/pimentofold/reachability/reachability.h
+++ b/src/include/pimentofold/reachability/reachability.h
@@ -25,8 +25,9 @@
 /// @return whether the target is in an unreachable data centre and no probe is due there, so that it must get no opening
 bool isWithheld(const TargetTable &table, const EdgeTarget &target, Time now);
 
-/// @return whether one of the route's services has a target that accepts new flows but for its data centre being unreachable
-bool hasUnreachableTargets(const TargetTable &table, const EdgeRoute &route, Time now);
+/// @return whether none of the route's services has a target that accepts new flows in a reachable data centre, and at least one has
+///         such a target in an unreachable one
+bool hasOnlyUnreachableTargets(const TargetTable &table, const EdgeRoute &route, Time now);
 
 /// @return whether a flow that only unreachable targets could take is refused at once. Otherwise it gets no answer.
 bool refusesUnreachable(const Reachability &state, Time now);
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -163,7 +163,7 @@
 PlaceResult waitOrRefuse(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
 {
     if (!isHeldBack(dispatcher, table, flow, route, now)) {
-        if (hasUnreachableTargets(table, route, now)) {
+        if (hasOnlyUnreachableTargets(table, route, now)) {
             return refuseUnreachable(dispatcher, table, flow, now, out);
         }
         if (hasEvacuatedTargets(table, route, now)) {
@@ -233,7 +233,7 @@
         }
         EdgeTarget *target = chooseTargetFor(dispatcher, table, next->second.flow, nullptr, *route, now);
         const bool heldBack = target == nullptr && isHeldBack(dispatcher, table, next->second.flow, *route, now);
-        const bool unreachable = target == nullptr && !heldBack && hasUnreachableTargets(table, *route, now);
+        const bool unreachable = target == nullptr && !heldBack && hasOnlyUnreachableTargets(table, *route, now);
         if (unreachable || (target == nullptr && !heldBack && hasEvacuatedTargets(table, *route, now))) {
             appendEvent(out, ForwardEvent::NoTarget, next->first, nullptr, next->second.flow.attempt, now - next->second.waitingSince);
             if (!unreachable || refusesUnreachable(table.reachability, now)) {
--- a/src/libpimentofold/reachability/reachability.cpp
+++ b/src/libpimentofold/reachability/reachability.cpp
@@ -154,9 +154,13 @@
     return it != state.dataCentres.end() && it->second.unreachableSince != never && now < it->second.nextOpeningProbeAt;
 }
 
-bool hasUnreachableTargets(const TargetTable &table, const EdgeRoute &route, Time now)
+bool hasOnlyUnreachableTargets(const TargetTable &table, const EdgeRoute &route, Time now)
 {
-    return table.reachability.unreachableCount > 0 && targetsOf(table, route, now).unreachable;
+    if (table.reachability.unreachableCount == 0) {
+        return false;
+    }
+    const RouteTargets targets = targetsOf(table, route, now);
+    return targets.unreachable && !targets.usable;
 }
 
 bool refusesUnreachable(const Reachability &state, Time now)
--- a/src/libpimentofold/reachability/reachability_test.cpp
+++ b/src/libpimentofold/reachability/reachability_test.cpp
@@ -630,3 +630,35 @@
     CHECK(countAcross() == 4);
     CHECK(forwarder.dispatcherMisses.empty());
 }
+
+// Guards against refusing a relayed opening because the service that was drawn is unreachable, although another one of the route
+// may be drawn at the next attempt.
+TEST_CASE("a route with a reachable service is not refused for its unreachable one")
+{
+    EdgeForwarder forwarder = makeForwarder(6, 0);
+    EdgeRoute route = makeRoute(shopAddress, "shop");
+    route.weightedServices.push_back({"second", 1});
+    CHECK(applyConfig(forwarder.table, makeConfig(100, {route})));
+    TargetRecord record = makeTarget(50, 101, "second");
+    record.dataCentre = "dc2";
+    applyTarget(forwarder.table, record, 0);
+    enableReachability(forwarder.table, true);
+    for (std::uint64_t n = 0; n < 8; ++n) {
+        recordAttempt(forwarder.table.reachability, "dc1", n, second + static_cast<Time>(n) * attemptSpacing);
+    }
+    const Time now = second + unreachableSilence;
+    std::vector<Id> pings;
+    CHECK(tickReachability(forwarder.table, now, pings));
+    forwarder.table.reachability.dataCentres.at("dc1").nextOpeningProbeAt = now + 1;
+    ForwardOutput out;
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        OpeningFlow flow;
+        flow.key = makeKey(port);
+        flow.openingPacket = "opening";
+        flow.originNode = 7;
+        placeForPeer(forwarder, flow, now, out);
+    }
+    CHECK(out.refusedNotices.empty());
+    CHECK_FALSE(out.packets.empty());
+    CHECK(out.packets.size() < 4); // some draws were of the unreachable service
+}
