--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -197,6 +197,7 @@
     std::vector<LocationMessage> locationMessages;
     std::vector<LoadReport> loadReports;
     std::vector<LeaveShareChange> leaveShareChanges;
+    std::vector<Id> pings; ///< nodes to be pinged, see reachabilitystate.h
     std::vector<ForwardEventRecord> events;
     std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
     std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
@@ -234,6 +235,7 @@
     NoRoute,
     NoTarget, ///< no target accepts new flows, or too many flows are waiting
     Evacuated, ///< only targets in evacuated data centres would accept the flow; it has to be refused
+    Unreachable, ///< only targets in unreachable data centres would accept the flow; see refusesUnreachable()
 };
 
 /// Offers a flow to a target, or lets the flow wait when no target has room. A flow that was offered before is offered to
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -5,6 +5,7 @@
 
 #include <pimentofold/balancing/balancing.h>
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/reachability/reachability.h>
 #include <pimentofold/targetloss/targetloss.h>
 
 namespace pimentofold {
@@ -102,7 +103,12 @@
     ++flow.attempts;
     flow.lastOfferAt = now;
     forwarder.answerChecks.emplace(now + answerTimeout(forwarder), key);
+    Reachability &reachability = forwarder.table.reachability;
+    if (isStranded(reachability, key.service) || isUnreachableNode(reachability, flow.dispatcher)) {
+        flow.dispatcher = 0;
+    }
     if (flow.dispatcher != 0) {
+        recordRelay(reachability, flow.dispatcher, now);
         out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket, 0});
         appendEvent(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
         out.events.back().node = flow.dispatcher;
@@ -116,7 +122,7 @@
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
         refuseFlow(key, out);
-    } else if (result == PlaceResult::Evacuated) {
+    } else if (result == PlaceResult::Evacuated || (result == PlaceResult::Unreachable && refusesUnreachable(reachability, now))) {
         refuseEvacuatedFlow(key, flow, out);
     } else if (result == PlaceResult::Waiting) {
         handleHeldNotice(forwarder, key, now);
@@ -232,6 +238,7 @@
     }
     dropQuestion(forwarder.locations, packet.flow);
     recordLocation(forwarder.locations, packet.flow, 0, now);
+    recordRouteOpening(forwarder.table.reachability, packet.flow.service, now);
     EdgeFlow flow;
     flow.startedElsewhere = packet.openingAge > 0;
     flow.startedAt = now;
@@ -275,8 +282,10 @@
     if (flow.attempts > 1 || flow.startedElsewhere) {
         reportLocation(forwarder, key, flow, flow.target, locationHolderCount, out);
     }
+    recordHeard(forwarder.table.reachability, target.record.dataCentre, now);
     if (flow.dispatcher != 0) {
         forwarder.dispatcherMisses.erase(flow.dispatcher);
+        recordHeardFromNode(forwarder.table.reachability, flow.dispatcher, now);
     }
     followToOwner(forwarder, key, flow, target, now, out);
     appendEvent(out, ForwardEvent::Opened, key, &target, flow.attempts, now - flow.startedAt);
@@ -347,6 +356,7 @@
         out.events.back().token = packet.token;
         return;
     }
+    const bool isKnown = flow != nullptr;
     if (flow == nullptr) {
         flow = storeOpenFlow(forwarder, packet, *target, now, out);
     }
@@ -365,6 +375,9 @@
         if (packet.finishes || packet.resets) {
             endFlow(forwarder, packet.flow, *flow, now, out);
         } else if (flow->stage == FlowStage::Open) {
+            if (isKnown && change == ActivityChange::AnswerStarted) {
+                recordTargetAnswer(forwarder.table, *target, now);
+            }
             reportActivity(forwarder, packet.flow, *flow, *target, change, now, out);
         }
     }
@@ -437,6 +450,9 @@
             forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
             continue;
         }
+        if (isUnreachableNode(forwarder.table.reachability, it.instance)) {
+            continue;
+        }
         usable.push_back(it);
         const auto place = forwarder.memberDataCentres.find(it.instance);
         if (forwarder.settings.localDispatch && place != forwarder.memberDataCentres.end() && !place->second.empty()) {
@@ -514,6 +530,20 @@
     return view;
 }
 
+/// Derives the dispatchers again after a data centre has become reachable or unreachable. Nodes and targets there that didn't answer
+/// get flows again once they are reachable.
+void onReachabilityChanged(EdgeForwarder &forwarder, Time now)
+{
+    const Reachability &reachability = forwarder.table.reachability;
+    std::erase_if(forwarder.dispatcherMisses, [&](const auto &it) { return !isUnreachableNode(reachability, it.first); });
+    for (auto &[id, target] : forwarder.table.targets) {
+        if (!isUnreachable(reachability, target.record.dataCentre)) {
+            target.nextProbeAt = std::min(target.nextProbeAt, now);
+        }
+    }
+    updateDispatchers(forwarder, now);
+}
+
 } // namespace
 
 bool knowsTargets(const EdgeForwarder &forwarder)
@@ -536,6 +566,7 @@
     }
     forwarder.dropOpeningsUntil = now + forwarder.settings.backlogDropTime;
     restartOwnership(forwarder.table, now);
+    restartEvidence(forwarder.table.reachability, now);
     return pause;
 }
 
@@ -664,6 +695,9 @@
 
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
+    if (tickReachability(forwarder.table, now, out.pings)) {
+        onReachabilityChanged(forwarder, now);
+    }
     runAnswerChecks(forwarder, now, out);
     for (EndedQuestion &it : expireQuestions(forwarder.locations, now)) {
         forwardHeldPackets(forwarder, it, now, out);
@@ -689,7 +723,8 @@
                      forwarder.nextSweepAt,
                      nextDispatcherTick(forwarder.dispatcher),
                      nextLossTick(forwarder),
-                     forwarder.balancing.nextTickAt});
+                     forwarder.balancing.nextTickAt,
+                     nextReachabilityTick(forwarder.table.reachability)});
 }
 
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -6,6 +6,7 @@
 
 #include <pimentofold-edge/edgelog.h>
 #include <pimentofold/balancing/loadwire.h>
+#include <pimentofold/reachability/reachability.h>
 #include <pimentofold/targetloss/targetloss.h>
 #include <platform/packetcodec.h>
 
@@ -86,6 +87,8 @@
     m_forwarder.self = m_peers.self();
     configureReplication();
     configureEvacuations();
+    m_peers.setHeardHandler([this](Id node) { onHeard(node); });
+    configureReachability();
     logEvent(m_log,
              "started",
              {{"data_centre", settings.dataCentre},
@@ -100,7 +103,7 @@
 HttpResponse Edge::readinessResponse() const
 {
     HttpResponse response;
-    const bool isReady = m_stopStartedAt == never && canPlaceFlows(m_forwarder);
+    const bool isReady = m_stopStartedAt == never && canPlaceFlows(m_forwarder) && isReadyForFlows(m_forwarder.table.reachability);
     response.status = isReady ? statusOk : statusUnavailable;
     return response;
 }
@@ -128,6 +131,7 @@
     setGauge(m_metrics, "answer_wait_seconds", toSeconds(answerTimeout(m_forwarder)));
     setGauge(m_metrics, "store_evacuations_revision", static_cast<double>(table.evacuations.revision));
     setGauge(m_metrics, "evacuated_data_centres", static_cast<double>(table.evacuations.dataCentres.size()));
+    setGauge(m_metrics, "unreachable_data_centres", static_cast<double>(table.reachability.unreachableCount));
     setGauge(m_metrics, "cold_targets", static_cast<double>(countColdTargets(table, now)));
     setGauge(m_metrics, "targets", static_cast<double>(table.targets.size()));
     counter(m_metrics, "cold_openings_total") = table.slowStart.openings;
@@ -232,6 +236,9 @@
         sendFlowNotice(it.asks ? wire::EdgeKind::Locate : wire::EdgeKind::Located, it.to, it.flow, it.target);
     }
     sendLoadReports(out);
+    for (const Id it : out.pings) {
+        m_peers.ping(it);
+    }
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
@@ -336,9 +343,52 @@
     tickForwarder(m_forwarder, now, out);
     send(out, now);
     logSlowStart();
+    logReachability(now);
     scheduleForwardTick();
 }
 
+void Edge::configureReachability()
+{
+    enableReachability(m_forwarder.table, usesReachability(m_settings));
+}
+
+void Edge::onHeard(Id node)
+{
+    Reachability &state = m_forwarder.table.reachability;
+    recordHeardFromNode(state, node, monotonicNow());
+    if (state.changed) {
+        scheduleForwardTick();
+    }
+}
+
+void Edge::logReachability(Time now)
+{
+    const Reachability &state = m_forwarder.table.reachability;
+    std::vector<std::string> unreachable = unreachableDataCentres(state);
+    if (unreachable != m_unreachableDataCentres) {
+        for (const std::string &it : unreachable) {
+            if (std::ranges::find(m_unreachableDataCentres, it) == m_unreachableDataCentres.end()) {
+                logEvent(m_log, "data_centre_unreachable", {{"data_centre", it}, {"silent_us", now - state.dataCentres.at(it).lastHeardAt}});
+            }
+        }
+        for (const std::string &it : m_unreachableDataCentres) {
+            if (std::ranges::find(unreachable, it) == unreachable.end()) {
+                logEvent(m_log, "data_centre_reachable", {{"data_centre", it}});
+            }
+        }
+        m_unreachableDataCentres = std::move(unreachable);
+    }
+    if (isReadyForFlows(state) == m_reachabilityReady) {
+        return;
+    }
+    m_reachabilityReady = isReadyForFlows(state);
+    if (m_reachabilityReady) {
+        logEvent(m_log, "ready", {{"reason", "targets_reachable"}});
+    } else {
+        logEvent(m_log, "not_ready", {{"reason", "no_target_reachable"}, {"openings", state.openingsAtDecision}, {"answers", state.answersAtDecision}});
+    }
+}
+
 void Edge::logSlowStart()
 {
     const SlowStart &slowStart = m_forwarder.table.slowStart;
@@ -486,6 +536,7 @@
 {
     m_forwarder.members = m_peers.members();
     m_forwarder.memberDataCentres = m_peers.memberDataCentres();
+    setNodes(m_forwarder.table.reachability, m_peers.otherNodes());
     updateDispatchers(m_forwarder, monotonicNow());
 }
 
@@ -503,6 +554,7 @@
              "reloaded",
              {{"seeds", joinAddresses(settings.seeds)}, {"store", toString(settings.storeAddress)}, {"store_moved", static_cast<int>(storeMoved)}});
     configureEvacuations();
+    configureReachability();
     m_forwarder.table.slowStart.settings = slowStartSettings(settings);
     if (storeMoved) {
         m_store.setAddress(settings.storeAddress);
