Declare targets lost whose callers the owner knows too little of

Cause: an owner sees one or two flows of each caller, so no caller had the four answers for each overdue request that a verdict asked for. Change: from three callers on it is enough that all callers together have these answers.

--- a/src/include/pimentofold/targetloss/worksummary.h
+++ b/src/include/pimentofold/targetloss/worksummary.h
@@ -17,8 +17,12 @@
 constexpr Time overdueTime = 300 * millisecond;
 /// Answers count for this long.
 constexpr Time answerWindow = 2 * second;
-/// A caller is credible when it has got at least this many answers for each overdue request.
+/// A caller is credible when it has got at least this many answers for each overdue request. The same holds for all callers
+/// together.
 constexpr int answersPerOverdueRequest = 4;
+/// An owner sees only some of the flows of a caller, so that single callers may not be credible although their paths are
+/// fine. From this many callers on, it is enough that all callers together are credible.
+constexpr std::size_t minJointCallers = 3;
 
 /// Requests of one caller.
 struct CallerWork {
@@ -36,7 +40,10 @@
 WorkSummary summarizeWork(const Dispatcher &dispatcher, const std::function<bool(const Address &service)> &keepsFlows, Time now);
 
 /// @param stalledFlows stalled flows in the evidence against the target
-/// @return whether at least half of the target's overdue requests stall, and at least two credible callers have sent them
-bool isWorkConsistent(const WorkSummary &work, std::uint64_t target, int stalledFlows);
+/// @param isSuspected returns whether there is evidence against a target; overdue requests on such targets don't speak against
+///        the callers
+/// @return whether at least half of the target's overdue requests stall, and either two credible callers have sent them, or
+///         minJointCallers callers while the requests of all callers to the other targets are answered
+bool isWorkConsistent(const WorkSummary &work, std::uint64_t target, int stalledFlows, const std::function<bool(std::uint64_t target)> &isSuspected);
 
 } // namespace pimentofold
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -188,6 +188,12 @@
     return dataCentreCount(suspect) == 1 && first != target.record.dataCentre ? std::optional(first) : std::nullopt;
 }
 
+bool isDeclaredLost(const TargetTable &table, std::uint64_t id)
+{
+    const EdgeTarget *target = findTarget(table, id);
+    return target != nullptr && target->lostSince != never;
+}
+
 LostTarget makeVerdict(const EdgeTarget &target, const std::string &dataCentre)
 {
     return {target.record.id, target.record.startedAt, dataCentre};
@@ -228,7 +234,8 @@
             verdicts.workAt = now;
             verdicts.work = queries.work();
         }
-        return isWorkConsistent(verdicts.work, id, stalledFlowsOf(suspect));
+        const auto isSuspected = [&](std::uint64_t other) { return verdicts.suspected.contains(other) || isDeclaredLost(table, other); };
+        return isWorkConsistent(verdicts.work, id, stalledFlowsOf(suspect), isSuspected);
     };
     for (auto &[id, suspect] : verdicts.suspected) {
         EdgeTarget *target = findTarget(table, id);
--- a/src/libpimentofold/targetloss/targetloss_test.cpp
+++ b/src/libpimentofold/targetloss/targetloss_test.cpp
@@ -809,3 +809,49 @@
     MESSAGE("verdicts " << verdicts << ", resets " << resets);
     CHECK(resets > 0);
 }
+
+// Guards against a silent target that is never declared lost because its owner sees only one or two flows of each caller: no
+// single caller has enough answers there to be credible, but all callers together have.
+TEST_CASE("target loss: requests in progress that support the evidence")
+{
+    struct Row {
+        std::string_view name;
+        int stalledCallers; ///< callers with an overdue request on the target
+        int stalledFlows; ///< of them in the evidence
+        int answers; ///< of all callers
+        int overdueElsewhere; ///< on a target without evidence against it
+        bool answersToStalled; ///< the stalled callers themselves have got the answers
+        bool expected;
+    };
+    const Row rows[] = {
+        {"three callers, all others are answered", 3, 3, 40, 0, false, true},
+        {"some requests elsewhere are overdue", 3, 3, 40, 10, false, true},
+        {"too many requests elsewhere are overdue", 3, 3, 40, 11, false, false},
+        {"nobody is answered", 3, 3, 0, 0, false, false},
+        {"two callers", 2, 2, 40, 0, false, false},
+        {"two credible callers", 2, 2, 8, 11, true, true},
+        {"most overdue requests don't stall", 5, 2, 40, 0, false, false},
+        {"half of the overdue requests stall", 6, 3, 40, 0, false, true},
+        {"no overdue request", 0, 3, 40, 0, false, false},
+    };
+    constexpr std::uint64_t target = 1;
+    constexpr std::uint64_t otherTarget = 2;
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        WorkSummary work;
+        for (int n = 0; n < row.stalledCallers; ++n) {
+            const auto ip = static_cast<std::uint32_t>(n + 1);
+            work.callers[ip] = {row.answersToStalled ? row.answers / row.stalledCallers : 0, 1};
+            work.overdue[target].push_back(ip);
+        }
+        constexpr std::uint32_t otherCaller = 100;
+        if (!row.answersToStalled) {
+            work.callers[otherCaller].answered = row.answers;
+        }
+        for (int n = 0; n < row.overdueElsewhere; ++n) {
+            ++work.callers[otherCaller].overdue;
+            work.overdue[otherTarget].push_back(otherCaller);
+        }
+        CHECK(isWorkConsistent(work, target, row.stalledFlows, [](std::uint64_t id) { return id == target; }) == row.expected);
+    }
+}
