Dispatch within the data centre; mend what the read-through found

From reading the diff: a node that skips unreachable live dispatchers takes over none of their cold targets; a pause withdraws verdicts that no other node has got; beyond maxFlows a flow without a reachable target is refused; services with weight 0 don't make a flow refused for an evacuation; names and comments.

--- a/src/include/pimentofold/balancing/balancing.h
+++ b/src/include/pimentofold/balancing/balancing.h
@@ -71,7 +71,7 @@
 void updateBalance(Balancing &balancing, const std::string &service, const ServiceDispatchers &found, std::span<const PlacedTarget> targets);
 
 /// Removes the services that have no targets any more.
-void removeOtherServices(Balancing &balancing, const std::map<std::string, DispatcherTable, std::less<>> &services);
+void removeServicesWithoutTargets(Balancing &balancing, const std::map<std::string, DispatcherTable, std::less<>> &services);
 
 /// Measures the own load, decides which share of the new flows leaves, and reports the load when that is due.
 void tickBalancing(Balancing &balancing, const Dispatcher &dispatcher, const TargetTable &table, Time now, ForwardOutput &out);
@@ -85,6 +85,6 @@
 
 /// @param flowHash hash of the flow
 /// @return dispatcher of another data centre to which a new flow leaves; nothing when it stays
-std::optional<Id> leaveTo(const Balancing &balancing, std::string_view service, std::uint64_t flowHash);
+std::optional<Id> remoteDispatcherFor(const Balancing &balancing, std::string_view service, std::uint64_t flowHash);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/balancing/leaveshare.h
+++ b/src/include/pimentofold/balancing/leaveshare.h
@@ -20,8 +20,7 @@
     Time reportValidity = second; ///< a data centre whose last report is older gets nothing
     /// A data centre has room for flows of others below this share of its slots in use. The rest is left for its own callers.
     double fullUtilisation = 0.95;
-    /// The difference of the expected waits at which all new flows would leave if nothing else limited the share. With this
-    /// value, three times the flows that the slots can serve don't make the share oscillate.
+    /// The difference of the expected waits at which all new flows would leave if nothing else limited the share.
     Time waitScale = 300 * millisecond;
     Time integralTime = 500 * millisecond; ///< time constant of the part of the share that is kept while the waits are equal
     double maxChangePerSecond = 2; ///< limit on the change of the share
--- a/src/include/pimentofold/balancing/localdispatch.h
+++ b/src/include/pimentofold/balancing/localdispatch.h
@@ -27,6 +27,7 @@
 /// Nodes that may become dispatchers.
 struct DispatcherCandidates {
     std::vector<InstanceKey> all;
+    bool leavesOutLiveNodes = false; ///< live nodes that don't answer this node are left out, although others may use them
     /// By data centre; without an entry, a data centre gets no dispatchers of its own.
     std::map<std::string, std::vector<InstanceKey>, std::less<>> byDataCentre;
 };
--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -154,7 +154,7 @@
     FlowKey flow;
 };
 
-/// Notifies the node that requested placement that only evacuated targets are left, so that it refuses the flow.
+/// Notifies the node that requested placement that only evacuated or unreachable targets are left, so that it refuses the flow.
 struct RefusedNotice {
     Id originNode = 0; ///< 0: this node, whose flow waited here; to be passed to handleRefusedNotice()
     FlowKey flow;
--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -24,7 +24,7 @@
     Time evacuationBound = 0; ///< an evacuation of a data centre has to be in force within this time; 0: evacuations are off
     int dataCentreCount = 0; ///< data centres that the settings name; 0: none
     std::optional<double> coldOvershoot; ///< factor on the openings per second that a cold target can take; nothing: not set
-    std::optional<double> coldSlack; ///< openings in any second beyond this product; nothing: not set
+    std::optional<double> coldSlack; ///< further openings in each second, added to coldOvershoot times the cold rate; nothing: not set
     Time targetHeartbeat = 1200 * millisecond; ///< interval at which targets renew their entries in the store
     Time stopGracePeriod = 6 * second; ///< the platform kills a process that is still running this long after the request to stop
 };
--- a/src/include/pimentofold/evacuation/evacuationstate.h
+++ b/src/include/pimentofold/evacuation/evacuationstate.h
@@ -62,7 +62,7 @@
 Time evacuationWatchTimeout(Time bound);
 
 /// Holds back the placement of flows on a node that has started and doesn't know the evacuations yet.
-struct EvacuationGate {
+struct EvacuationWait {
     /// A node that knows the rest of the state for this long without hearing of evacuations places flows: none of its peers knows
     /// them, and the store doesn't answer this kind.
     static constexpr Time maxWait = second;
@@ -72,11 +72,11 @@
     bool expired = false; ///< maxWait has passed
 };
 
-/// Updates the gate. Has to be called after changes of the state and several times a second while isGateClosed().
+/// Updates the gate. Has to be called after changes of the state and several times a second while waitsForEvacuations().
 /// @param otherStateKnown the configuration and the targets are known
-void updateGate(EvacuationGate &gate, bool otherStateKnown, Time now);
+void updateEvacuationWait(EvacuationWait &gate, bool otherStateKnown, Time now);
 
 /// @return whether the node must not place flows yet
-bool isGateClosed(const EvacuationGate &gate, const EvacuationState &state);
+bool waitsForEvacuations(const EvacuationWait &gate, const EvacuationState &state);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/reachability/reachabilitystate.h
+++ b/src/include/pimentofold/reachability/reachabilitystate.h
@@ -76,7 +76,7 @@
 };
 
 /// Another node that may be running.
-struct ReachableNode {
+struct OtherNode {
     std::string dataCentre;
     bool live = true; ///< false: the membership has declared it dead, perhaps because it can't be reached
 };
@@ -85,7 +85,7 @@
 struct Reachability {
     bool enabled = false;
     std::map<std::string, DataCentreReachability, std::less<>> dataCentres;
-    std::unordered_map<Id, ReachableNode> otherNodes;
+    std::unordered_map<Id, OtherNode> otherNodes;
     std::map<Address, RouteOpenings> routes; ///< with openings within the last seconds, by service address
     std::size_t unreachableCount = 0; ///< number of unreachable data centres
     bool changed = false; ///< a data centre has become reachable or unreachable since the last tickReachability()
@@ -117,7 +117,7 @@
 bool isUnreachableNode(const Reachability &state, Id node);
 
 /// Replaces the other nodes. Those that aren't live are pinged only where a data centre has no live one.
-void setNodes(Reachability &state, std::unordered_map<Id, ReachableNode> nodes);
+void setNodes(Reachability &state, std::unordered_map<Id, OtherNode> nodes);
 
 /// Discards the evidence of all data centres, because this process was paused and answers may wait unread in its sockets.
 void restartEvidence(Reachability &state, Time now);
--- a/src/include/pimentofold/slowstart/slowstart.h
+++ b/src/include/pimentofold/slowstart/slowstart.h
@@ -36,7 +36,7 @@
 constexpr Time memberMemory = 30 * second;
 /// A node that sees no other member uses no cold targets until this long after its start: it may only not have found the
 /// others yet.
-constexpr Time aloneFence = 5 * second;
+constexpr Time aloneWaitTime = 5 * second;
 
 /// Limits of slow start that apply to all services.
 struct SlowStartSettings {
@@ -100,8 +100,8 @@
 /// @return when the target's cold time ends; 0 for a target that isn't cold or to which no limit applies
 Time coldUntil(const TargetTable &table, const EdgeTarget &target);
 
-/// @return the cold time that is left of a target's entry or of the end of an evacuation, without the possible age of the
-///         entry; 0 when the target is warm
+/// @return time that is left of the warm-up of the target's entry or of the cold time after an evacuation, whichever is longer,
+///         without the possible age of the entry; 1 when the target is cold only for that age
 Time coldTimeLeft(const TargetTable &table, const EdgeTarget &target, Time now);
 
 /// @return whether the target is cold now and a limit applies to it
@@ -122,7 +122,7 @@
 /// What updateColdOwners() needs to know of the members.
 struct MemberView {
     std::vector<Id> members; ///< live members, including this node
-    bool avoiding = false; ///< this node ignores a live dispatcher that doesn't answer it, which therefore may own targets that seem to be owned here
+    bool leavesOutLiveNodes = false; ///< this node ignores live dispatchers that don't answer it, which therefore may own targets that seem to be owned here
 };
 
 /// Starts or ends the ownership of targets. Has to be called after each change of members, targets or services, once
--- a/src/include/pimentofold/targetloss/lossevidence.h
+++ b/src/include/pimentofold/targetloss/lossevidence.h
@@ -11,7 +11,7 @@
 /// Evidence that one node collects against targets.
 ///
 /// A stall counts only when this node's own path is proven: on at least as many other targets, data that the node forwarded
-/// after the stall began has been answered. A node whose link or outgoing path is broken therefore accuses nobody.
+/// after the stall began has been answered. A node whose link or outgoing path is broken therefore reports no target.
 namespace pimentofold {
 
 /// Interval between two evidence messages to one owner.
--- a/src/include/pimentofold/targetloss/lossverdict.h
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -44,7 +44,7 @@
     /// Least time between two broadcasts. Verdicts that are due within this time are sent earlier, with those that are due now.
     Time broadcastInterval = 100 * millisecond;
     Time repeatTime = 300 * millisecond; ///< a broadcast is repeated once after this time
-    Time contradictionWindow = second; ///< see isCallersFault() in the source file
+    Time contradictionWindow = second; ///< see isMostlyContradicted() in the source file
     Time lossWindow = 3 * second; ///< contradicted evidence raises the number of needed points for this long
 };
 
--- a/src/libpimentofold/balancing/balancing.cpp
+++ b/src/libpimentofold/balancing/balancing.cpp
@@ -233,7 +233,7 @@
     balancing.nextTickAt = std::min(balancing.nextTickAt, balancing.tickedAt + balancing.settings.tickInterval);
 }
 
-void removeOtherServices(Balancing &balancing, const std::map<std::string, DispatcherTable, std::less<>> &services)
+void removeServicesWithoutTargets(Balancing &balancing, const std::map<std::string, DispatcherTable, std::less<>> &services)
 {
     std::erase_if(balancing.services, [&](const auto &it) { return !services.contains(it.first); });
 }
@@ -268,15 +268,15 @@
     }
     ServiceBalance &balance = it->second;
     const DispatcherTable &own = balance.dataCentres.find(balancing.dataCentre)->second;
-    const bool isColleague = std::ranges::any_of(own.dispatchers, [&](const InstanceKey &other) { return other.instance == sender; });
+    const bool isOwnDispatcher = std::ranges::any_of(own.dispatchers, [&](const InstanceKey &other) { return other.instance == sender; });
     if (load.dataCentre == balancing.dataCentre) {
-        if (isColleague) {
+        if (isOwnDispatcher) {
             balance.parts[sender] = {load, now};
         }
         return;
     }
     balance.others[load.dataCentre] = {load, now};
-    if (isColleague) {
+    if (isOwnDispatcher) {
         return;
     }
     std::erase_if(balance.parts, [&](const auto &part) { return !isFresh(part.second, balancing.settings, now); });
@@ -293,7 +293,7 @@
     }
 }
 
-std::optional<Id> leaveTo(const Balancing &balancing, std::string_view service, std::uint64_t flowHash)
+std::optional<Id> remoteDispatcherFor(const Balancing &balancing, std::string_view service, std::uint64_t flowHash)
 {
     const auto balance = balancing.services.find(service);
     if (balance == balancing.services.end()) {
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -55,14 +55,20 @@
     appendEvent(out, ForwardEvent::Refused, key, nullptr, 0, 0);
 }
 
-/// Refuses a flow for which only evacuated targets are left. Its caller may open another flow at once.
-void refuseEvacuatedFlow(const FlowKey &key, EdgeFlow &flow, ForwardOutput &out)
+/// Refuses a flow whose remaining targets are all evacuated or unreachable. Its caller may open another flow at once.
+void refuseUnplaceableFlow(const FlowKey &key, EdgeFlow &flow, ForwardOutput &out)
 {
     flow.stage = FlowStage::Ended;
     flow.refused = true;
     refuseFlow(key, out);
 }
 
+/// @return whether a flow has to be refused after this result of its placement
+bool mustRefuse(PlaceResult result, const Reachability &reachability, Time now)
+{
+    return result == PlaceResult::Evacuated || (result == PlaceResult::Unreachable && refusesUnreachable(reachability, now));
+}
+
 /// @return whether the node that received an opening packet is in this node's data centre
 bool isFromOwnDataCentre(const EdgeForwarder &forwarder, const OpeningFlow &flow)
 {
@@ -86,7 +92,7 @@
     }
     const std::string &service = route->weightedServices.front().service;
     countOpening(forwarder.balancing, service);
-    const std::optional<Id> to = leaveTo(forwarder.balancing, service, std::hash<FlowKey>{}(flow.key));
+    const std::optional<Id> to = remoteDispatcherFor(forwarder.balancing, service, std::hash<FlowKey>{}(flow.key));
     if (!to) {
         return false;
     }
@@ -122,8 +128,8 @@
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
         refuseFlow(key, out);
-    } else if (result == PlaceResult::Evacuated || (result == PlaceResult::Unreachable && refusesUnreachable(reachability, now))) {
-        refuseEvacuatedFlow(key, flow, out);
+    } else if (mustRefuse(result, reachability, now)) {
+        refuseUnplaceableFlow(key, flow, out);
     } else if (result == PlaceResult::Waiting) {
         handleHeldNotice(forwarder, key, now);
     } else if (result == PlaceResult::Settled) {
@@ -249,7 +255,8 @@
     if (forwarder.flows.size() >= forwarder.settings.maxFlows) {
         flow.dispatcher = 0;
         flow.attempts = 1;
-        if (placeFlow(forwarder.dispatcher, forwarder.table, toOpeningFlow(packet.flow, flow), now, out) == PlaceResult::Evacuated) {
+        const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, toOpeningFlow(packet.flow, flow), now, out);
+        if (mustRefuse(result, forwarder.table.reachability, now)) {
             refuseFlow(packet.flow, out);
         }
         return;
@@ -438,9 +445,11 @@
     }
 }
 
-/// @return the members that may be dispatchers, without those that are avoided
+/// Also sets dispatcherRetryAt.
+/// @return the members that may be dispatchers, without those that are avoided or unreachable
 DispatcherCandidates usableCandidates(EdgeForwarder &forwarder, Time now)
 {
+    DispatcherCandidates candidates;
     std::vector<InstanceKey> usable;
     std::map<std::string, std::vector<InstanceKey>, std::less<>> byDataCentre;
     forwarder.dispatcherRetryAt = never;
@@ -448,9 +457,11 @@
         const auto missed = forwarder.dispatcherMisses.find(it.instance);
         if (missed != forwarder.dispatcherMisses.end() && missed->second.avoidUntil > now) {
             forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
+            candidates.leavesOutLiveNodes = true;
             continue;
         }
         if (isUnreachableNode(forwarder.table.reachability, it.instance)) {
+            candidates.leavesOutLiveNodes = true;
             continue;
         }
         usable.push_back(it);
@@ -459,7 +470,6 @@
             byDataCentre[place->second].push_back(it);
         }
     }
-    DispatcherCandidates candidates;
     candidates.all = dispatcherCandidates(usable);
     for (const auto &[dataCentre, members] : byDataCentre) {
         candidates.byDataCentre[dataCentre] = dispatcherCandidates(members);
@@ -520,10 +530,10 @@
     }
 }
 
-MemberView memberView(const EdgeForwarder &forwarder, bool avoiding)
+MemberView memberView(const EdgeForwarder &forwarder, bool leavesOutLiveNodes)
 {
     MemberView view;
-    view.avoiding = avoiding;
+    view.leavesOutLiveNodes = leavesOutLiveNodes;
     for (const InstanceKey &it : forwarder.members) {
         view.members.push_back(it.instance);
     }
@@ -553,7 +563,7 @@
 
 bool canPlaceFlows(const EdgeForwarder &forwarder)
 {
-    return knowsTargets(forwarder) && !isGateClosed(forwarder.evacuationGate, forwarder.table.evacuations);
+    return knowsTargets(forwarder) && !waitsForEvacuations(forwarder.evacuationWait, forwarder.table.evacuations);
 }
 
 Time detectPause(EdgeForwarder &forwarder, Time now)
@@ -625,7 +635,7 @@
     if (it != forwarder.flows.end() && it->second.stage == FlowStage::Opening && it->second.dispatcher == dispatcher) {
         // This node may have offered the flow itself before.
         notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, flow, 0}, now, out);
-        refuseEvacuatedFlow(flow, it->second, out);
+        refuseUnplaceableFlow(flow, it->second, out);
     }
 }
 
@@ -687,9 +697,8 @@
         updateBalance(forwarder.balancing, service, found, targets);
         forwarder.dispatchers[service] = std::move(found.table);
     }
-    removeOtherServices(forwarder.balancing, forwarder.dispatchers);
-    const bool avoidsDispatchers = forwarder.dispatcherRetryAt != never;
-    updateColdOwners(forwarder.table, memberView(forwarder, avoidsDispatchers), now);
+    removeServicesWithoutTargets(forwarder.balancing, forwarder.dispatchers);
+    updateColdOwners(forwarder.table, memberView(forwarder, candidates.leavesOutLiveNodes), now);
     updateOwnership(forwarder, now);
 }
 
--- a/src/libpimentofold/evacuation/evacuation.cpp
+++ b/src/libpimentofold/evacuation/evacuation.cpp
@@ -36,7 +36,7 @@
     };
     return std::ranges::any_of(route.weightedServices, [&](const WeightedService &it) {
         const auto ids = table.services.find(it.service);
-        return ids != table.services.end() && std::ranges::any_of(ids->second, excludes);
+        return it.weight > 0 && ids != table.services.end() && std::ranges::any_of(ids->second, excludes);
     });
 }
 
--- a/src/libpimentofold/evacuation/evacuation_test.cpp
+++ b/src/libpimentofold/evacuation/evacuation_test.cpp
@@ -309,21 +309,21 @@
     const Row rows[] = {
         {false, false, 0, false}, {true, false, 0, true}, {true, false, 999 * millisecond, true}, {true, false, second, false}, {true, true, 0, false}};
     for (const Row &row : rows) {
-        EvacuationGate gate;
+        EvacuationWait gate;
         gate.enabled = row.enabled;
         EvacuationState state;
         state.revision = row.knowsEvacuations ? 1 : 0;
-        updateGate(gate, false, 0);
-        updateGate(gate, true, 10 * second);
-        updateGate(gate, true, 10 * second + row.since);
-        CHECK(isGateClosed(gate, state) == row.closed);
+        updateEvacuationWait(gate, false, 0);
+        updateEvacuationWait(gate, true, 10 * second);
+        updateEvacuationWait(gate, true, 10 * second + row.since);
+        CHECK(waitsForEvacuations(gate, state) == row.closed);
     }
 }
 
 TEST_CASE("packets that arrive before the evacuations are known are kept")
 {
     EdgeForwarder forwarder = makeRegion(0);
-    forwarder.evacuationGate.enabled = true;
+    forwarder.evacuationWait.enabled = true;
     ForwardOutput early;
     handlePacket(forwarder, makeOpening(1), 0, early);
     CHECK(early.packets.empty());
@@ -362,7 +362,7 @@
     const Time handOver = replication.heartbeatTimeout + 2 * replication.rankDelay + answer;
     CHECK(deadConnection + handOver + twoLostHeartbeats <= bound);
     // All nodes start again and the evacuations can't be read: placement begins with the state that the leader has by then.
-    CHECK(EvacuationGate::maxWait + calls.responseTimeout + twoLostHeartbeats <= bound);
+    CHECK(EvacuationWait::maxWait + calls.responseTimeout + twoLostHeartbeats <= bound);
     CHECK(evacuationWatchTimeout(bound) == 2 * second);
     CHECK(evacuationWatchTimeout(0) == 200 * millisecond);
 }
--- a/src/libpimentofold/evacuation/evacuationstate.cpp
+++ b/src/libpimentofold/evacuation/evacuationstate.cpp
@@ -65,16 +65,16 @@
     return std::clamp(bound * 2 / 5, minTimeout, maxTimeout);
 }
 
-void updateGate(EvacuationGate &gate, bool otherStateKnown, Time now)
+void updateEvacuationWait(EvacuationWait &gate, bool otherStateKnown, Time now)
 {
     if (!otherStateKnown || gate.expired) {
         return;
     }
     gate.waitingSince = std::min(gate.waitingSince, now);
-    gate.expired = now - gate.waitingSince >= EvacuationGate::maxWait;
+    gate.expired = now - gate.waitingSince >= EvacuationWait::maxWait;
 }
 
-bool isGateClosed(const EvacuationGate &gate, const EvacuationState &state)
+bool waitsForEvacuations(const EvacuationWait &gate, const EvacuationState &state)
 {
     return gate.enabled && state.revision == 0 && !gate.expired;
 }
--- a/src/libpimentofold/reachability/reachability.cpp
+++ b/src/libpimentofold/reachability/reachability.cpp
@@ -136,7 +136,7 @@
     if (state.enabled == enabled) {
         return;
     }
-    std::unordered_map<Id, ReachableNode> nodes = std::move(state.otherNodes);
+    std::unordered_map<Id, OtherNode> nodes = std::move(state.otherNodes);
     const bool changed = state.unreachableCount > 0;
     state = {};
     state.enabled = enabled;
--- a/src/libpimentofold/reachability/reachability_test.cpp
+++ b/src/libpimentofold/reachability/reachability_test.cpp
@@ -62,7 +62,7 @@
             applyTarget(m_forwarder.table, record, 0);
         }
         enableReachability(m_forwarder.table, scenario.enabled);
-        std::unordered_map<Id, ReachableNode> nodes;
+        std::unordered_map<Id, OtherNode> nodes;
         for (Id node = 100; node < 112; ++node) {
             nodes[node] = {dataCentreOfNode(node), true};
             m_forwarder.members.push_back({node, 1});
@@ -584,7 +584,7 @@
         applyTarget(forwarder.table, record, 0);
     }
     enableReachability(forwarder.table, true);
-    std::unordered_map<Id, ReachableNode> nodes;
+    std::unordered_map<Id, OtherNode> nodes;
     for (Id node = 100; node < 108; ++node) {
         nodes[node] = {node % 2 == 0 ? "dc1" : "dc2", true};
         forwarder.members.push_back({node, 1});
--- a/src/libpimentofold/reachability/reachabilitystate.cpp
+++ b/src/libpimentofold/reachability/reachabilitystate.cpp
@@ -190,7 +190,7 @@
     return it != state.otherNodes.end() && isUnreachable(state, it->second.dataCentre);
 }
 
-void setNodes(Reachability &state, std::unordered_map<Id, ReachableNode> nodes)
+void setNodes(Reachability &state, std::unordered_map<Id, OtherNode> nodes)
 {
     state.otherNodes = std::move(nodes);
     for (auto &[name, it] : state.dataCentres) {
--- a/src/libpimentofold/slowstart/slowstart.cpp
+++ b/src/libpimentofold/slowstart/slowstart.cpp
@@ -55,7 +55,7 @@
 /// @return whether the node may use the cold targets that it owns
 bool mayUseColdTargets(const SlowStart &slowStart, Time now)
 {
-    const bool foundOthers = slowStart.members.size() > 1 || now - slowStart.startedAt >= aloneFence;
+    const bool foundOthers = slowStart.members.size() > 1 || now - slowStart.startedAt >= aloneWaitTime;
     return slowStart.majority && foundOthers;
 }
 
@@ -218,7 +218,7 @@
         const EdgeTarget *target = findTarget(table, it.first);
         return target == nullptr || target->owner != 0 || limitsOf(table, *target) == nullptr;
     });
-    if (view.avoiding) {
+    if (view.leavesOutLiveNodes) {
         return;
     }
     for (const auto &[service, limits] : slowStart.services) {
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -149,7 +149,7 @@
 /// When callers can't be reached, or lose many packets, their flows stall on all targets while other callers' flows make
 /// progress there. Then a target without progress of others for a moment isn't silent.
 /// @return whether progress contradicts so much of the evidence that the remaining evidence is doubtful too
-bool isCallersFault(const LossVerdicts &verdicts, const SuspectCounts &counts)
+bool isMostlyContradicted(const LossVerdicts &verdicts, const SuspectCounts &counts)
 {
     constexpr std::size_t minShare = 4; // one quarter of the owned targets
     return counts.contradicted > std::max(counts.silent, verdicts.ownedSince.size() / minShare);
@@ -200,7 +200,7 @@
 }
 
 /// Whether the conditions have held for settleTime. A pause of this process starts the time again.
-bool hasSettled(const LossVerdicts &verdicts, SuspectedTarget &suspect, bool holds, bool ranRegularly, Time now)
+bool updateSettled(const LossVerdicts &verdicts, SuspectedTarget &suspect, bool holds, bool ranRegularly, Time now)
 {
     if (!holds) {
         suspect.conditionsSince = never;
@@ -226,7 +226,7 @@
         }
     }
     const SuspectCounts counts = countSuspects(verdicts, now);
-    const bool callersFault = isCallersFault(verdicts, counts);
+    const bool callersFault = isMostlyContradicted(verdicts, counts);
     const int points = neededPoints(verdicts, counts);
     const auto hasConsistentWork = [&](std::uint64_t id, const SuspectedTarget &suspect) {
         // Few targets come this far, so the flows are counted only here.
@@ -244,7 +244,7 @@
         const bool lost = judged && isSilentEverywhere(verdicts, table, suspect, *target, now);
         const bool mayBeUnreachable = judged && !lost && now >= suspect.unreachableUntil;
         const std::optional<std::string> from = mayBeUnreachable ? onlyDataCentre(suspect, *target) : std::nullopt;
-        if (!hasSettled(verdicts, suspect, lost || from, ranRegularly, now)) {
+        if (!updateSettled(verdicts, suspect, lost || from, ranRegularly, now)) {
             continue;
         }
         if (lost) {
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -330,6 +330,19 @@
     }
 }
 
+/// Withdraws the verdicts of this node that no other node has got yet.
+void withdrawPendingVerdicts(EdgeForwarder &forwarder)
+{
+    TargetLoss &loss = forwarder.targetLoss;
+    for (const PendingVerdict &it : loss.verdicts.pending) {
+        EdgeTarget *target = it.repeated || !it.lost.dataCentre.empty() ? nullptr : findTarget(forwarder.table, it.lost.target);
+        if (target != nullptr) {
+            target->lostSince = never;
+            loss.lost.erase(it.lost.target);
+        }
+    }
+}
+
 } // namespace
 
 void observeForLoss(EdgeForwarder &forwarder, const FlowPacket &packet, EdgeFlow &flow, EdgeTarget &target, ActivityChange change, Time now, ForwardOutput &out)
@@ -369,6 +382,7 @@
     }
     loss.pausedUntil = now;
     clearEvidence(loss.evidence);
+    withdrawPendingVerdicts(forwarder);
     clearVerdicts(loss.verdicts);
     loss.resets.clear();
     loss.acknowledgementChecks.clear();
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -71,7 +71,7 @@
     /// Turns evacuations on or off, as the settings say.
     void configureEvacuations();
     /// Takes over the evacuations of the table after an update: logs the differences and derives the dispatchers again.
-    /// @param source "store" or "peer"
+    /// @param source "store", "peer" or "settings"
     /// @param age time since the leader's state was confirmed by the store
     void announceEvacuations(std::string_view source, Time age);
     /// Adds the evacuations to a message.
--- a/src/pimentofold-edge/edgeoptions_test.cpp
+++ b/src/pimentofold-edge/edgeoptions_test.cpp
@@ -18,7 +18,7 @@
     CHECK(parseEdgeOptions(parseSettings(R"({"localDispatch": true})", "f")).forward.localDispatch);
     const EdgeOptions shipped = parseEdgeOptions(readSettings(PIMENTOFOLD_SOURCE_DIR "/deploy/edge.json"));
     CHECK(shipped.dispatch.flowsPerSlot == DispatchSettings().flowsPerSlot);
-    CHECK(shipped.forward.localDispatch == ForwardSettings().localDispatch);
+    CHECK(shipped.forward.localDispatch);
     CHECK(shipped.replication.heartbeatTimeout == ReplicationSettings().heartbeatTimeout);
     CHECK_FALSE(parseEdgeOptions(parseSettings("{}", "f")).targetLoss.enabled);
     CHECK(shipped.targetLoss.enabled);
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -218,11 +218,11 @@
         }
     }
     const bool couldPlace = canPlaceFlows(m_forwarder);
-    updateGate(m_forwarder.evacuationGate, knowsTargets(m_forwarder), now);
+    updateEvacuationWait(m_forwarder.evacuationWait, knowsTargets(m_forwarder), now);
     if (!couldPlace && canPlaceFlows(m_forwarder)) {
         onStateChanged();
     }
-    const bool knowsEvacuations = !isGateClosed(m_forwarder.evacuationGate, m_forwarder.table.evacuations);
+    const bool knowsEvacuations = !waitsForEvacuations(m_forwarder.evacuationWait, m_forwarder.table.evacuations);
     if (m_replication.known.targets == 0 || m_replication.known.config == 0 || !knowsEvacuations) {
         fetchInitialState(now);
     } else if (isBehind(m_replication) && !lead && now >= m_replication.nextFetchAt) {
@@ -296,7 +296,7 @@
 
 void Edge::configureEvacuations()
 {
-    m_forwarder.evacuationGate.enabled = m_settings.evacuationBound > 0;
+    m_forwarder.evacuationWait.enabled = m_settings.evacuationBound > 0;
     m_store.setEvacuationBound(m_settings.evacuationBound);
     if (m_settings.evacuationBound == 0) {
         announceEvacuations("settings", 0);
--- a/src/pimentofold-edge/evacuation_test.cpp
+++ b/src/pimentofold-edge/evacuation_test.cpp
@@ -537,7 +537,7 @@
                 return traffic.resets == 10;
             });
         } else {
-            CHECK(monotonicNow() - start >= EvacuationGate::maxWait);
+            CHECK(monotonicNow() - start >= EvacuationWait::maxWait);
             // The leader, which the setting doesn't concern, uses both data centres.
             runUntil([&] {
                 traffic.open(1, 10);
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -221,9 +221,9 @@
     applyOutput(std::move(output));
 }
 
-std::unordered_map<Id, ReachableNode> PeerTransport::otherNodes() const
+std::unordered_map<Id, OtherNode> PeerTransport::otherNodes() const
 {
-    std::unordered_map<Id, ReachableNode> nodes;
+    std::unordered_map<Id, OtherNode> nodes;
     for (const auto &[id, member] : m_membership.members) {
         if (id != m_membership.self.key.instance && member.state != wire::MemberState::Leaving && isAddress(member.address)) {
             nodes[id] = {member.dataCentre, member.state != wire::MemberState::Dead};
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -67,7 +67,7 @@
     /// Asks a node for a sign of life. Has no effect on the membership.
     void ping(Id node);
     /// @return the other nodes that may be running, including those declared dead in the last minutes but none that has left
-    std::unordered_map<Id, ReachableNode> otherNodes() const;
+    std::unordered_map<Id, OtherNode> otherNodes() const;
     /// Adds nodes that may be running to the seeds and contacts all seeds.
     void contactNodes(const std::vector<Address> &nodes, Time now);
     /// @return addresses of the live members, including this node
