Place flows by routes of the first configuration as they arrive

After the loss of all nodes, each node reads the configuration from the store. With 1,805 routes on a link of 10 Mbit/s that took 240 ms after the targets were known, and callers' openings waited for it although their routes stand at the beginning.

With `earlyRoutes`, each route is decoded as soon as its text has arrived and used until the complete configuration replaces it. Cold targets get nothing before that, since the limits of their services may stand at the end.

--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -56,6 +56,8 @@
     int slotsPerDispatcher = 64;
     /// Openings and targets of a data centre with enough slots are dispatched by its own nodes, see localdispatch.h.
     bool localDispatch = false;
+    /// Routes of the first configuration are used as they arrive from the store, before the rest of it.
+    bool earlyRoutes = false;
 };
 
 /// Stage of a flow as seen from the caller's packets.
@@ -86,6 +88,7 @@
 
 /// A packet that arrived before the configuration and the targets were known.
 struct EarlyPacket {
+    Address service; ///< address that the packet is for
     std::string bytes;
     Time receivedAt = 0;
 };
@@ -169,7 +172,7 @@
 /// @return when tickForwarder() has to be called next
 Time nextForwarderTick(const EdgeForwarder &forwarder);
 
-/// Removes the stored early packets from the forwarder. Has to be called once canPlaceFlows() returns true.
+/// Removes the stored early packets whose flows can be placed now, and those that are too old.
 /// @return the packets that are not older than earlyPacketRetention, to be passed to handlePacket() again
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now);
 
@@ -183,4 +186,8 @@
 /// @return whether flows can be placed: the configuration, the complete list of targets and the evacuations are known
 bool canPlaceFlows(const EdgeForwarder &forwarder);
 
+/// @param service address that the flow's packets are for
+/// @return whether a flow can be placed: canPlaceFlows(), or the first configuration is being read and the flow's route has arrived
+bool canPlaceFlow(const EdgeForwarder &forwarder, const Address &service);
+
 } // namespace pimentofold
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -79,6 +79,13 @@
     SlowStart slowStart; ///< limits of cold targets and what this node has sent to them
 };
 
+/// Adds routes of the first configuration while it is being read, so that a node that has just started can place their flows before
+/// the rest has arrived. Does nothing once a configuration is known.
+void addFirstRoutes(TargetTable &table, const std::vector<EdgeRoute> &routes);
+
+/// Removes the routes that addFirstRoutes() has added. Does nothing once a configuration is known, which has replaced them.
+void dropFirstRoutes(TargetTable &table);
+
 /// Replaces the configuration. Routes that are not part of @p config are removed; those that it contains in an unreadable
 /// form stay as they are.
 /// @return false when @p config is not newer than the configuration in force; nothing changes then
--- a/src/libnet/streamhttp.cpp
+++ b/src/libnet/streamhttp.cpp
@@ -74,9 +74,15 @@
     m_timeout.stop();
     m_parser.reset();
     m_onDone = nullptr;
+    m_onProgress = nullptr;
     m_server = server;
 }
 
+void HttpConnection::watchProgress(std::function<void(std::string_view)> onProgress)
+{
+    m_onProgress = std::move(onProgress);
+}
+
 bool HttpConnection::isBusy() const
 {
     return m_onDone != nullptr;
@@ -102,6 +108,7 @@
     m_in.clear();
     m_parser = std::make_unique<Parser>();
     m_onDone = std::move(onDone);
+    m_onProgress = nullptr;
     m_progressLimit = timeout;
     m_callEndsBy = monotonicNow() + std::max(timeout, maxCallTime);
     m_timeout.start(timeout);
@@ -204,6 +211,15 @@
             finish(result);
             return;
         }
+        reportProgress();
+    }
+}
+
+void HttpConnection::reportProgress()
+{
+    const auto &message = m_parser->parser.get();
+    if (m_onProgress && m_parser->parser.is_header_done() && message.result() == http::status::ok) {
+        m_onProgress(message.body());
     }
 }
 
@@ -211,6 +227,7 @@
 {
     m_timeout.stop();
     m_parser.reset();
+    m_onProgress = nullptr;
     auto onDone = std::exchange(m_onDone, nullptr);
     if (onDone) {
         onDone(result);
--- a/src/libnet/streamhttp.h
+++ b/src/libnet/streamhttp.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <libnet/httpclient.h>
 #include <libnet/httpserver.h>
@@ -34,6 +35,11 @@
     /// @param onDone called once from the loop; after a failure the result has status 0 and says why
     void start(const std::string &method, const std::string &target, const std::string &body, Time timeout, std::function<void(const HttpResult &)> onDone);
 
+    /// Reports the progress of the call that start() began last.
+    /// @param onProgress called from the loop with the body so far when more of it has arrived, if the status is 200; not called
+    ///        for the last part, which onDone gets. It must not start or abandon a call
+    void watchProgress(std::function<void(std::string_view body)> onProgress);
+
     /// Closes the connection and abandons a call that is under way: its onDone isn't called. Further calls go to @p server. Must
     /// not be called from onDone.
     void setServer(const Address &server);
@@ -46,6 +52,7 @@
     void onEvents(int events);
     void write();
     void read();
+    void reportProgress();
     void finish(const HttpResult &result);
     void fail(const std::string &reason);
     void disconnect();
@@ -60,6 +67,7 @@
     std::string m_in;
     std::unique_ptr<Parser> m_parser;
     std::function<void(const HttpResult &)> m_onDone;
+    std::function<void(std::string_view)> m_onProgress;
     IoWatcher m_watcher;
     Time m_progressLimit = 0; ///< the call fails when no byte has arrived for this long
     Time m_callEndsBy = 0; ///< the call fails at this time in any case
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -542,6 +542,11 @@
 
 /// Derives the dispatchers again after a data centre has become reachable or unreachable. Nodes and targets there that didn't answer
 /// get flows again once they are reachable.
+bool hasTargets(const TargetTable &table)
+{
+    return table.targetHistoryStart > 0 && !table.targets.empty();
+}
+
 void onReachabilityChanged(EdgeForwarder &forwarder, Time now)
 {
     const Reachability &reachability = forwarder.table.reachability;
@@ -558,7 +563,7 @@
 
 bool knowsTargets(const EdgeForwarder &forwarder)
 {
-    return forwarder.table.configRevision > 0 && forwarder.table.targetHistoryStart > 0 && !forwarder.table.targets.empty();
+    return forwarder.table.configRevision > 0 && hasTargets(forwarder.table);
 }
 
 bool canPlaceFlows(const EdgeForwarder &forwarder)
@@ -566,6 +571,15 @@
     return knowsTargets(forwarder) && !waitsForEvacuations(forwarder.evacuationWait, forwarder.table.evacuations);
 }
 
+bool canPlaceFlow(const EdgeForwarder &forwarder, const Address &service)
+{
+    if (forwarder.table.configRevision > 0) {
+        return canPlaceFlows(forwarder);
+    }
+    const bool knowsEvacuations = !waitsForEvacuations(forwarder.evacuationWait, forwarder.table.evacuations);
+    return knowsEvacuations && hasTargets(forwarder.table) && findRoute(forwarder.table, service) != nullptr;
+}
+
 Time detectPause(EdgeForwarder &forwarder, Time now)
 {
     const Time pause = forwarder.lastRunAt == 0 ? 0 : now - forwarder.lastRunAt;
@@ -586,9 +600,9 @@
         appendEvent(out, ForwardEvent::Stale, packet.flow, nullptr, 0, 0);
         return;
     }
-    if (!canPlaceFlows(forwarder)) {
+    if (!canPlaceFlow(forwarder, packet.flow.service)) {
         if (forwarder.earlyPackets.size() < forwarder.settings.maxEarlyPackets) {
-            forwarder.earlyPackets.push_back({std::string(packet.bytes), now});
+            forwarder.earlyPackets.push_back({packet.flow.service, std::string(packet.bytes), now});
             appendEvent(out, ForwardEvent::Early, packet.flow, nullptr, 0, 0);
         }
         return;
@@ -604,7 +618,7 @@
 {
     if (now < forwarder.dropOpeningsUntil) {
         appendEvent(out, ForwardEvent::Stale, flow.key, nullptr, flow.attempt, 0);
-    } else if (canPlaceFlows(forwarder) && !relayElsewhere(forwarder, flow, out)) {
+    } else if (canPlaceFlow(forwarder, flow.key.service) && !relayElsewhere(forwarder, flow, out)) {
         placeFlow(forwarder.dispatcher, forwarder.table, flow, now, out);
     }
 }
@@ -739,8 +753,13 @@
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
 {
     std::vector<EarlyPacket> early;
-    early.swap(forwarder.earlyPackets);
-    std::erase_if(early, [&](const EarlyPacket &it) { return now - it.receivedAt > forwarder.settings.earlyPacketRetention; });
+    std::vector<EarlyPacket> kept;
+    for (EarlyPacket &it : forwarder.earlyPackets) {
+        if (now - it.receivedAt <= forwarder.settings.earlyPacketRetention) {
+            (canPlaceFlow(forwarder, it.service) ? early : kept).push_back(std::move(it));
+        }
+    }
+    forwarder.earlyPackets = std::move(kept);
     return early;
 }
 
--- a/src/libpimentofold/edgeforward_test.cpp
+++ b/src/libpimentofold/edgeforward_test.cpp
@@ -192,12 +192,77 @@
     handlePacket(forwarder, makeOpening(2), second, out);
     CHECK(out.packets.empty());
     CHECK(out.resets.empty());
+    CHECK(takeEarlyPackets(forwarder, second).empty());
+    forwarder.table = makeForwarder(1, 0).table;
     const std::vector<EarlyPacket> early = takeEarlyPackets(forwarder, 1500 * millisecond);
     REQUIRE(early.size() == 1);
     CHECK(early.front().receivedAt == second);
     CHECK(takeEarlyPackets(forwarder, 1500 * millisecond).empty());
 }
 
+// Guards against callers that wait for a restarted node to read a large configuration, and against flows that are placed without
+// the list of targets, on a target that may be cold, or by a route of a read that has failed.
+TEST_CASE("a flow is placed as soon as its route of the first configuration has arrived")
+{
+    struct Case {
+        const char *description;
+        bool routeArrived;
+        bool targetsKnown;
+        bool readFails;
+        Time warmup; ///< of the only target
+        bool isPlaced;
+    };
+    const Case cases[] = {
+        {"route and targets known", true, true, false, 0, true},
+        {"the route hasn't arrived", false, true, false, 0, false},
+        {"the list of targets isn't complete", true, false, false, 0, false},
+        {"the read has failed", true, true, true, 0, false},
+        {"the limits of the target's service aren't known yet", true, true, false, second, false},
+    };
+    for (const Case &it : cases) {
+        CAPTURE(it.description);
+        EdgeForwarder complete = makeForwarder(1, 0);
+        EdgeForwarder forwarder;
+        forwarder.table.slowStart.settings.enabled = true;
+        TargetRecord record = complete.table.targets.begin()->second.record;
+        record.warmup = it.warmup;
+        applyTarget(forwarder.table, record, 0);
+        setTargetHistoryStart(forwarder.table, it.targetsKnown ? 1 : 0);
+        if (it.routeArrived) {
+            addFirstRoutes(forwarder.table, {complete.table.routes.begin()->second.route});
+        }
+        if (it.readFails) {
+            dropFirstRoutes(forwarder.table);
+        }
+        ForwardOutput out;
+        handlePacket(forwarder, makeOpening(1), 0, out);
+        CHECK(out.packets.size() == (it.isPlaced ? 1 : 0));
+        CHECK(out.resets.empty());
+        CHECK_FALSE(canPlaceFlows(forwarder));
+    }
+}
+
+TEST_CASE("the complete configuration replaces the routes that arrived first")
+{
+    TargetTable table = makeForwarder(1, 0).table;
+    const EdgeRoute early = table.routes.begin()->second.route;
+    EdgeRoute dropped = early;
+    dropped.address.port += 1;
+    TargetTable fresh;
+    addFirstRoutes(fresh, {early, dropped});
+    EdgeConfig config;
+    config.revision = 5;
+    config.routes = {early};
+    CHECK(applyConfig(fresh, config));
+    CHECK(findRoute(fresh, early.address) != nullptr);
+    CHECK(findRoute(fresh, dropped.address) == nullptr);
+    CHECK(fresh.routes.begin()->second.revision == 5);
+    addFirstRoutes(fresh, {dropped}); // of a read that a peer's configuration has overtaken
+    dropFirstRoutes(fresh);
+    CHECK(findRoute(fresh, early.address) != nullptr);
+    CHECK(findRoute(fresh, dropped.address) == nullptr);
+}
+
 // Guards against wrong refusals: without a route the node sends no reset, since a newer configuration may have the route.
 TEST_CASE("flows without a route get no reset, flows without a target get one")
 {
--- a/src/libpimentofold/slowstart/slowstart.cpp
+++ b/src/libpimentofold/slowstart/slowstart.cpp
@@ -130,10 +130,11 @@
 Time coldUntil(const TargetTable &table, const EdgeTarget &target)
 {
     const ServiceLimits *limits = limitsOf(table, target);
+    const Time byEntry = target.record.warmup > 0 ? target.warmupEndsAt + table.slowStart.settings.entryAge : 0;
     if (limits == nullptr) {
-        return 0;
+        // Before the configuration has arrived, each service may have limits.
+        return table.slowStart.settings.enabled && table.configRevision == 0 ? byEntry : 0;
     }
-    const Time byEntry = target.record.warmup > 0 ? target.warmupEndsAt + table.slowStart.settings.entryAge : 0;
     return std::max(byEntry, coldUntilByEvacuation(table, target, *limits));
 }
 
@@ -176,10 +177,11 @@
     const SlowStart &slowStart = table.slowStart;
     const auto it = slowStart.budgets.find(target.record.id);
     const bool owned = target.owner == 0 && it != slowStart.budgets.end() && now - it->second.ownedSince >= coldWindow;
-    if (!owned || !mayUseColdTargets(slowStart, now)) {
+    const ServiceLimits *limits = limitsOf(table, target);
+    if (limits == nullptr || !owned || !mayUseColdTargets(slowStart, now)) {
         return ColdUse::Excluded;
     }
-    const double rate = limitsOf(table, target)->coldRate;
+    const double rate = limits->coldRate;
     const std::size_t count = countInWindow(it->second, now);
     if (count >= ownerLimit(slowStart.settings, rate)) {
         return ColdUse::Excluded;
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -100,6 +100,23 @@
 
 } // namespace
 
+void addFirstRoutes(TargetTable &table, const std::vector<EdgeRoute> &routes)
+{
+    if (table.configRevision != 0) {
+        return;
+    }
+    for (const EdgeRoute &it : routes) {
+        storeRoute(table, it, 0);
+    }
+}
+
+void dropFirstRoutes(TargetTable &table)
+{
+    if (table.configRevision == 0) {
+        table.routes.clear();
+    }
+}
+
 bool applyConfig(TargetTable &table, const EdgeConfig &config)
 {
     if (config.revision <= table.configRevision) {
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -63,7 +63,13 @@
           m_log,
           [this](const wire::EdgeMessage &message, const Address &from) { onPeerMessage(message, from); },
           [this] { onMembersChanged(); })
-    , m_store(settings.storeAddress, m_forwarder.table, m_forwarder.dispatcher.random, m_log, [this] { onStoreAnswer(); })
+    , m_store(
+          settings.storeAddress,
+          m_forwarder.table,
+          m_forwarder.dispatcher.random,
+          m_log,
+          [this] { onStoreAnswer(); },
+          options.forward.earlyRoutes ? std::function<void()>([this] { releaseEarlyPackets(); }) : nullptr)
     , m_roster(settings.storeAddress, m_log, [this](const std::vector<Address> &nodes) { m_peers.contactNodes(nodes, monotonicNow()); })
     , m_forwardTimer([this] { onForwardTick(); })
     , m_replicationTimer([this] { onReplicationTick(); })
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -110,6 +110,8 @@
     void onStoreAnswer();
     /// Derives the dispatchers again and handles packets that arrived before the configuration was known.
     void onStateChanged();
+    /// Handles the stored packets of flows that can be placed now.
+    void releaseEarlyPackets();
     HttpResponse readinessResponse() const;
     HttpResponse metricsResponse();
     /// Sets the metrics of flows that leave the data centre.
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -39,6 +39,7 @@
     constexpr std::int64_t maxSlots = 1'000'000;
     options.forward.slotsPerDispatcher = static_cast<int>(takeInteger(top, "slotsPerDispatcher", 1, maxSlots, options.forward.slotsPerDispatcher));
     options.forward.localDispatch = takeBoolean(top, "localDispatch", options.forward.localDispatch);
+    options.forward.earlyRoutes = takeBoolean(top, "earlyRoutes", options.forward.earlyRoutes);
     if (options.forward.localDispatch) {
         options.dispatch.placement.otherDataCentreCost = localDispatchDistanceCost;
         options.dispatch.placement.maxLocalAttempts = localDispatchAttempts;
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -368,13 +368,16 @@
 }
 
 void Edge::onStateChanged()
+{
+    updateDispatchers(m_forwarder, monotonicNow());
+    releaseEarlyPackets();
+}
+
+void Edge::releaseEarlyPackets()
 {
     const Time now = monotonicNow();
-    updateDispatchers(m_forwarder, now);
-    if (canPlaceFlows(m_forwarder) && !m_forwarder.earlyPackets.empty()) {
-        for (const EarlyPacket &it : takeEarlyPackets(m_forwarder, now)) {
-            handlePacketBytes(it.bytes, now);
-        }
+    for (const EarlyPacket &it : takeEarlyPackets(m_forwarder, now)) {
+        handlePacketBytes(it.bytes, now);
     }
     scheduleForwardTick();
 }
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <libnet/loop.h>
@@ -12,6 +13,7 @@
 #include <pimentofold/random.h>
 #include <pimentofold/storereplication.h>
 #include <pimentofold/targettable.h>
+#include <platform/configstream.h>
 #include <platform/storecalls.h>
 
 namespace pimentofold {
@@ -25,7 +27,13 @@
     /// @param table to which the store's contents are applied; must outlive this object, as must @p random and @p log
     /// @param random for the back-off after failed calls
     /// @param onAnswered called after each call has ended, also after a failed one
-    StoreClient(const Address &store, TargetTable &table, Random &random, EventLog &log, std::function<void()> onAnswered);
+    /// @param onRoutesArrived called when routes have been applied before the rest of the first configuration has arrived
+    StoreClient(const Address &store,
+                TargetTable &table,
+                Random &random,
+                EventLog &log,
+                std::function<void()> onAnswered,
+                std::function<void()> onRoutesArrived = nullptr);
 
     /// Turns the calls for evacuations on, or off if @p bound is 0, as they are at first.
     /// @param bound time within which an evacuation has to be in force
@@ -67,6 +75,9 @@
         KindReader(platform::StoreKind storeKind, const Address &store, std::function<void()> onTimer);
     };
 
+    /// Applies the routes that have arrived so far while the configuration is read for the first time.
+    /// @param body of the response so far
+    void applyArrivedRoutes(std::string_view body);
     /// Starts the reader's next call, or a timer for it.
     void startCall(KindReader &reader);
     void onAnswer(KindReader &reader, const HttpResult &result);
@@ -90,11 +101,13 @@
     Random &m_random;
     EventLog &m_log;
     std::function<void()> m_onAnswered;
+    std::function<void()> m_onRoutesArrived;
     KindReader m_configReader;
     KindReader m_targetsReader;
     KindReader m_evacuationsReader;
     EvacuationState m_listedEvacuations; ///< of the pages of the current list
     bool m_evacuationsEnabled = false;
+    platform::ConfigStream m_configStream; ///< of the list call for the configuration that is in flight
     std::set<ConfigProblem> m_configProblems; ///< of the configuration that was read last
     bool m_watching = false;
 };
--- a/src/platform/jsonsplit.cpp
+++ b/src/platform/jsonsplit.cpp
@@ -22,20 +22,6 @@
     return text;
 }
 
-/// @param begin position of a string's opening quote
-/// @return position after the closing quote; npos when there is none
-std::size_t endOfString(std::string_view text, std::size_t begin)
-{
-    for (std::size_t i = begin + 1; i < text.size(); ++i) {
-        if (text[i] == '\\') {
-            ++i;
-        } else if (text[i] == '"') {
-            return i + 1;
-        }
-    }
-    return std::string_view::npos;
-}
-
 /// Finds the end of a value: the next comma or closing bracket outside of strings and nested brackets.
 /// @param begin position at which the value starts
 /// @return position of that character; npos when brackets or quotes are not balanced
@@ -91,6 +77,18 @@
 
 } // namespace
 
+std::size_t endOfString(std::string_view text, std::size_t begin)
+{
+    for (std::size_t i = begin + 1; i < text.size(); ++i) {
+        if (text[i] == '\\') {
+            ++i;
+        } else if (text[i] == '"') {
+            return i + 1;
+        }
+    }
+    return std::string_view::npos;
+}
+
 std::optional<std::vector<std::string_view>> splitArray(std::string_view text)
 {
     return splitBetween(text, '[', ']');
--- a/src/platform/jsonsplit.h
+++ b/src/platform/jsonsplit.h
@@ -15,6 +15,10 @@
     std::string_view value; ///< text of the value, without surrounding white space; may be invalid JSON
 };
 
+/// @param begin position of a string's opening quote
+/// @return position after the closing quote; npos when there is none
+std::size_t endOfString(std::string_view text, std::size_t begin);
+
 /// @param text JSON text of one object; the result refers to its characters
 /// @return the members in order; nothing when @p text isn't one object with balanced brackets and quotes
 std::optional<std::vector<JsonMember>> splitObject(std::string_view text);
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -2,6 +2,7 @@
 
 #include <pimentofold/random.h>
 #include <pimentofold/settings.h>
+#include <platform/configstream.h>
 #include <platform/jsonsplit.h>
 #include <platform/packetcodec.h>
 #include <platform/settingslines.h>
@@ -378,6 +379,44 @@
     CHECK(std::get<EdgeConfig>(response->objects.at(0)).problems.size() == 1);
 }
 
+// Guards against routes that are decoded from a part of their text, skipped or decoded twice when a response arrives in pieces.
+TEST_CASE("routes are decoded while the response arrives")
+{
+    const std::string odd = R"({"meta":{"name":"x","revision":8},"spec":{"routes2":[{"name":"no"}],"n":{"routes":[{"name":"no","host":"198.18.0.9",)"
+                            R"("path_prefix":"/1/","service":"x"}]},"routes":[1,[],{"name":"q\"}]","host":"198.18.0.3","path_prefix":"/81/","service":"x"},)"
+                            R"({"name":"bad"},{"name":"d","host":"198.18.0.4","path_prefix":"/82/","service":"x"}]}})";
+    const std::string body = list(config + "," + odd);
+    for (const std::size_t step : {1UL, 2UL, 7UL, 64UL, body.size()}) {
+        CAPTURE(step);
+        ConfigStream stream;
+        std::vector<std::string> names;
+        for (std::size_t arrived = 0; arrived < body.size();) {
+            arrived = std::min(arrived + step, body.size());
+            for (const EdgeRoute &it : decodeArrivedRoutes(stream, std::string_view(body).substr(0, arrived))) {
+                names.push_back(it.name);
+            }
+        }
+        CHECK(names == std::vector<std::string>{"a", "b", "q\"}]", "d"});
+    }
+    ConfigStream early;
+    const std::string_view first = std::string_view(body).substr(0, body.find(R"({"name":"b")"));
+    const std::vector<EdgeRoute> routes = decodeArrivedRoutes(early, first);
+    REQUIRE(routes.size() == 1);
+    CHECK(routes.front().weightedServices.size() == 2);
+    CHECK(routes.front().urgency == 2);
+}
+
+// Guards against a crash or an endless loop on a response of another program.
+TEST_CASE("responses that are not JSON decode to no routes")
+{
+    for (const std::string &body :
+         {std::string("]"), std::string("}}}"), std::string(1000, '['), std::string("{\"a"), std::string("\"\\"), std::string(R"({,,:"items":[{]})")}) {
+        ConfigStream stream;
+        CHECK(decodeArrivedRoutes(stream, body).empty());
+        CHECK(stream.position <= body.size());
+    }
+}
+
 TEST_CASE("a route of an unknown type is treated as one that is never repeated")
 {
     struct Row {
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -427,6 +427,20 @@
 
 } // namespace
 
+std::optional<EdgeRoute> decodeRoute(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        std::vector<std::string> problems;
+        return decodeRoute(value, problems);
+    } catch (const FieldError &) {
+        return std::nullopt;
+    }
+}
+
 std::string rosterReadPath()
 {
     // A read that may return stale data costs a tenth of a normal read.
--- a/src/platform/storecalls.h
+++ b/src/platform/storecalls.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -65,6 +66,10 @@
 /// @return nothing when the body as a whole is invalid; a single invalid object becomes an UnreadableObject
 std::optional<StoreResponse> decodeStoreResponse(StoreKind kind, const std::string &body);
 
+/// @param text one element of `routes` in the configuration
+/// @return nothing when the route can't be decoded
+std::optional<EdgeRoute> decodeRoute(std::string_view text);
+
 /// Peer addresses of the edge nodes. They are stored in one object of a kind of their own.
 struct Roster {
     std::vector<Address> nodes;
