--- a/src/pimentofold-edge/edgeoptions_test.cpp
+++ b/src/pimentofold-edge/edgeoptions_test.cpp
@@ -15,6 +15,8 @@
     CHECK(parseEdgeOptions(parseSettings("{} // defaults", "f")).metricsPort == 9464);
     CHECK(parseEdgeOptions(parseSettings(R"({"flowsPerSlot": 3, "waitLimitMs": 900})", "f")).dispatch.maxWaitTime == 900 * millisecond);
     CHECK_FALSE(EdgeOptions().forward.localDispatch);
+    CHECK_FALSE(EdgeOptions().forward.earlyRoutes);
+    CHECK(parseEdgeOptions(parseSettings(R"({"earlyRoutes": true})", "f")).forward.earlyRoutes);
     CHECK(parseEdgeOptions(parseSettings(R"({"localDispatch": true})", "f")).forward.localDispatch);
     const EdgeOptions shipped = parseEdgeOptions(readSettings(PIMENTOFOLD_SOURCE_DIR "/deploy/edge.json"));
     CHECK(shipped.dispatch.flowsPerSlot == DispatchSettings().flowsPerSlot);
@@ -33,6 +35,7 @@
         {R"({"beatIntervalMs": -1})", "beatIntervalMs"},
         {R"({"targetLoss": 1})", "targetLoss"},
         {R"({"localDispatch": 1})", "localDispatch"},
+        {R"({"earlyRoutes": 1})", "earlyRoutes"},
         {R"({"unknown": 1})", "unknown"},
     };
     for (const Row &row : rows) {
