Eject targets that hang or are far slower than their peers

A target that lets requests hang while its entry says ready, or that takes several times as long as the others, kept getting its share of flows: only missing answers to openings were held against it.

The owner of the targets now measures each request from placements and the notices of work, compares each target with the others of its service, by route, and multiplies the expected work by the relative time. Targets with far more overdue requests than their peers, or a relative time above 5 for a second, get only trial requests until three in a row are answered in the usual time. At most a third is ejected, and never so many that the slots left are under 1.25 times the requests at work.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -202,6 +202,7 @@
     std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
     std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
     std::vector<LossEventRecord> lossEvents;
+    std::vector<OutlierEvent> outlierEvents;
 };
 
 /// How much of the time the open flows of a route have a request at work. Flows that are open for the first request only
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -10,6 +10,7 @@
 #include <pimentofold/edgeconfig.h>
 #include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowpacket.h>
+#include <pimentofold/outlier/outlierstate.h>
 #include <pimentofold/reachability/reachabilitystate.h>
 #include <pimentofold/slowstart/slowstart.h>
 #include <pimentofold/types.h>
@@ -52,6 +53,7 @@
     Time lastProgressAt = 0; ///< last time a flow at any node has shown progress on the target, see targetloss/targetloss.h; 0: never
     Time lostSince = never; ///< when the target was declared lost; `never`: it isn't lost
     Time noVerdictUntil = 0; ///< the target isn't declared lost before this time
+    TargetPerformance performance; ///< only changed at the target's owner, see outlier/outlier.h
 };
 
 /// A route with the configuration revision that changed it last.
@@ -76,6 +78,7 @@
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
     EvacuationState evacuations;
     Reachability reachability; ///< of the data centres from this node
+    OutlierDetection outliers; ///< requests on the targets that this node owns
     SlowStart slowStart; ///< limits of cold targets and what this node has sent to them
 };
 
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -4,6 +4,7 @@
 #include <span>
 
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/outlier/outlier.h>
 #include <pimentofold/reachability/reachability.h>
 
 namespace pimentofold {
@@ -92,6 +93,7 @@
     }
     recordColdOpening(table, target, now);
     recordOffer(table, target, now);
+    recordRequestStarted(table, flow.key, target, now);
     out.packets.push_back({target.record.address, target.record.id, target.token, flow.openingPacket});
     appendEvent(out, placed.offerCount > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, flow.key, &target, static_cast<int>(placed.offerCount), 0);
 }
@@ -130,6 +132,7 @@
 /// Removes the record of a flow and its load, if there is one.
 void removePlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key)
 {
+    dropRequest(table, key);
     const auto it = dispatcher.placedFlows.find(key);
     if (it != dispatcher.placedFlows.end()) {
         removeFromLoad(table, it->second);
@@ -308,6 +311,7 @@
     removeFromLoad(table, *placed);
     placed->target = notice.target;
     setLoad(table, *placed, FlowLoad::Working, 0, now);
+    recordRequestStarted(table, notice.flow, *findTarget(table, notice.target), now);
 }
 
 void endWork(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out)
@@ -323,6 +327,7 @@
     placed->target = notice.target;
     placed->answered = true;
     placed->answeredAt = now;
+    recordRequestAnswered(table, notice.flow, notice.target, now);
     setLoad(table, *placed, FlowLoad::Idle, idleLoadOf(dispatcher, notice.flow), now);
     placeWaiting(dispatcher, table, now, out);
 }
@@ -330,6 +335,7 @@
 void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out)
 {
     dispatcher.waitingFlows.erase(notice.flow);
+    recordRequestEnded(table, notice.flow, notice.target, now);
     const auto it = dispatcher.placedFlows.find(notice.flow);
     if (it == dispatcher.placedFlows.end()) {
         return;
@@ -451,6 +457,7 @@
         PlacedFlow temporary;
         offerTo(dispatcher, table, flow, temporary, *target, now, out);
         removeFromLoad(table, temporary);
+        dropRequest(table, flow.key);
         return PlaceResult::Placed;
     }
     offerTo(dispatcher, table, flow, placed == nullptr ? dispatcher.placedFlows[flow.key] : *placed, *target, now, out);
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -5,6 +5,7 @@
 
 #include <pimentofold/balancing/balancing.h>
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/outlier/outlier.h>
 #include <pimentofold/reachability/reachability.h>
 #include <pimentofold/targetloss/targetloss.h>
 
@@ -712,6 +713,7 @@
         forwardHeldPackets(forwarder, it, now, out);
     }
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
+    tickOutlierDetection(forwarder.table, now, out.outlierEvents);
     tickTargetLoss(forwarder, now, out);
     tickBalancing(forwarder.balancing, forwarder.dispatcher, forwarder.table, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
@@ -731,6 +733,7 @@
                      nextQuestionDeadline(forwarder.locations),
                      forwarder.nextSweepAt,
                      nextDispatcherTick(forwarder.dispatcher),
+                     nextOutlierTick(forwarder.table),
                      nextLossTick(forwarder),
                      forwarder.balancing.nextTickAt,
                      nextReachabilityTick(forwarder.table.reachability)});
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/outlier/outlier.h>
 #include <pimentofold/reachability/reachability.h>
 
 namespace pimentofold {
@@ -39,7 +40,7 @@
     if (std::ranges::find(query.triedTargets, target.record.id) != query.triedTargets.end()) {
         return Preference::Tried;
     }
-    if (isSuspected(target, settings) && now < target.nextProbeAt) {
+    if ((isSuspected(target, settings) && now < target.nextProbeAt) || isEjected(target, query.route.type, now)) {
         return Preference::Suspected;
     }
     return query.preferOwned && target.owner != 0 && !prefersOtherDataCentre(settings, query) ? Preference::OwnedElsewhere : Preference::Preferred;
@@ -52,7 +53,8 @@
     const double unansweredPenalty = isSuspected(target, settings) ? 0 : settings.unansweredCost * target.unansweredOpenings;
     const bool isOther = target.record.dataCentre != query.dataCentre;
     const double distancePenalty = isOther == prefersOtherDataCentre(settings, query) ? 0 : settings.otherDataCentreCost;
-    return ((target.workingFlows + target.idleLoad + 1) * slowdown + unansweredPenalty + distancePenalty) / std::max(target.record.slots, 1);
+    const double work = expectedWork(target, (target.workingFlows + target.idleLoad + 1) * slowdown, query.flowsPerSlot, now);
+    return (work + unansweredPenalty + distancePenalty) / std::max(target.record.slots, 1);
 }
 
 /// @return whether a target of this class is expected to answer a new flow
