Add the setting, events and metrics of outlier detection

Operators need to switch the part on and to see which targets it ejects and why. An ejection and a return are logged as target_ejected and target_returned with reason, relative time, share of overdue requests and peers; targets_ejected_total counts by reason, targets_ejected is the current number. The suspect threshold and the time after which a request counts as unanswered are taken from the dispatcher's settings.

--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -77,6 +77,7 @@
     m_forwarder.balancing.settings = options.balancing;
     m_replication.settings = options.replication;
     m_forwarder.targetLoss.settings = options.targetLoss;
+    m_forwarder.table.outliers.settings = options.outliers;
     if (options.metricsPort != 0) {
         m_metricsServer = std::make_unique<HttpResponderServer>(Address{settings.packetAddress.ip, options.metricsPort},
                                                                 [this](const HttpRequest &) { return metricsResponse(); });
@@ -141,6 +142,7 @@
     counter(m_metrics, "packet_bytes_sent_total") = static_cast<std::int64_t>(m_packets.bytesSent());
     counter(m_metrics, "packet_send_drops_total") = static_cast<std::int64_t>(m_packets.sendDrops());
     counter(m_metrics, "log_events_held_back_total") = m_logBudget.held;
+    exportOutlierMetrics(m_metrics, table.outliers);
     updateTrafficMetrics();
     updateBalancingMetrics();
     HttpResponse response;
@@ -246,6 +248,9 @@
     for (const LossEventRecord &it : out.lossEvents) {
         recordLossEvent(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
+    for (const OutlierEvent &it : out.outlierEvents) {
+        recordOutlierEvent(m_log, m_logBudget, m_forwarder.table, it, now);
+    }
 }
 
 void Edge::sendLossMessages(const ForwardOutput &out)
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -72,4 +72,36 @@
               {"held_back", takeHeldCount(budget, event)}});
 }
 
+void exportOutlierMetrics(Metrics &metrics, const OutlierDetection &outliers)
+{
+    setGauge(metrics, "targets_ejected", static_cast<double>(outliers.ejectedCount));
+    for (std::size_t i = 0; i < ejectionReasonCount; ++i) {
+        counter(metrics, "targets_ejected_total{reason=\"" + std::string(name(static_cast<EjectionReason>(i))) + "\"}") = outliers.ejections[i];
+    }
+}
+
+void recordOutlierEvent(EventLog &log, LogBudget &budget, const TargetTable &table, const OutlierEvent &note, Time now)
+{
+    const std::string_view event = note.ejected ? "target_ejected" : "target_returned";
+    if (!takeLogShare(budget, event, now)) {
+        return;
+    }
+    const EdgeTarget *target = findTarget(table, note.target);
+    std::string_view cause = "none";
+    if (!note.ejected) {
+        cause = note.byTrials ? "trials" : "room";
+    }
+    logEvent(log,
+             event,
+             {{"target", target == nullptr ? "none" : target->record.name},
+              {"service", note.service},
+              {"data_centre", target == nullptr ? "" : target->record.dataCentre},
+              {"reason", name(note.reason)},
+              {"cause", cause},
+              {"relative_time", note.relativeTime},
+              {"share", note.overdueShare},
+              {"peers", note.peers},
+              {"held_back", takeHeldCount(budget, event)}});
+}
+
 } // namespace pimentofold
--- a/src/pimentofold-edge/edgelog.h
+++ b/src/pimentofold-edge/edgelog.h
@@ -22,4 +22,10 @@
 /// Counts and logs an event on lost targets, within the log budget.
 void recordLossEvent(EventLog &log, LogBudget &budget, Metrics &metrics, const TargetTable &table, const LossEventRecord &note, Time now);
 
+/// Sets the metrics of outlier detection.
+void exportOutlierMetrics(Metrics &metrics, const OutlierDetection &outliers);
+
+/// Logs the start or end of an ejection, within the log budget. OutlierDetection counts the ejections.
+void recordOutlierEvent(EventLog &log, LogBudget &budget, const TargetTable &table, const OutlierEvent &note, Time now);
+
 } // namespace pimentofold
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -50,6 +50,9 @@
     readCount(top, "mostWaiting", maxEntries, options.dispatch.maxWaitingFlows);
     readMilliseconds(top, "beatIntervalMs", options.replication.heartbeatInterval);
     options.targetLoss.enabled = takeBoolean(top, "targetLoss", options.targetLoss.enabled);
+    options.outliers.enabled = takeBoolean(top, "outlierDetection", options.outliers.enabled);
+    options.outliers.suspectThreshold = options.dispatch.placement.suspectThreshold;
+    options.outliers.requestTimeout = options.dispatch.workTimeout;
     readMilliseconds(top, "beatSilenceMs", options.replication.heartbeatTimeout);
     finishSettings(top);
     return options;
--- a/src/pimentofold-edge/edgeoptions_test.cpp
+++ b/src/pimentofold-edge/edgeoptions_test.cpp
@@ -22,6 +22,8 @@
     CHECK(shipped.replication.heartbeatTimeout == ReplicationSettings().heartbeatTimeout);
     CHECK_FALSE(parseEdgeOptions(parseSettings("{}", "f")).targetLoss.enabled);
     CHECK(shipped.targetLoss.enabled);
+    CHECK_FALSE(parseEdgeOptions(parseSettings("{}", "f")).outliers.enabled);
+    CHECK(shipped.outliers.enabled);
     struct Row {
         std::string text;
         std::string field;
@@ -33,6 +35,7 @@
         {R"({"beatIntervalMs": -1})", "beatIntervalMs"},
         {R"({"targetLoss": 1})", "targetLoss"},
         {R"({"localDispatch": 1})", "localDispatch"},
+        {R"({"outlierDetection": 1})", "outlierDetection"},
         {R"({"unknown": 1})", "unknown"},
     };
     for (const Row &row : rows) {
@@ -73,6 +76,42 @@
     close(ends[1]);
 }
 
+// Guards against ejections that the log and the metrics don't show.
+TEST_CASE("outlier detection in the log and the metrics")
+{
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    LogWriter writer(ends[1]);
+    EventLog log{"n", {}};
+    LogBudget budget;
+    TargetTable table;
+    TargetRecord record;
+    record.id = 1;
+    record.name = "shop-1";
+    applyTarget(table, record, 0);
+    OutlierEvent event{true, false, 1, "shop", EjectionReason::Slow, 6, 0.25, 9};
+    recordOutlierEvent(log, budget, table, event, second);
+    event.ejected = false;
+    recordOutlierEvent(log, budget, table, event, second);
+    writer.flush();
+    std::string text(4096, '\0');
+    text.resize(static_cast<std::size_t>(std::max<ssize_t>(read(ends[0], text.data(), text.size()), 0)));
+    CHECK(text.find("event=target_ejected target=shop-1 service=shop") != std::string::npos);
+    CHECK(text.find("event=target_returned target=shop-1 service=shop") != std::string::npos);
+    CHECK(text.find("reason=slow") != std::string::npos);
+    CHECK(text.find("cause=room") != std::string::npos);
+    OutlierDetection outliers;
+    outliers.ejectedCount = 2;
+    outliers.ejections = {3, 4};
+    Metrics metrics;
+    exportOutlierMetrics(metrics, outliers);
+    CHECK(metrics.gauges.at("targets_ejected") == 2);
+    CHECK(metrics.counters.at("targets_ejected_total{reason=\"unanswered\"}") == 3);
+    CHECK(metrics.counters.at("targets_ejected_total{reason=\"slow\"}") == 4);
+    close(ends[0]);
+    close(ends[1]);
+}
+
 // Guards against a flood of flows that fills the log: of 10,000 flows per second all are counted, and the budget limits the lines.
 TEST_CASE("the log budget limits the lines of each event")
 {
