--- a/src/libpimentofold/outlier/outlier_test.cpp
+++ b/src/libpimentofold/outlier/outlier_test.cpp
@@ -186,10 +186,23 @@
     it.answerAll(1, {1}); // a lost notice
     it.answerAll(20, {});
     CHECK(it.events.empty());
-    it.answerAll(3, {1});
-    it.now += maxRunGap; // a pause
-    it.answerAll(20, {});
-    CHECK(it.events.empty());
+}
+
+// Guards against targets that are judged by what they seemed to do while this process was paused, and against a state that
+// nothing reads in time.
+TEST_CASE("outlier detection: a pause of the process drops the requests at work")
+{
+    for (const bool paused : {false, true}) {
+        Fixture it;
+        it.answerAll(5, {});
+        it.answerAll(4, {1});
+        if (paused) {
+            it.now += maxRunGap;
+        }
+        it.advance(300 * millisecond);
+        CHECK(it.target().performance.ejected != paused);
+        CHECK(nextForwarderTick(it.node) <= it.now + outlierTickInterval);
+    }
 }
 
 // Guards against state that stays when a target gets another owner or starts again.
