Judge targets by more than chance and more than one caller

And one caller whose answers were lost could eject a target together with a single slow request of another caller.

A factor other than 1 now needs a larger difference, and an ejection needs three requests of other callers. The simulation keeps a given number of flows open, as callers do, instead of reusing whatever is idle.

--- a/src/libpimentofold/outlier/judgement.cpp
+++ b/src/libpimentofold/outlier/judgement.cpp
@@ -47,8 +47,11 @@
     bool overdue = false;
 };
 
+/// Requests of other callers than the worst one that an ejection needs. A single slow one is chance.
+constexpr std::size_t minOthers = 3;
+
 /// @param flag Evidence::slow or Evidence::overdue
-/// @return the requests of all callers but the one with the most requests with this flag
+/// @return the requests of all callers but the one with the most requests with this flag; none if there are too few
 std::vector<Evidence> withoutWorstCaller(const std::vector<Evidence> &evidence, bool Evidence::*flag)
 {
     std::map<std::uint32_t, int> counts;
@@ -57,7 +60,13 @@
     }
     const auto worst = std::ranges::max_element(counts, {}, &std::pair<const std::uint32_t, int>::second);
     std::vector<Evidence> others;
+    if (counts.empty()) {
+        return others;
+    }
     std::ranges::copy_if(evidence, std::back_inserter(others), [&](const Evidence &it) { return it.caller != worst->first; });
+    if (others.size() < minOthers) {
+        others.clear();
+    }
     return others;
 }
 
--- a/src/libpimentofold/outlier/outlier.cpp
+++ b/src/libpimentofold/outlier/outlier.cpp
@@ -227,8 +227,9 @@
     if (samples < minSamples || relativeTime <= 0) {
         return 1;
     }
-    // Relative standard error of a median, for exponentially distributed times, is about 1.4 divided by the root of the number.
-    constexpr double noise = 4;
+    // The logarithm of a median of exponentially distributed times has a standard deviation of about 1.4 divided by the root of the
+    // number. With a smaller constant, healthy targets under heavy load were treated as different, and more requests were late.
+    constexpr double noise = 5;
     const double logNoise = std::log(1 + noise / std::sqrt(static_cast<double>(samples)));
     const double logTime = std::log(relativeTime);
     const double weight = std::clamp(std::abs(logTime) / logNoise - 1, 0.0, 1.0);
--- a/src/libpimentofold/outlier/outlier_test.cpp
+++ b/src/libpimentofold/outlier/outlier_test.cpp
@@ -241,6 +241,18 @@
     CHECK_FALSE(it.target().performance.ejected);
 }
 
+// Guards against targets with a queue that are taken for slow.
+TEST_CASE("outlier detection: the time of a request is divided by its place in the queue")
+{
+    Fixture it;
+    it.target().workingFlows = 6; // of 2 slots
+    const FlowKey flow = it.start(1);
+    it.advance(90 * millisecond);
+    recordRequestAnswered(it.node.table, flow, 1, it.now);
+    REQUIRE(it.node.table.outliers.targets.at(1).samples.size() == 1);
+    CHECK(it.node.table.outliers.targets.at(1).samples.front().duration == 30 * millisecond);
+}
+
 // Guards against placement by differences that are chance.
 TEST_CASE("outlier detection: factor on the expected work")
 {
--- a/src/libpimentofold/outlier/outliersim.h
+++ b/src/libpimentofold/outlier/outliersim.h
@@ -26,7 +26,7 @@
     int callers = 50;
     Time entryPeriod = 0; ///< the entries of the bad targets change between ready and draining with this period; 0: always ready
     bool badCaller = false; ///< the answers of the bad targets don't reach the first caller
-    bool keepsFlows = false; ///< callers keep flows for further requests
+    std::size_t keptFlows = 0; ///< callers keep this many flows open for further requests; 0: none
     Time pauseAt = never; ///< the dispatcher pauses for 400 ms
     Time duration = 20 * second;
 };
@@ -148,7 +148,7 @@
             {{{0x64400001 + caller, static_cast<std::uint16_t>(number)}, chance(m_random, 0.7) ? shopAddress : otherAddress}, m_now, unitWork, mayHang});
         constexpr Time timeout = 2 * second;
         at(m_now + timeout, [this, number] { giveUp(number); });
-        if (m_load.keepsFlows && !m_idle.empty()) {
+        if (m_openFlows >= m_load.keptFlows && !m_idle.empty()) {
             continueFlow(number);
             return;
         }
@@ -157,6 +157,7 @@
                 giveUp(number);
             }
         });
+        ++m_openFlows;
         OpeningFlow opening;
         opening.key = m_requests[number].flow;
         opening.openingPacket = std::to_string(number);
@@ -233,7 +234,7 @@
         (elapsed <= 300 * millisecond ? m_result.inTime : m_result.late) += 1;
         m_result.totalTime += static_cast<double>(elapsed) / static_cast<double>(second);
         notify(FlowNoticeKind::WorkEnded, request.flow, request.target);
-        if (m_load.keepsFlows) {
+        if (m_load.keptFlows > 0) {
             m_idle.push_back(number);
         } else {
             notify(FlowNoticeKind::Ended, request.flow, request.target);
@@ -246,6 +247,7 @@
         if (request.open) {
             request.open = false;
             ++m_result.lost;
+            --m_openFlows;
             notify(FlowNoticeKind::Ended, request.flow, request.target);
         }
     }
@@ -256,6 +258,7 @@
     EdgeForwarder m_node;
     std::vector<Server> m_servers; ///< by target id - 1
     std::vector<Request> m_requests;
+    std::size_t m_openFlows = 0;
     std::vector<std::size_t> m_idle; ///< last requests of the open flows without a request
     std::map<std::string, std::size_t> m_byOpening;
     std::multimap<Time, std::function<void()>> m_events;
