--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <pimentofold/settings.h>
+#include <platform/configlimits.h>
 #include <platform/jsonsplit.h>
 
 namespace pimentofold::platform {
@@ -71,8 +72,6 @@
     return id;
 }
 
-constexpr std::int64_t maxMilliseconds = 86'400'000;
-
 /// Decodes the type of a route's requests. The configuration may use types that this version doesn't know.
 RouteType routeType(const json &route, std::vector<std::string> &problems)
 {
@@ -138,7 +137,6 @@
     route.address = routeAddress(value);
     route.weightedServices = routeShares(value);
     route.type = routeType(value, problems);
-    constexpr int maxUrgency = 1000;
     route.urgency = static_cast<int>(optionalField(value, "priority", maxUrgency, problems));
     route.responseTimeGoal = optionalField(value, "aim_ms", maxMilliseconds, problems) * millisecond;
     return route;
@@ -197,8 +195,6 @@
 
 void addService(EdgeConfig &config, const json &value)
 {
-    constexpr double maxColdTime = 86'400; // seconds
-    constexpr double maxColdRate = 1e6;
     const auto serviceName = value.is_object() ? value.find("name") : value.end();
     if (serviceName == value.end() || !serviceName->is_string()) {
         config.problems.push_back({"", "services has an entry without a name"});
