--- a/src/pimentofoldctl/commands.h
+++ b/src/pimentofoldctl/commands.h
@@ -11,7 +11,8 @@
 #include <pimentofoldctl/exitcode.h>
 #include <pimentofoldctl/options.h>
 
-/// The commands of pimentofoldctl. Commands that only read are in queries.cpp, commands that write objects in changes.cpp.
+/// The commands of pimentofoldctl. Commands that only read are in queries.cpp, commands that write objects in changes.cpp, and the
+/// check of a configuration in configfile.cpp.
 namespace pimentofold::ctl {
 
 /// Result of a command.
@@ -44,6 +45,9 @@
 Report showHistory(Context &context);
 /// Reports the data centres' status objects and the versions that are not in force everywhere.
 Report showStatus(Context &context);
+/// Checks a file with a configuration of the edge nodes, and compares it with another version if --against names one.
+/// @throws UsageError when a file can't be read, or the file of --against isn't JSON
+Report checkConfigFile(Context &context);
 /// Merges log files into a timeline, as text or as an HTML page.
 Report showTimeline(Context &context);
 
--- a/src/pimentofoldctl/exitcode.h
+++ b/src/pimentofoldctl/exitcode.h
@@ -10,6 +10,8 @@
     Conflict = 3, ///< another change was written first
     Unreachable = 4, ///< the platform can't be reached, or the outcome of a write couldn't be determined
     NotConverged = 5, ///< versions are not in force everywhere (within the time limit of --wait)
+    ConfigDiffers = 1, ///< config check --strict: the configuration has warnings, or differs from another one
+    ConfigInvalid = 2, ///< config check: the configuration has errors
 };
 
 } // namespace pimentofold::ctl
--- a/src/pimentofoldctl/options.cpp
+++ b/src/pimentofoldctl/options.cpp
@@ -24,7 +24,7 @@
     }
     text += "\npimentofoldctl COMMAND --help shows the options of a command.\n"
             "exit codes: 0 ok, 1 error, 2 usage or settings, 3 conflict, 4 platform unreachable or outcome unknown,\n"
-            "5 not in force everywhere in time\n";
+            "5 not in force everywhere in time; config check: 1 warnings or differences with --strict, 2 errors\n";
     return text;
 }
 
@@ -74,6 +74,8 @@
         "", "if-version", "write only if this version is the current one; 0: the object must not exist", false, -1, "N", command};
     TCLAP::ValueArg<std::string> reason{"", "reason", "reason of a drain", false, "", "TEXT", command};
     TCLAP::ValueArg<std::string> html{"", "html", "write the timeline to this file as an HTML page", false, "", "FILE", command};
+    TCLAP::ValueArg<std::string> against{"", "against", "compare with the configuration in this file", false, "", "FILE", command};
+    TCLAP::SwitchArg strict{"", "strict", "exit with 1 on warnings or differences", command};
     TCLAP::ValueArg<std::string> flow{"", "flow", "show only the events of this caller's flow, and its outcome", false, "", "IP:PORT", command};
     TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "operands of the command", false, "operand", command};
 };
@@ -99,6 +101,8 @@
     options.checkOnly = arguments.check.getValue();
     options.reason = arguments.reason.getValue();
     options.html = arguments.html.getValue();
+    options.against = arguments.against.getValue();
+    options.strict = arguments.strict.getValue();
     options.flow = arguments.flow.getValue();
     if (arguments.platform.isSet()) {
         options.platform = arguments.platform.getValue();
@@ -130,6 +134,8 @@
     rejectOption(options.ifVersion && !syntax.changesObjects, "--if-version", syntax);
     rejectOption(!options.reason.empty() && syntax.name != "drain", "--reason", syntax);
     rejectOption(!options.html.empty() && syntax.name != "timeline", "--html", syntax);
+    rejectOption(!options.against.empty() && syntax.name != "config", "--against", syntax);
+    rejectOption(options.strict && syntax.name != "config", "--strict", syntax);
     rejectOption(!options.flow.empty() && syntax.name != "timeline", "--flow", syntax);
     if (!options.flow.empty() && !isAddress(options.flow)) {
         throw UsageError("--flow: expected the caller's IPv4 address and port, such as 100.66.0.14:1372");
--- a/src/pimentofoldctl/options.h
+++ b/src/pimentofoldctl/options.h
@@ -26,6 +26,8 @@
     std::optional<std::int64_t> ifVersion; ///< version that a write must replace; 0: the object must not exist
     std::string reason; ///< reason of a drain
     std::string html; ///< path of the HTML page that the timeline command writes; empty for text output
+    std::string against; ///< path of the configuration that another one is compared with; empty for none
+    bool strict = false; ///< report warnings and differences of a configuration by the exit code
     std::string flow; ///< caller's "ip:port"; limits the timeline to the flow of this caller, empty for all events
 };
 
--- a/src/pimentofoldctl/program.cpp
+++ b/src/pimentofoldctl/program.cpp
@@ -33,6 +33,7 @@
         {{"undrain", "TEAM SERVICE INSTANCE", 3, 3, true, true, "puts a target back into service"}, undrainTarget},
         {{"delete", "KIND NAME", 2, 2, true, true, "deletes an object"}, deleteObject},
         {{"keys", "rotate TEAM", 2, 2, true, true, "adds an epoch to a team's keys"}, changeKeys},
+        {{"config", "check FILE", 2, 2, false, false, "checks a configuration of the edge nodes"}, checkConfigFile},
         {{"timeline", "FILE...", 1, maxFileOperands, false, false, "merges the event lines of processes"}, showTimeline},
     };
     return all;
