--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -43,6 +43,8 @@
 /// 2^53: doubles up to here represent each integer.
 constexpr double maxExactInteger = 9'007'199'254'740'992;
 
+constexpr std::size_t maxShownDigits = 40;
+
 /// What the decoding of one configuration needs in each step.
 struct Reader {
     LineIndex lines;
@@ -174,9 +176,8 @@
         return std::nullopt;
     }
     if (number.get<double>() < 0 || isTooLarge(number, rule.max)) {
-        const std::string max = json(static_cast<std::int64_t>(std::min(rule.max, maxExactInteger))).dump();
-        report(
-            reader, FindingCode::OutOfRange, *value, normalised(*value) + " is out of range: allowed 0 to " + (rule.max > maxExactInteger ? "2^63 - 1" : max));
+        const std::string max = rule.max > maxExactInteger ? "2^63 - 1" : std::to_string(static_cast<std::int64_t>(rule.max));
+        report(reader, FindingCode::OutOfRange, *value, std::string(value->text.substr(0, maxShownDigits)) + " is out of range: allowed 0 to " + max);
         return std::nullopt;
     }
     if (rule.integer && !expectType(reader, *value, number.is_number_integer(), "an integer")) {
