Move the replication of the store into a folder of its own

src/libpimentofold holds 70 files side by side. storereplication, listwatch and relaygroups together decide who follows the store and how changes reach the other nodes; they move into replication/, with their headers and tests. Only include paths change.

libpimentofold_test has the same 247 cases before and after, all pass, as do platform_test (18), pimentofoldctl_test (12) and pimentofold-edge_test (19).

--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include <pimentofold/dispatch.h>
-#include <pimentofold/storereplication.h>
+#include <pimentofold/replication/storereplication.h>
 #include <pimentofold/targetloss/lossevidence.h>
 
 #include "edge_types.h"
--- a/src/include/pimentofold/storereplication.h
+++ b/src/include/pimentofold/replication/storereplication.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include <pimentofold/edgeconfig.h>
-#include <pimentofold/listwatch.h>
+#include <pimentofold/replication/listwatch.h>
 #include <pimentofold/targettable.h>
 #include <pimentofold/types.h>
 
--- a/src/libpimentofold/listwatch.cpp
+++ b/src/libpimentofold/replication/listwatch.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/listwatch.h>
+#include <pimentofold/replication/listwatch.h>
 
 #include <algorithm>
 
--- a/src/libpimentofold/listwatch_test.cpp
+++ b/src/libpimentofold/replication/listwatch_test.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include <pimentofold/listwatch.h>
+#include <pimentofold/replication/listwatch.h>
 
 using namespace pimentofold;
 
--- a/src/libpimentofold/relaygroups.cpp
+++ b/src/libpimentofold/replication/relaygroups.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/relaygroups.h>
+#include <pimentofold/replication/relaygroups.h>
 
 #include <algorithm>
 #include <cmath>
--- a/src/libpimentofold/relaygroups_test.cpp
+++ b/src/libpimentofold/replication/relaygroups_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include <pimentofold/relaygroups.h>
+#include <pimentofold/replication/relaygroups.h>
 
 using namespace pimentofold;
 
--- a/src/libpimentofold/storereplication.cpp
+++ b/src/libpimentofold/replication/storereplication.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/storereplication.h>
+#include <pimentofold/replication/storereplication.h>
 
 #include <algorithm>
 #include <array>
--- a/src/libpimentofold/storereplication_test.cpp
+++ b/src/libpimentofold/replication/storereplication_test.cpp
@@ -4,7 +4,7 @@
 
 #include <pimentofold/codec.h>
 #include <pimentofold/edgecodec.h>
-#include <pimentofold/storereplication.h>
+#include <pimentofold/replication/storereplication.h>
 
 #include <libpimentofold/edgetestdata.h>
 
--- a/src/libpimentofold/slowstart/slowstart_test.cpp
+++ b/src/libpimentofold/slowstart/slowstart_test.cpp
@@ -2,8 +2,8 @@
 
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/placement.h>
+#include <pimentofold/replication/storereplication.h>
 #include <pimentofold/slowstart/slowstart.h>
-#include <pimentofold/storereplication.h>
 
 #include <libpimentofold/edgetestdata.h>
 
--- a/src/libpimentofold/targettable_test.cpp
+++ b/src/libpimentofold/targettable_test.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <libpimentofold/edgetestdata.h>
-#include <pimentofold/storereplication.h>
+#include <pimentofold/replication/storereplication.h>
 
 using namespace pimentofold;
 using namespace pimentofold::testdata;
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -18,8 +18,8 @@
 #include <pimentofold/edgesettings.h>
 #include <pimentofold/eventlog.h>
 #include <pimentofold/metrics.h>
+#include <pimentofold/replication/storereplication.h>
 #include <pimentofold/settingschange/settingschange.h>
-#include <pimentofold/storereplication.h>
 
 namespace pimentofold {
 
--- a/src/pimentofold-edge/edgeoptions.h
+++ b/src/pimentofold-edge/edgeoptions.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 
 #include <pimentofold/edgeforward.h>
+#include <pimentofold/replication/storereplication.h>
 #include <pimentofold/settings.h>
-#include <pimentofold/storereplication.h>
 
 namespace pimentofold {
 
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -4,7 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include <pimentofold/relaygroups.h>
+#include <pimentofold/replication/relaygroups.h>
 #include <pimentofold/settings.h>
 #include <pimentofold/statusobject.h>
 
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -8,9 +8,9 @@
 #include <libnet/loop.h>
 #include <libnet/streamhttp.h>
 #include <pimentofold/eventlog.h>
-#include <pimentofold/listwatch.h>
 #include <pimentofold/random.h>
-#include <pimentofold/storereplication.h>
+#include <pimentofold/replication/listwatch.h>
+#include <pimentofold/replication/storereplication.h>
 #include <pimentofold/targettable.h>
 #include <platform/storecalls.h>
 
