Move templates and keys of teams into a folder of their own

template, teamkeys and objectname share one header, which describes the objects of teams. They move into teams/ with their test. Only include paths change.

--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -7,7 +7,7 @@
 #include <easylogging++.h>
 
 #include <pimentofold/retry.h>
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 #include <pimentofold/token.h>
 #include <pimentofold/view.h>
 
--- a/src/include/pimentofold/nodeview.h
+++ b/src/include/pimentofold/nodeview.h
@@ -8,7 +8,7 @@
 
 #include <pimentofold/configreplication/configstore.h>
 #include <pimentofold/membership/membership.h>
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 #include <pimentofold/types.h>
 
 #include "view_types.h"
--- a/src/libpimentofold/teamkeys.cpp
+++ b/src/libpimentofold/teams/teamkeys.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 
 #include <algorithm>
 
--- a/src/pimentofold-agent/agentsettings.cpp
+++ b/src/pimentofold-agent/agentsettings.cpp
@@ -1,7 +1,7 @@
 #include <pimentofold-agent/agentsettings.h>
 
 #include <pimentofold/datagramauth.h>
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 
 namespace pimentofold {
 
--- a/src/pimentofoldctl/commands.h
+++ b/src/pimentofoldctl/commands.h
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 #include <pimentofoldctl/connection.h>
 #include <pimentofoldctl/exitcode.h>
 #include <pimentofoldctl/options.h>
--- a/src/pimentofoldctl/convergence.h
+++ b/src/pimentofoldctl/convergence.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 #include <pimentofoldctl/platformobject.h>
 
 /// Determines whether versions of objects are in force everywhere, from the status objects that the data centres write.
--- a/src/pimentofoldctl/objectfile.h
+++ b/src/pimentofoldctl/objectfile.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include <pimentofold/template.h>
+#include <pimentofold/teams/template.h>
 #include <pimentofoldctl/platformobject.h>
 
 /// Reads files with objects and checks that the objects are valid together.
