Move the agent's decisions into a folder of their own

agentcore, agentobjects and viewpublisher are used by the agent alone and move into agent/ with their test. statusobject and platformwatch stay, because the edge node and configreplication/ use them. Only include paths change.

--- a/src/include/pimentofold/agentcore.h
+++ b/src/include/pimentofold/agent/agentcore.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
+#include <pimentofold/agent/viewpublisher.h>
 #include <pimentofold/configreplication/configreplication.h>
 #include <pimentofold/membership/membership.h>
 #include <pimentofold/statusobject.h>
-#include <pimentofold/viewpublisher.h>
 
 /// The control plane of one entry instance, without sockets: membership, distribution of configuration, the balancer's
 /// view and the tasks that only the first-ranked member of a data centre performs.
--- a/src/libpimentofold/agentcore.cpp
+++ b/src/libpimentofold/agent/agentcore.cpp
@@ -1,9 +1,9 @@
-#include <pimentofold/agentcore.h>
+#include <pimentofold/agent/agentcore.h>
 
 #include <algorithm>
 #include <utility>
 
-#include <pimentofold/agentobjects.h>
+#include <pimentofold/agent/agentobjects.h>
 
 namespace pimentofold {
 
--- a/src/libpimentofold/agentcore_test.cpp
+++ b/src/libpimentofold/agent/agentcore_test.cpp
@@ -1,8 +1,8 @@
-#include <pimentofold/agentcore.h>
+#include <pimentofold/agent/agentcore.h>
 
 #include <doctest/doctest.h>
 
-#include <pimentofold/agentobjects.h>
+#include <pimentofold/agent/agentobjects.h>
 
 using namespace pimentofold;
 
--- a/src/libpimentofold/agentobjects.cpp
+++ b/src/libpimentofold/agent/agentobjects.cpp
@@ -1,4 +1,4 @@
-#include <pimentofold/agentobjects.h>
+#include <pimentofold/agent/agentobjects.h>
 
 #include <algorithm>
 #include <utility>
--- a/src/libpimentofold/viewpublisher.cpp
+++ b/src/libpimentofold/agent/viewpublisher.cpp
@@ -1,9 +1,9 @@
-#include <pimentofold/viewpublisher.h>
+#include <pimentofold/agent/viewpublisher.h>
 
 #include <algorithm>
 #include <utility>
 
-#include <pimentofold/agentobjects.h>
+#include <pimentofold/agent/agentobjects.h>
 
 namespace pimentofold {
 
--- a/src/pimentofold-agent/agent.h
+++ b/src/pimentofold-agent/agent.h
@@ -13,7 +13,7 @@
 #include <pimentofold-agent/balancerlink.h>
 #include <pimentofold-agent/platformclient.h>
 
-#include <pimentofold/agentcore.h>
+#include <pimentofold/agent/agentcore.h>
 #include <pimentofold/codec.h>
 #include <pimentofold/datagramauth.h>
 #include <pimentofold/eventlog.h>
--- a/src/pimentofold-agent/platformclient.cpp
+++ b/src/pimentofold-agent/platformclient.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <pimentofold/agentobjects.h>
+#include <pimentofold/agent/agentobjects.h>
 
 namespace pimentofold {
 
--- a/src/pimentofold-agent/statuspage.h
+++ b/src/pimentofold-agent/statuspage.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include <pimentofold/agentcore.h>
+#include <pimentofold/agent/agentcore.h>
 
 /// Content of the agent's HTTP page /status.
 namespace pimentofold {
