--- a/src/libpimentofold/outlier/outlier_test.cpp
+++ b/src/libpimentofold/outlier/outlier_test.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include <pimentofold/outlier/judgement.h>
 #include <pimentofold/outlier/outlier.h>
 
 #include <libpimentofold/edgetestdata.h>
@@ -241,6 +242,28 @@
     CHECK_FALSE(it.target().performance.ejected);
 }
 
+// Guards against ejections when most targets have the same fault, which is then not theirs.
+TEST_CASE("outlier detection: targets with overdue requests are compared with all others when they are many")
+{
+    struct Row {
+        int bad; ///< of 9, with half of their requests overdue
+        std::size_t outliers;
+    };
+    for (const Row &row : {Row{0, 0}, Row{1, 1}, Row{3, 3}, Row{5, 0}, Row{9, 0}}) {
+        CAPTURE(row.bad);
+        TargetHistory history;
+        std::vector<Judgement> judged(9);
+        for (int n = 0; n < 9; ++n) {
+            Judgement &it = judged[static_cast<std::size_t>(n)];
+            it.history = &history;
+            it.requests = 20;
+            it.overdue = n < row.bad ? 10 : 0;
+            it.othersOverdueShare = it.overdueShare();
+        }
+        CHECK(findOutliers(judged, second).size() == row.outliers);
+    }
+}
+
 // Guards against targets with a queue that are taken for slow.
 TEST_CASE("outlier detection: the time of a request is divided by its place in the queue")
 {
--- a/src/libpimentofold/outlier/outlierload_test.cpp
+++ b/src/libpimentofold/outlier/outlierload_test.cpp
@@ -68,6 +68,9 @@
         {"a third bad", {.bad = 6, .hangShare = 0.45}, 4, 6, 0.65, 0.6, 1},
         {"half bad", {.bad = 9, .hangShare = 0.45}, 3, 6, 0.6, 0.55, 1},
         {"a third bad, without room to eject all", {.bad = 6, .hangShare = 0.45, .rate = 1400}, 1, 6, 0.65, 0.65, 1.05},
+        {"all hang", {.bad = 18, .hangShare = 0.45}, 0, 0, 1.05, 1.05, 1.05},
+        {"all fail a fifth", {.bad = 18, .hangShare = 0.2, .rate = 300}, 0, 0, 1.05, 1.05, 1.05},
+        {"two thirds hang", {.bad = 12, .hangShare = 0.45, .rate = 300}, 0, 6, 0.75, 0.75, 1},
         {"service of two targets", {.targets = 2, .bad = 1, .hangShare = 0.45, .rate = 60}, 0, 0, 0.85, 0.85, 1.1},
         {"one caller", {.bad = 3, .callers = 10, .badCaller = true}, 0, 0, 1, 1, 1.01},
     };
