Test outlier detection with callers' packets

Nothing tested the way from packets through the notices to the samples, or that the forwarder's timer includes the tick of outlier detection. The test checks both, and that nothing is recorded while the part is off.

--- a/src/libpimentofold/outlier/outlier_test.cpp
+++ b/src/libpimentofold/outlier/outlier_test.cpp
@@ -189,8 +189,7 @@
     CHECK(it.events.empty());
 }
 
-// Guards against targets that are judged by what they seemed to do while this process was paused, and against a state that
-// nothing reads in time.
+// Guards against targets that are judged by what they seemed to do while this process was paused.
 TEST_CASE("outlier detection: a pause of the process drops the requests at work")
 {
     for (const bool paused : {false, true}) {
@@ -202,7 +201,44 @@
         }
         it.advance(300 * millisecond);
         CHECK(it.target().performance.ejected != paused);
-        CHECK(nextForwarderTick(it.node) <= it.now + outlierTickInterval);
+    }
+}
+
+// Guards against requests that the evidence leaves out: the first of a flow, which starts with its offer, and further ones on the
+// same flow. With the part off nothing is recorded.
+TEST_CASE("outlier detection: requests are measured from callers' packets")
+{
+    struct Step {
+        Time at; ///< in milliseconds
+        std::uint32_t sequence;
+        std::uint16_t payloadBytes;
+        std::uint32_t acknowledgement;
+    };
+    const Step steps[] = {{2, 1, 180, 900}, {30, 181, 0, 2100}, {100, 181, 180, 2100}, {150, 361, 0, 3300}};
+    for (const bool enabled : {false, true}) {
+        Fixture it;
+        it.node.table.outliers.settings.enabled = enabled;
+        ForwardOutput out;
+        handlePacket(it.node, makeOpening(1), it.now, out);
+        const ForwardedPacket opening = out.packets.front();
+        for (const Step &step : steps) {
+            FlowPacket packet = makeData(1, opening.token);
+            packet.sequence = step.sequence;
+            packet.payloadBytes = step.payloadBytes;
+            packet.acknowledgement = step.acknowledgement;
+            handlePacket(it.node, packet, it.now + step.at * millisecond, out);
+        }
+        CHECK(it.node.table.outliers.requests.empty());
+        CHECK(it.node.table.outliers.targets.size() == (enabled ? 1 : 0));
+        const Time later = it.now + 160 * millisecond;
+        tickForwarder(it.node, later, out);
+        CHECK((nextForwarderTick(it.node) <= later + outlierTickInterval) == enabled);
+        if (enabled) {
+            const std::vector<RequestSample> &samples = it.node.table.outliers.targets.at(opening.target).samples;
+            REQUIRE(samples.size() == 2);
+            CHECK(samples[0].duration == 30 * millisecond);
+            CHECK(samples[1].duration == 50 * millisecond);
+        }
     }
 }
 
