Update the ranking of dispatchers for what changed

Each change of a member or target, and each renewed entry, made a node rank all members for all services and hash each target with each dispatcher.

DispatcherRanking keeps the members in the order of their ages and ranks, and the owner of each target. updateDispatchers passes on only members and targets that have changed, those without an entry that may still accept flows, and services with cold targets. The target table lists the targets that a node owns, so that slow start and verdicts on lost targets no longer walk all.

--- a/src/include/pimentofold/balancing/balancing.h
+++ b/src/include/pimentofold/balancing/balancing.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,9 +65,8 @@
 };
 
 /// Updates the dispatchers of a service after a change of members or targets.
-/// @param found division of the service's targets
-/// @param targets ids and data centres of the targets, in the order of ServiceDispatchers::owners
-void updateBalance(Balancing &balancing, const std::string &service, const ServiceDispatchers &found, std::span<const PlacedTarget> targets);
+/// @param targets ids of this node's targets in its own data centre
+void updateBalance(Balancing &balancing, const std::string &service, const ServiceDispatchers &found, const std::vector<std::uint64_t> &targets);
 
 /// Removes the services that have no targets any more.
 void removeServicesWithoutTargets(Balancing &balancing, const std::map<std::string, DispatcherTable, std::less<>> &services);
--- a/src/include/pimentofold/balancing/localdispatch.h
+++ b/src/include/pimentofold/balancing/localdispatch.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -48,7 +51,22 @@
     std::vector<Id> owners; ///< of each target that the division was made from; 0: none
 };
 
-/// Divides the targets of a service.
+/// Selects the nodes that may become dispatchers: those that started at least a few seconds before the newest node, because
+/// a node that has just joined doesn't know the load of the targets. When all nodes have started at about the same time, the
+/// oldest ones are selected, so that few services change their dispatcher while further nodes join. All nodes with the same
+/// members get the same result.
+std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members);
+
+/// @param startOf incarnation of the member at a position in the order of their ages, oldest first
+/// @return how many of the oldest members dispatcherCandidates() selects
+std::size_t candidateCount(std::size_t members, const std::function<std::int64_t(std::size_t position)> &startOf);
+
+/// Sets ServiceDispatchers::table, which holds the shared dispatchers at first, to the dispatchers of the openings that arrive
+/// in a data centre.
+/// @param sharedSlots slots of the targets that accept new flows in data centres without dispatchers of their own
+void selectTable(ServiceDispatchers &dispatchers, std::string_view ownDataCentre, int sharedSlots);
+
+/// Divides the targets of a service. DispatcherRanking gets the same result from the changes since the last division.
 /// @param ownDataCentre data centre in which the openings arrive
 /// @param slotsPerDispatcher a group of targets gets one dispatcher for each full or started group of this many slots. A data
 ///        centre with fewer slots gets no dispatchers of its own.
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -2,11 +2,14 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <pimentofold/balancing/balancing.h>
+#include <pimentofold/balancing/dispatcherranking.h>
 #include <pimentofold/dispatch.h>
 #include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowactivity.h>
@@ -96,6 +99,23 @@
     Time avoidUntil = 0; ///< no flow is relayed to the dispatcher before this time
 };
 
+/// What updateDispatchers() has based the dispatchers on.
+struct DispatcherInputs {
+    DispatcherRanking ranking;
+    bool known = false; ///< the other fields are valid
+    Id self = 0;
+    std::string dataCentre;
+    bool localDispatch = false;
+    std::vector<InstanceKey> members;
+    bool leavesOutNodes = false; ///< some members were not used because they didn't answer or are unreachable
+    std::set<std::string, std::less<>> evacuated; ///< data centres
+    bool slowStart = false; ///< enabled
+    std::int64_t servicesRevision = 0; ///< of SlowStart
+    bool coldDataCentres = false; ///< a data centre was cold because its evacuation had ended
+    std::set<std::string> coldServices; ///< services with cold targets
+    std::unordered_set<std::uint64_t> expiring; ///< ids of targets without an entry that may still accept flows
+};
+
 /// State of forwarding at one node.
 struct EdgeForwarder {
     ForwardSettings settings;
@@ -104,6 +124,8 @@
     InstanceKey self;
     std::vector<InstanceKey> members; ///< live edge nodes of the region, including this one
     std::unordered_map<Id, std::string> memberDataCentres; ///< by member
+    bool memberDataCentresChanged = false; ///< to be set when memberDataCentres has changed, unless `members` has changed too
+    DispatcherInputs dispatcherInputs;
     /// By service, the dispatchers of the openings that arrive in this node's data centre.
     std::map<std::string, DispatcherTable, std::less<>> dispatchers;
     Balancing balancing; ///< of the services that this node dispatches for its data centre
@@ -153,14 +175,8 @@
 /// @param target id; 0: not known, or the flow has ended
 void handleLocated(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out);
 
-/// Selects the nodes that may become dispatchers: those that started at least a few seconds before the newest node, because
-/// a node that has just joined doesn't know the load of the targets. When all nodes have started at about the same time, the
-/// oldest ones are selected, so that few services change their dispatcher while further nodes join. All nodes with the same
-/// members get the same result.
-std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members);
-
-/// Recomputes the dispatchers of all services and the targets that this node owns. Has to be called after each change of
-/// members or targets.
+/// Updates the dispatchers of all services and the targets that this node owns for what has changed since the last call. Has to
+/// be called after each change of members, targets, evacuations or the configuration.
 void updateDispatchers(EdgeForwarder &forwarder, Time now);
 
 /// Offers flows without an answer again, and removes old flows and targets from memory.
--- a/src/include/pimentofold/targetchoice.h
+++ b/src/include/pimentofold/targetchoice.h
@@ -188,6 +188,10 @@
 /// 50 microseconds on a request and its answer, so this is half of one core.
 constexpr double requestsPerDispatcher = 10'000;
 
+/// @param key id of a service or target
+/// @return the member's rank in rendezvous hashing. It doesn't depend on the incarnation, so that a restarted member keeps it.
+std::uint64_t rendezvousRank(Id key, const InstanceKey &member);
+
 /// Ranks the live members by rendezvous hashing. All balancers with the same members compute the same order, and
 /// a member that joins or leaves doesn't change the order of the others.
 /// @param members live members, at most one incarnation each
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <pimentofold/edgeconfig.h>
@@ -74,6 +75,9 @@
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by target id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< target ids by token
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
+    /// Ids of the targets that this node owns or whose owner isn't known yet, by service, in ascending order.
+    std::map<std::string, std::vector<std::uint64_t>, std::less<>> ownedTargets;
+    std::unordered_set<std::uint64_t> changedTargets; ///< ids of targets that were added, changed or removed since updateDispatchers()
     EvacuationState evacuations;
     Reachability reachability; ///< of the data centres from this node
     SlowStart slowStart; ///< limits of cold targets and what this node has sent to them
@@ -106,6 +110,10 @@
 /// @return false when the target is unknown, has no entry, or has a newer entry
 bool removeTarget(TargetTable &table, std::uint64_t id, std::int64_t revision, Time now);
 
+/// Sets the dispatcher that places the target's flows.
+/// @param owner 0: this node
+void setOwner(TargetTable &table, EdgeTarget &target, Id owner);
+
 /// Records that the table holds all targets up to a store revision. Only the first call has an effect.
 void setTargetHistoryStart(TargetTable &table, std::int64_t revision);
 
--- a/src/libpimentofold/balancing/balancing.cpp
+++ b/src/libpimentofold/balancing/balancing.cpp
@@ -213,7 +213,7 @@
 
 } // namespace
 
-void updateBalance(Balancing &balancing, const std::string &service, const ServiceDispatchers &found, std::span<const PlacedTarget> targets)
+void updateBalance(Balancing &balancing, const std::string &service, const ServiceDispatchers &found, const std::vector<std::uint64_t> &targets)
 {
     const auto own = found.byDataCentre.find(balancing.dataCentre);
     const auto isSelf = [&](const InstanceKey &it) { return it.instance == balancing.self; };
@@ -223,12 +223,7 @@
     }
     ServiceBalance &balance = balancing.services[service];
     balance.dataCentres = found.byDataCentre;
-    balance.targets.clear();
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        if (found.owners[i] == balancing.self && targets[i].dataCentre == balancing.dataCentre) {
-            balance.targets.push_back(static_cast<std::uint64_t>(targets[i].entry.id));
-        }
-    }
+    balance.targets = targets;
     std::erase_if(balance.others, [&](const auto &it) { return !found.byDataCentre.contains(it.first); });
     balancing.nextTickAt = std::min(balancing.nextTickAt, balancing.tickedAt + balancing.settings.tickInterval);
 }
--- a/src/libpimentofold/balancing/localdispatch.cpp
+++ b/src/libpimentofold/balancing/localdispatch.cpp
@@ -65,6 +65,52 @@
 
 } // namespace
 
+std::size_t candidateCount(std::size_t members, const std::function<std::int64_t(std::size_t position)> &startOf)
+{
+    constexpr Time minAgeDifference = 3 * second;
+    constexpr std::size_t oldestShare = 8; // one eighth of the members, rounded up
+    if (members == 0) {
+        return 0;
+    }
+    const std::int64_t startedBefore = startOf(members - 1) - minAgeDifference;
+    std::size_t first = 0;
+    std::size_t last = members;
+    while (first < last) {
+        const std::size_t middle = first + (last - first) / 2;
+        if (startOf(middle) < startedBefore) {
+            first = middle + 1;
+        } else {
+            last = middle;
+        }
+    }
+    return first > 0 ? first : (members + oldestShare - 1) / oldestShare;
+}
+
+std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members)
+{
+    std::vector<InstanceKey> byAge = members;
+    std::ranges::sort(byAge, [](const InstanceKey &a, const InstanceKey &b) {
+        return a.incarnation != b.incarnation ? a.incarnation < b.incarnation : a.instance < b.instance;
+    });
+    byAge.resize(candidateCount(byAge.size(), [&](std::size_t position) { return byAge[position].incarnation; }));
+    return byAge;
+}
+
+void selectTable(ServiceDispatchers &dispatchers, std::string_view ownDataCentre, int sharedSlots)
+{
+    const auto own = dispatchers.byDataCentre.find(ownDataCentre);
+    if (own != dispatchers.byDataCentre.end()) {
+        dispatchers.table = own->second;
+        return;
+    }
+    if (sharedSlots == 0 && !dispatchers.byDataCentre.empty()) {
+        dispatchers.table = {};
+    }
+    for (const auto &[dataCentre, table] : dispatchers.byDataCentre) {
+        appendDispatchers(dispatchers.table, table);
+    }
+}
+
 ServiceDispatchers
 divideTargets(Id service, std::span<const PlacedTarget> targets, const DispatcherCandidates &candidates, std::string_view ownDataCentre, int slotsPerDispatcher)
 {
@@ -85,17 +131,7 @@
         const DispatcherTable &table = result.byDataCentre[dataCentre] = makeGroupTable(service, group, members, slotsPerDispatcher);
         recordOwners(group, table, result.owners);
     }
-    const auto own = result.byDataCentre.find(ownDataCentre);
-    if (own != result.byDataCentre.end()) {
-        result.table = own->second;
-        return result;
-    }
-    if (shared.servingSlots == 0 && !result.byDataCentre.empty()) {
-        result.table = {};
-    }
-    for (const auto &[dataCentre, table] : result.byDataCentre) {
-        appendDispatchers(result.table, table);
-    }
+    selectTable(result, ownDataCentre, shared.servingSlots);
     return result;
 }
 
--- a/src/libpimentofold/dispatchers.cpp
+++ b/src/libpimentofold/dispatchers.cpp
@@ -9,20 +9,13 @@
 
 constexpr double shrinkUtilisation = 0.6; // of half of the dispatchers; see dispatcherCount()
 
-/// @param key id of the service or target
-std::uint64_t rank(Id key, const InstanceKey &member)
-{
-    // The incarnation is left out, so that a restarted member keeps its rank.
-    return mix(static_cast<std::uint64_t>(key), static_cast<std::uint64_t>(member.instance));
-}
-
 /// @return index of the dispatcher that owns the target; 0 when there is none
 std::size_t ownerIndex(Id target, std::span<const InstanceKey> dispatchers)
 {
     std::size_t best = 0;
     std::uint64_t bestRank = 0;
     for (std::size_t i = 0; i < dispatchers.size(); ++i) {
-        const std::uint64_t it = rank(target, dispatchers[i]);
+        const std::uint64_t it = rendezvousRank(target, dispatchers[i]);
         if (i == 0 || it > bestRank) {
             best = i;
             bestRank = it;
@@ -33,6 +26,11 @@
 
 } // namespace
 
+std::uint64_t rendezvousRank(Id key, const InstanceKey &member)
+{
+    return mix(static_cast<std::uint64_t>(key), static_cast<std::uint64_t>(member.instance));
+}
+
 std::vector<InstanceKey> rankForService(Id service, std::span<const InstanceKey> members)
 {
     struct RankedMember {
@@ -42,7 +40,7 @@
     std::vector<RankedMember> byRank;
     byRank.reserve(members.size());
     for (const InstanceKey &it : members) {
-        byRank.push_back({rank(service, it), it});
+        byRank.push_back({rendezvousRank(service, it), it});
     }
     std::ranges::sort(byRank,
                       [](const RankedMember &a, const RankedMember &b) { return a.rank != b.rank ? a.rank > b.rank : a.key.instance < b.key.instance; });
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -445,58 +445,6 @@
     }
 }
 
-/// Also sets dispatcherRetryAt.
-/// @return the members that may be dispatchers, without those that are avoided or unreachable
-DispatcherCandidates usableCandidates(EdgeForwarder &forwarder, Time now)
-{
-    DispatcherCandidates candidates;
-    std::vector<InstanceKey> usable;
-    std::map<std::string, std::vector<InstanceKey>, std::less<>> byDataCentre;
-    forwarder.dispatcherRetryAt = never;
-    for (const InstanceKey &it : forwarder.members) {
-        const auto missed = forwarder.dispatcherMisses.find(it.instance);
-        if (missed != forwarder.dispatcherMisses.end() && missed->second.avoidUntil > now) {
-            forwarder.dispatcherRetryAt = std::min(forwarder.dispatcherRetryAt, missed->second.avoidUntil);
-            candidates.leavesOutLiveNodes = true;
-            continue;
-        }
-        if (isUnreachableNode(forwarder.table.reachability, it.instance)) {
-            candidates.leavesOutLiveNodes = true;
-            continue;
-        }
-        usable.push_back(it);
-        const auto place = forwarder.memberDataCentres.find(it.instance);
-        if (forwarder.settings.localDispatch && place != forwarder.memberDataCentres.end() && !place->second.empty()) {
-            byDataCentre[place->second].push_back(it);
-        }
-    }
-    candidates.all = dispatcherCandidates(usable);
-    for (const auto &[dataCentre, members] : byDataCentre) {
-        candidates.byDataCentre[dataCentre] = dispatcherCandidates(members);
-    }
-    return candidates;
-}
-
-/// @return the targets of a service, in the order of @p ids
-std::vector<PlacedTarget> placedTargets(const TargetTable &table, const std::vector<std::uint64_t> &ids, Time now)
-{
-    std::vector<PlacedTarget> targets;
-    std::vector<TargetEntry> weighted;
-    targets.reserve(ids.size());
-    weighted.reserve(ids.size());
-    for (const std::uint64_t id : ids) {
-        const EdgeTarget &target = *findTarget(table, id);
-        const bool accepting = acceptsNewFlows(target, now) && !isEvacuated(table, target);
-        weighted.push_back({static_cast<Id>(id), target.record.slots, accepting});
-        targets.push_back({weighted.back(), target.record.dataCentre});
-    }
-    weighColdTargets(table, weighted, now);
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        targets[i].weightedSlots = weighted[i].slots;
-    }
-    return targets;
-}
-
 void removeExpired(EdgeForwarder &forwarder, Time now)
 {
     removeExpiredLocations(forwarder.locations, now);
@@ -530,16 +478,6 @@
     }
 }
 
-MemberView memberView(const EdgeForwarder &forwarder, bool leavesOutLiveNodes)
-{
-    MemberView view;
-    view.leavesOutLiveNodes = leavesOutLiveNodes;
-    for (const InstanceKey &it : forwarder.members) {
-        view.members.push_back(it.instance);
-    }
-    return view;
-}
-
 /// Derives the dispatchers again after a data centre has become reachable or unreachable. Nodes and targets there that didn't answer
 /// get flows again once they are reachable.
 void onReachabilityChanged(EdgeForwarder &forwarder, Time now)
@@ -661,47 +599,6 @@
     }
 }
 
-std::vector<InstanceKey> dispatcherCandidates(const std::vector<InstanceKey> &members)
-{
-    constexpr Time minAgeDifference = 3 * second;
-    constexpr std::size_t oldestShare = 8; // one eighth of the members, rounded up
-    std::vector<InstanceKey> byAge = members;
-    std::ranges::sort(byAge, [](const InstanceKey &a, const InstanceKey &b) {
-        return a.incarnation != b.incarnation ? a.incarnation < b.incarnation : a.instance < b.instance;
-    });
-    if (byAge.empty()) {
-        return byAge;
-    }
-    const std::int64_t startedBefore = byAge.back().incarnation - minAgeDifference;
-    auto candidateCount = static_cast<std::size_t>(std::ranges::count_if(byAge, [&](const InstanceKey &it) { return it.incarnation < startedBefore; }));
-    if (candidateCount == 0) {
-        candidateCount = (byAge.size() + oldestShare - 1) / oldestShare;
-    }
-    byAge.resize(candidateCount);
-    return byAge;
-}
-
-void updateDispatchers(EdgeForwarder &forwarder, Time now)
-{
-    const DispatcherCandidates candidates = usableCandidates(forwarder, now);
-    forwarder.dispatchers.clear();
-    forwarder.balancing.dataCentre = forwarder.dispatcher.settings.dataCentre;
-    forwarder.balancing.self = forwarder.self.instance;
-    for (const auto &[service, ids] : forwarder.table.services) {
-        const std::vector<PlacedTarget> targets = placedTargets(forwarder.table, ids, now);
-        ServiceDispatchers found =
-            divideTargets(idOf(service), targets, candidates, forwarder.dispatcher.settings.dataCentre, forwarder.settings.slotsPerDispatcher);
-        for (std::size_t i = 0; i < ids.size(); ++i) {
-            findTarget(forwarder.table, ids[i])->owner = found.owners[i] == forwarder.self.instance ? 0 : found.owners[i];
-        }
-        updateBalance(forwarder.balancing, service, found, targets);
-        forwarder.dispatchers[service] = std::move(found.table);
-    }
-    removeServicesWithoutTargets(forwarder.balancing, forwarder.dispatchers);
-    updateColdOwners(forwarder.table, memberView(forwarder, candidates.leavesOutLiveNodes), now);
-    updateOwnership(forwarder, now);
-}
-
 void tickForwarder(EdgeForwarder &forwarder, Time now, ForwardOutput &out)
 {
     if (tickReachability(forwarder.table, now, out.pings)) {
--- a/src/libpimentofold/slowstart/slowstart.cpp
+++ b/src/libpimentofold/slowstart/slowstart.cpp
@@ -222,8 +222,8 @@
         return;
     }
     for (const auto &[service, limits] : slowStart.services) {
-        const auto ids = table.services.find(service);
-        if (!slowStart.settings.enabled || ids == table.services.end()) {
+        const auto ids = table.ownedTargets.find(service);
+        if (!slowStart.settings.enabled || ids == table.ownedTargets.end()) {
             continue;
         }
         for (const std::uint64_t id : ids->second) {
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -312,10 +312,12 @@
 void recordOwnership(LossVerdicts &verdicts, const TargetTable &table, Time now)
 {
     std::unordered_map<std::uint64_t, Time> owned;
-    for (const auto &[id, target] : table.targets) {
-        if (isOwned(target)) {
-            const auto known = verdicts.ownedSince.find(id);
-            owned.emplace(id, known == verdicts.ownedSince.end() ? now : known->second);
+    for (const auto &[service, ids] : table.ownedTargets) {
+        for (const std::uint64_t id : ids) {
+            if (isOwned(*findTarget(table, id))) {
+                const auto known = verdicts.ownedSince.find(id);
+                owned.emplace(id, known == verdicts.ownedSince.end() ? now : known->second);
+            }
         }
     }
     verdicts.ownedSince = std::move(owned);
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -21,22 +21,44 @@
     }
 }
 
-void removeFromService(TargetTable &table, const EdgeTarget &target)
+using ServiceTargets = std::map<std::string, std::vector<std::uint64_t>, std::less<>>;
+
+void removeId(ServiceTargets &services, const EdgeTarget &target)
 {
-    const auto it = table.services.find(target.record.service);
-    if (it == table.services.end()) {
+    const auto it = services.find(target.record.service);
+    if (it == services.end()) {
         return;
     }
-    std::erase(it->second, target.record.id);
+    const auto position = std::ranges::lower_bound(it->second, target.record.id);
+    if (position != it->second.end() && *position == target.record.id) {
+        it->second.erase(position);
+    }
     if (it->second.empty()) {
-        table.services.erase(it);
+        services.erase(it);
+    }
+}
+
+void addId(ServiceTargets &services, const EdgeTarget &target)
+{
+    std::vector<std::uint64_t> &ids = services[target.record.service];
+    const auto position = std::ranges::lower_bound(ids, target.record.id);
+    if (position == ids.end() || *position != target.record.id) {
+        ids.insert(position, target.record.id);
     }
 }
 
+void removeFromService(TargetTable &table, const EdgeTarget &target)
+{
+    removeId(table.services, target);
+    removeId(table.ownedTargets, target);
+}
+
 void addToService(TargetTable &table, const EdgeTarget &target)
 {
-    std::vector<std::uint64_t> &ids = table.services[target.record.service];
-    ids.insert(std::ranges::lower_bound(ids, target.record.id), target.record.id);
+    addId(table.services, target);
+    if (target.owner == 0) {
+        addId(table.ownedTargets, target);
+    }
 }
 
 /// Observations of an earlier incarnation don't apply to the new process.
@@ -157,12 +179,14 @@
         target.token = tokenOf(record.id);
         table.tokens.emplace(target.token, record.id);
         addToService(table, target);
+        table.changedTargets.insert(record.id);
         updateRecord(target, record, now);
         return true;
     }
     if (record.revision <= std::max(target.record.revision, target.removedRevision)) {
         return false;
     }
+    table.changedTargets.insert(record.id);
     if (contradictsService(table, record)) {
         target.removedAt = target.registered ? now : target.removedAt;
         target.registered = false;
@@ -185,12 +209,26 @@
     if (target == nullptr || !target->registered || revision < target->record.revision) {
         return false;
     }
+    table.changedTargets.insert(id);
     target->registered = false;
     target->removedAt = now;
     target->removedRevision = revision;
     return true;
 }
 
+void setOwner(TargetTable &table, EdgeTarget &target, Id owner)
+{
+    if (target.owner == owner) {
+        return;
+    }
+    target.owner = owner;
+    if (owner == 0) {
+        addId(table.ownedTargets, target);
+    } else {
+        removeId(table.ownedTargets, target);
+    }
+}
+
 void setTargetHistoryStart(TargetTable &table, std::int64_t revision)
 {
     if (table.targetHistoryStart == 0) {
@@ -208,6 +246,7 @@
         table.targetHistoryStart = std::max(table.targetHistoryStart, target.removedRevision);
         removeToken(table, target);
         removeFromService(table, target);
+        table.changedTargets.insert(target.record.id);
         return true;
     });
 }
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -536,6 +536,7 @@
 {
     m_forwarder.members = m_peers.members();
     m_forwarder.memberDataCentres = m_peers.memberDataCentres();
+    m_forwarder.memberDataCentresChanged = true;
     setNodes(m_forwarder.table.reachability, m_peers.otherNodes());
     updateDispatchers(m_forwarder, monotonicNow());
 }
