Choose among the owned targets before all others

Each opening walked all targets of the drawn service, although a dispatcher prefers those that it owns whenever one of them is usual. A node looks at its own targets first now, and at all of them only when none is preferred. A target of another owner then has a worse preference, and is excluded while it is cold, so the choice is the same.

--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -79,33 +79,16 @@
     }
 }
 
-const std::string &drawService(const EdgeRoute &route, Random &random)
-{
-    double sum = 0;
-    for (const WeightedService &it : route.weightedServices) {
-        sum += it.weight;
-    }
-    double draw = unit(random) * sum;
-    for (const WeightedService &it : route.weightedServices) {
-        draw -= it.weight;
-        if (draw < 0) {
-            return it.service;
-        }
-    }
-    return route.weightedServices.back().service;
-}
-
-} // namespace
+/// The best targets of a list.
+struct Candidates {
+    Candidate best;
+    Candidate bestCold; ///< used when no warm target has room
+};
 
-EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
+Candidates findCandidates(TargetTable &table, const std::vector<std::uint64_t> &ids, const PlacementSettings &settings, const PlacementQuery &query, Time now)
 {
-    const auto ids = table.services.find(drawService(query.route, random));
-    if (ids == table.services.end()) {
-        return nullptr;
-    }
-    Candidate best;
-    Candidate bestCold; // used when no warm target has room
-    for (const std::uint64_t id : ids->second) {
+    Candidates found;
+    for (const std::uint64_t id : ids) {
         EdgeTarget &target = *findTarget(table, id);
         if (isEvacuated(table, target) || isWithheld(table, target, now)) {
             continue;
@@ -120,12 +103,51 @@
         }
         const double cost = costOf(target, settings, query, use != ColdUse::Warm, now);
         if (use != ColdUse::AboveRate) {
-            considerTarget(best, target, preference, cost);
+            considerTarget(found.best, target, preference, cost);
         }
         if (use != ColdUse::Warm) {
-            considerTarget(bestCold, target, preference, cost);
+            considerTarget(found.bestCold, target, preference, cost);
         }
     }
+    return found;
+}
+
+/// Looks at the targets that this node owns first. When one of them is preferred, no target of another owner is better: such a
+/// target has a worse preference, and is excluded while it is cold.
+Candidates findCandidates(TargetTable &table, const std::string &service, const PlacementSettings &settings, const PlacementQuery &query, Time now)
+{
+    const auto owned = table.ownedTargets.find(service);
+    if (query.preferOwned && owned != table.ownedTargets.end() && !prefersOtherDataCentre(settings, query)) {
+        const Candidates found = findCandidates(table, owned->second, settings, query, now);
+        if (found.best.preference == Preference::Preferred) {
+            return found;
+        }
+    }
+    const auto ids = table.services.find(service);
+    return ids == table.services.end() ? Candidates{} : findCandidates(table, ids->second, settings, query, now);
+}
+
+const std::string &drawService(const EdgeRoute &route, Random &random)
+{
+    double sum = 0;
+    for (const WeightedService &it : route.weightedServices) {
+        sum += it.weight;
+    }
+    double draw = unit(random) * sum;
+    for (const WeightedService &it : route.weightedServices) {
+        draw -= it.weight;
+        if (draw < 0) {
+            return it.service;
+        }
+    }
+    return route.weightedServices.back().service;
+}
+
+} // namespace
+
+EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
+{
+    const auto [best, bestCold] = findCandidates(table, drawService(query.route, random), settings, query, now);
     if (best.target == nullptr || bestCold.target == nullptr) {
         return best.target == nullptr ? bestCold.target : best.target;
     }
