Send verdicts on lost targets to the holders of their flows

Each owner broadcast its verdicts to all nodes: 280 broadcasts, about 280,000 received messages, at 1,000 nodes when 300 of 1,500 targets fall silent.

The owner records which nodes report work or evidence on its targets, at most 64 for each, and sends verdicts to those of the last minute. A new owner, or one with more holders, still broadcasts. The repetition after 300 ms stays, and a node that reports stalls on a lost target gets the verdict as the answer, so that a lost message costs one more retransmission of a caller.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -201,6 +201,7 @@
     std::vector<ForwardEventRecord> events;
     std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
     std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
+    std::vector<LostTargetMessage> lostTargetMessages; ///< for the nodes that hold flows of lost targets
     std::vector<LossEventRecord> lossEvents;
 };
 
--- a/src/include/pimentofold/targetloss/lossmessages.h
+++ b/src/include/pimentofold/targetloss/lossmessages.h
@@ -37,6 +37,12 @@
     friend bool operator==(const LostTarget &, const LostTarget &) = default;
 };
 
+/// Verdicts for one node.
+struct LostTargetMessage {
+    Id node = 0;
+    std::vector<LostTarget> lost;
+};
+
 /// What has happened, for the log and the counters.
 enum class LossEvent {
     Suspected, ///< the owner has got the first evidence against the target
--- a/src/include/pimentofold/targetloss/lossstate.h
+++ b/src/include/pimentofold/targetloss/lossstate.h
@@ -6,6 +6,7 @@
 
 #include <pimentofold/targetloss/flowprogress.h>
 #include <pimentofold/targetloss/lossevidence.h>
+#include <pimentofold/targetloss/lossholders.h>
 #include <pimentofold/targetloss/lossverdict.h>
 
 /// State of one node for the detection of lost targets; see targetloss.h.
@@ -48,6 +49,7 @@
     TargetLossSettings settings;
     LossEvidence evidence;
     LossVerdicts verdicts;
+    FlowHolders holders; ///< of the flows of the targets that this node owns
     std::map<Address, Time> secondRequestAt; ///< by service address of a route: when a flow has last started a further request
     std::set<std::uint64_t> lost; ///< targets that are lost at this node
     std::multimap<Time, ScheduledReset> resets; ///< by time
--- a/src/libpimentofold/targetloss/losssim.h
+++ b/src/libpimentofold/targetloss/losssim.h
@@ -77,6 +77,7 @@
     int evidenceMessages = 0;
     int broadcastMessages = 0; ///< to single receivers
     int broadcasts = 0;
+    int verdictMessages = 0; ///< to holders of flows
     int verdicts = 0;
     Time firstVerdictAt = never;
 };
@@ -181,7 +182,8 @@
             forwarder.members.push_back({static_cast<Id>(n + 1), -100 * second - static_cast<Time>(n)});
         }
         std::erase(forwarder.members, InstanceKey{1, 1});
-        updateDispatchers(forwarder, 0);
+        // The owners have owned the targets for long enough to know the holders of their flows.
+        updateDispatchers(forwarder, -minute);
         recordStoreContact(forwarder.targetLoss.verdicts, true, 0, 0);
         runTimer(index, nodeTimer);
     }
@@ -249,7 +251,10 @@
     void sendOutput(std::size_t from, const ForwardOutput &out)
     {
         for (const FlowNotice &it : out.flowNotices) {
-            sendToNode(from, static_cast<std::size_t>(it.dispatcher - 1), [this, it](EdgeForwarder &forwarder, ForwardOutput &result) {
+            sendToNode(from, static_cast<std::size_t>(it.dispatcher - 1), [this, from, it](EdgeForwarder &forwarder, ForwardOutput &result) {
+                if (it.kind != FlowNoticeKind::Ended) {
+                    recordFlowHolder(forwarder, it.target, static_cast<Id>(from + 1), now);
+                }
                 handleFlowNotice(forwarder.dispatcher, forwarder.table, it, now, result);
             });
         }
@@ -268,6 +273,7 @@
         if (!out.lostTargets.empty()) {
             broadcast(from, out.lostTargets);
         }
+        sendVerdicts(from, out.lostTargetMessages);
         for (const FlowReset &it : out.resets) {
             onReset(it);
         }
@@ -276,6 +282,19 @@
         }
     }
 
+    void sendVerdicts(std::size_t from, const std::vector<LostTargetMessage> &messages)
+    {
+        counts.verdictMessages += static_cast<int>(messages.size());
+        if (options.dropsFirstBroadcasts && now < counts.firstVerdictAt + 300 * millisecond) {
+            return;
+        }
+        for (const LostTargetMessage &it : messages) {
+            sendToNode(from, static_cast<std::size_t>(it.node - 1), [this, it](EdgeForwarder &forwarder, ForwardOutput &result) {
+                handleLostTargets(forwarder, it.lost, now, result);
+            });
+        }
+    }
+
     /// Every other node gets the message once; the two hops of the relay groups are left out.
     void broadcast(std::size_t from, const std::vector<LostTarget> &lost)
     {
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -288,7 +288,26 @@
     if (!targets.empty()) {
         resetFlowsOf(forwarder, targets, now, out);
     }
-    std::ranges::move(decided.broadcast, std::back_inserter(out.lostTargets));
+    VerdictRecipients recipients = recipientsOf(loss.holders, decided.broadcast, loss.verdicts.ownedSince, forwarder.members.size(), now);
+    std::ranges::move(recipients.all, std::back_inserter(out.lostTargets));
+    std::ranges::move(recipients.messages, std::back_inserter(out.lostTargetMessages));
+}
+
+/// Repeats verdicts to a node that reports stalls on lost targets, because it didn't get them.
+void answerEvidence(const EdgeForwarder &forwarder, std::span<const TargetEvidence> evidence, Id sender, Time now, ForwardOutput &out)
+{
+    LostTargetMessage answer{sender, {}};
+    for (const TargetEvidence &it : evidence) {
+        const EdgeTarget *target = findTarget(forwarder.table, it.target);
+        const bool applies = target != nullptr && target->owner == 0 && target->record.startedAt == it.startedAt && it.stalledFlows > 0;
+        if (applies && target->lostSince != never && target->lastProgressAt <= target->lostSince
+            && now - target->lostSince < forwarder.targetLoss.holders.settings.answerTime) {
+            answer.lost.push_back({it.target, it.startedAt, ""});
+        }
+    }
+    if (!answer.lost.empty()) {
+        out.lostTargetMessages.push_back(std::move(answer));
+    }
 }
 
 /// Withdraws verdicts on targets that make progress, and forgets those on earlier incarnations.
@@ -393,6 +412,15 @@
     if (forwarder.targetLoss.settings.enabled) {
         forwarder.targetLoss.verdicts.dataCentre = forwarder.dispatcher.settings.dataCentre;
         recordOwnership(forwarder.targetLoss.verdicts, forwarder.table, now);
+        removeHolders(forwarder.targetLoss.holders, forwarder.targetLoss.verdicts.ownedSince);
+    }
+}
+
+void recordFlowHolder(EdgeForwarder &forwarder, std::uint64_t target, Id node, Time now)
+{
+    TargetLoss &loss = forwarder.targetLoss;
+    if (loss.settings.enabled && loss.verdicts.ownedSince.contains(target)) {
+        recordHolder(loss.holders, target, node, now);
     }
 }
 
@@ -403,12 +431,14 @@
         return;
     }
     for (const TargetEvidence &it : evidence) {
+        recordFlowHolder(forwarder, it.target, sender, now);
         if (recordEvidence(loss.verdicts, forwarder.table, it, sender, dataCentre, now)) {
             LossEventRecord event = makeEvent(LossEvent::Suspected, it.target);
             event.stalledFlows = it.stalledFlows;
             out.lossEvents.push_back(std::move(event));
         }
     }
+    answerEvidence(forwarder, evidence, sender, now, out);
     scheduleTick(loss, now);
 }
 
--- a/src/libpimentofold/targetloss/targetloss_test.cpp
+++ b/src/libpimentofold/targetloss/targetloss_test.cpp
@@ -229,8 +229,12 @@
     options.flows = 22'000;
     const SimCounts large = runPattern(options);
     MESSAGE("100 nodes: evidence " << small.evidenceMessages << ", broadcast to receivers " << small.broadcastMessages << "; 1,000 nodes: evidence "
-                                   << large.evidenceMessages << ", broadcast to receivers " << large.broadcastMessages);
+                                   << large.evidenceMessages << ", broadcast to receivers " << large.broadcastMessages << "; to holders "
+                                   << small.verdictMessages << ", " << large.verdictMessages << "; requests lost " << large.timeouts);
     CHECK(large.wrongResets == 0);
+    CHECK(large.verdicts >= 295);
+    CHECK(large.broadcastMessages + large.verdictMessages < 15 * (small.broadcastMessages + small.verdictMessages));
+    CHECK(large.broadcastMessages + large.verdictMessages < 50 * large.verdicts);
     CHECK(large.evidenceMessages < 15 * small.evidenceMessages);
 }
 
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -259,16 +259,30 @@
         message.__set_evidence(entries);
         m_peers.send(message, it.owner);
     }
-    for (std::size_t begin = 0; begin < out.lostTargets.size(); begin += maxVerdictsPerMessage) {
+    for (const wire::EdgeMessage &it : verdictMessages(out.lostTargets)) {
+        // Another value than that of the previous broadcast, so that a repetition takes other relays.
+        m_peers.broadcast(it, m_lossBroadcasts++);
+    }
+    for (const LostTargetMessage &it : out.lostTargetMessages) {
+        for (const wire::EdgeMessage &message : verdictMessages(it.lost)) {
+            m_peers.send(message, it.node);
+        }
+    }
+}
+
+std::vector<wire::EdgeMessage> Edge::verdictMessages(const std::vector<LostTarget> &lost) const
+{
+    std::vector<wire::EdgeMessage> messages;
+    for (std::size_t begin = 0; begin < lost.size(); begin += maxVerdictsPerMessage) {
         wire::EdgeMessage message = newMessage(wire::EdgeKind::TargetLost);
         std::vector<wire::EdgeLostTarget> entries;
-        for (std::size_t i = begin; i < std::min(begin + maxVerdictsPerMessage, out.lostTargets.size()); ++i) {
-            entries.push_back(toWire(out.lostTargets[i]));
+        for (std::size_t i = begin; i < std::min(begin + maxVerdictsPerMessage, lost.size()); ++i) {
+            entries.push_back(toWire(lost[i]));
         }
         message.__set_lostTargets(entries);
-        // Another value than that of the previous broadcast, so that a repetition takes other relays.
-        m_peers.broadcast(message, m_lossBroadcasts++);
+        messages.push_back(std::move(message));
     }
+    return messages;
 }
 
 void Edge::onTargetSuspected(const wire::EdgeMessage &message, Time now)
@@ -495,6 +509,9 @@
         send(out, now);
     } else if (const std::optional<FlowNoticeKind> kind = noticeKindFromWire(message.kind)) {
         const FlowNotice notice{*kind, 0, flow, static_cast<std::uint64_t>(message.target)};
+        if (*kind != FlowNoticeKind::Ended) {
+            recordFlowHolder(m_forwarder, notice.target, message.sender, now);
+        }
         ForwardOutput out;
         handleFlowNotice(m_forwarder.dispatcher, m_forwarder.table, notice, now, out);
         send(out, now);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -81,6 +81,7 @@
     void onFlowNotice(const wire::EdgeMessage &message, Time now);
     /// Sends evidence against targets to their owners, and verdicts to all nodes.
     void sendLossMessages(const ForwardOutput &out);
+    std::vector<wire::EdgeMessage> verdictMessages(const std::vector<LostTarget> &lost) const;
     void onTargetSuspected(const wire::EdgeMessage &message, Time now);
     void onTargetLost(const wire::EdgeMessage &message, Time now);
     /// Handles a question for a flow's location, an answer or a report.
