--- a/src/libpimentofold/membership/memberqueries.cpp
+++ b/src/libpimentofold/membership/memberqueries.cpp
@@ -7,13 +7,20 @@
 
 namespace pimentofold {
 
-using memberupdates::isLive;
+namespace {
+
+bool isUsable(const MembershipState &state, const Member &member)
+{
+    return memberupdates::isLive(member) && !isOutOfContact(state, member.dataCentre);
+}
+
+} // namespace
 
 std::vector<Member> liveMembers(const MembershipState &state)
 {
     std::vector<Member> result;
     for (const auto &[id, member] : state.members) {
-        if (isLive(member)) {
+        if (isUsable(state, member)) {
             result.push_back(member);
         }
     }
@@ -22,7 +29,7 @@
 
 std::size_t liveCount(const MembershipState &state)
 {
-    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [](const auto &it) { return isLive(it.second); }));
+    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [&](const auto &it) { return isUsable(state, it.second); }));
 }
 
 Time suspicionTimeout(const MembershipOptions &options, std::size_t members)
@@ -50,7 +57,7 @@
 {
     std::vector<InstanceKey> keys;
     for (const auto &[id, member] : state.members) {
-        if (isLive(member)) {
+        if (isUsable(state, member)) {
             keys.push_back(member.key);
         }
     }
--- a/src/libpimentofold/membership/membership.cpp
+++ b/src/libpimentofold/membership/membership.cpp
@@ -4,10 +4,12 @@
 
 #include <pimentofold/once/once.h>
 
+#include <libpimentofold/membership/datacentrecontact.h>
 #include <libpimentofold/membership/memberupdates.h>
 
 namespace pimentofold {
 
+using namespace datacentrecontact;
 using namespace memberupdates;
 
 namespace {
@@ -176,12 +178,13 @@
 {
     const auto it = state.members.find(state.probe.target);
     state.probe = {};
-    if (it == state.members.end() || isIsolated(state, now)) {
+    if (it == state.members.end() || isIsolated(state, now) || isHeld(state, it->second, now)) {
         return;
     }
     if (it->second.state == State::Alive) {
         ++state.counts.suspicions;
         changeState(state, it->second, State::Suspect, now, out);
+        suspectContact(state, it->second, now);
         sendUpdates(state, it->second, now, out); // gives the member a chance to refute the suspicion
     } else if (it->second.state == State::Leaving) {
         changeState(state, it->second, State::Dead, now, out);
@@ -202,7 +205,7 @@
     }
 }
 
-const Member *nextProbeTarget(MembershipState &state)
+const Member *nextProbeTarget(MembershipState &state, Time now)
 {
     if (state.probeOrder.empty()) {
         refillProbeOrder(state);
@@ -210,7 +213,7 @@
     while (!state.probeOrder.empty()) {
         const auto it = state.members.find(state.probeOrder.back());
         state.probeOrder.pop_back();
-        if (it != state.members.end() && it->second.state != State::Dead) {
+        if (it != state.members.end() && it->second.state != State::Dead && !isHeld(state, it->second, now)) {
             return &it->second;
         }
     }
@@ -220,7 +223,7 @@
 void startProbe(MembershipState &state, Time now, MembershipOutput &out)
 {
     state.nextProbeAt = now + state.options.probeInterval;
-    const Member *target = nextProbeTarget(state);
+    const Member *target = nextProbeTarget(state, now);
     if (target == nullptr) {
         return;
     }
@@ -317,7 +320,8 @@
     for (auto it = state.members.begin(); it != state.members.end();) {
         Member &member = it->second;
         const bool isSelf = it->first == state.self.key.instance;
-        if (isSelf || stateExpiry(state, member, suspicionDuration) > now || (suspicionsOnHold && member.state == State::Suspect)) {
+        const bool onHold = member.state == State::Suspect && (suspicionsOnHold || isHeld(state, member, now));
+        if (isSelf || stateExpiry(state, member, suspicionDuration) > now || onHold) {
             nextEnd = isSelf ? nextEnd : std::min(nextEnd, std::max(stateExpiry(state, member, suspicionDuration), now + 1));
             ++it;
         } else if (member.state == State::Dead) {
@@ -357,6 +361,7 @@
     state.probe = {};
     state.lastHeardAt = now;
     restartSuspicions(state, now);
+    restartContacts(state, now);
 }
 
 void handlePing(MembershipState &state, const wire::PeerMessage &message, const std::string &from, Time now, MembershipOutput &out)
@@ -487,6 +492,7 @@
         restartSuspicions(state, now);
     }
     state.lastHeardAt = now;
+    recordHeard(state, message.sender.instance, now, out);
     bool anyChange = false;
     for (const wire::MemberUpdate &it : message.members) {
         anyChange = mergeUpdate(state, it, now, out) || anyChange;
@@ -505,6 +511,7 @@
 {
     detectPause(state, now);
     expireMemberStates(state, now, out);
+    tickContacts(state, now, out);
     tickProbe(state, now, out);
     tickUrgentUpdates(state, now, out);
     tickCatchUp(state, now, out);
