Ignore stalls from before a restart of their target

The model check of the verdict found a run in which a living target lost its flows: the target falls silent and restarts, and its new process is slow. Callers' retransmissions on flows to the earlier process stall at two nodes, and the nodes report them with the incarnation that the store names by then. No flow has made progress on the new process yet, so the owner declares it lost 350 ms after its start.

Each node now records when it has learned of a target's incarnation. Stalls of flows that are older than that are no evidence, and the owner drops reports of stalls that began before it has learned of the incarnation.

--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -40,6 +40,7 @@
     Time removedAt = 0; ///< when this node learned of the removal; only valid when the target is not registered
     Time drainingSince = never; ///< when this node learned that the target is draining
     Time warmupEndsAt = 0;
+    Time incarnationSeenAt = 0; ///< when this node learned of this incarnation; earlier flows belong to an earlier one
     // Observations from callers' packets.
     int openFlows = 0; ///< open flows on the target that this node knows of as a dispatcher
     int workingFlows = 0; ///< those of openFlows with a request at work
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -33,7 +33,7 @@
     return dataCentre == verdicts.dataCentre || it == verdicts.contacts.end() ? 0 : it->second.since;
 }
 
-/// Evidence older than the last progress says nothing about the target as it is now. Progress since a stall that began before
+/// Evidence older than the last progress or than the target's incarnation says nothing about the target as it is now. Progress since a stall that began before
 /// the contact with the target's data centre may have been missed, and a cut between the reporting node's data centre and this one
 /// explains the stall.
 void dropOutdatedReports(const LossVerdicts &verdicts, SuspectedTarget &suspect, const EdgeTarget &target, Time now)
@@ -44,7 +44,8 @@
             suspect.contradictedAt = now;
         }
         const bool outOfContact = it.since < std::max(contactStart(verdicts, target.record.dataCentre), contactStart(verdicts, it.dataCentre));
-        return contradicted || outOfContact || now - it.receivedAt > verdicts.settings.reportLifetime;
+        const bool earlierIncarnation = it.since < target.incarnationSeenAt;
+        return contradicted || outOfContact || earlierIncarnation || now - it.receivedAt > verdicts.settings.reportLifetime;
     });
 }
 
--- a/src/libpimentofold/targetloss/lossverdict_test.cpp
+++ b/src/libpimentofold/targetloss/lossverdict_test.cpp
@@ -47,6 +47,18 @@
              applyTarget(it.forwarder.table, record, start);
          },
          false},
+        {"stalls from before a restart, reported with the new incarnation",
+         {},
+         [](Owner &it) {
+             TargetRecord record = testdata::makeTarget(judged, 900);
+             record.startedAt = 2;
+             applyTarget(it.forwarder.table, record, start - 100 * millisecond);
+             TargetEvidence evidence = makeEvidence(2, 2);
+             evidence.startedAt = 2;
+             it.report({evidence, 5, "dc1"}, start);
+             it.report({evidence, 6, "dc2"}, start);
+         },
+         false},
         {"a draining target",
          enough,
          [](Owner &it) {
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -224,7 +224,8 @@
         const EdgeTarget *target = findTarget(forwarder.table, id);
         // The owner also learns of progress at other nodes.
         if (target != nullptr) {
-            std::erase_if(stalls.stalls, [&](const FlowStall &it) { return it.since < target->lastProgressAt; });
+            const Time since = std::max(target->lastProgressAt, target->incarnationSeenAt);
+            std::erase_if(stalls.stalls, [&](const FlowStall &it) { return it.since < since; });
         }
         if (!stalls.changed || target == nullptr || now < evidence.nextReportAt[target->owner]) {
             continue;
@@ -362,7 +363,10 @@
     if (keeps) {
         scheduleAcknowledgementCheck(loss, packet, flow);
     }
-    const bool counts = seen.stalled && target.lostSince == never && seen.stall.since > loss.pausedUntil && seen.stall.since >= target.lastProgressAt;
+    // A flow to an earlier incarnation stalls until the target's reset reaches its caller, which says nothing about the present one.
+    const bool isCurrent = flow.startedAt >= target.incarnationSeenAt;
+    const bool counts =
+        seen.stalled && isCurrent && target.lostSince == never && seen.stall.since > loss.pausedUntil && seen.stall.since >= target.lastProgressAt;
     if (counts) {
         recordStall(loss.evidence, target.record.id, seen.stall);
         scheduleTick(loss, now);
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -55,6 +55,7 @@
     target.record = record;
     if (!sameIncarnation) {
         resetObservations(target);
+        target.incarnationSeenAt = now;
     } else if (!target.registered) {
         // The target has written its entry again, so it is alive.
         target.lastProgressAt = now;
@@ -155,6 +156,7 @@
     if (added) {
         target.record = record;
         target.token = tokenOf(record.id);
+        target.incarnationSeenAt = now;
         table.tokens.emplace(target.token, record.id);
         addToService(table, target);
         updateRecord(target, record, now);
