Don't take a request as acknowledged after an early retransmission

A node reads a caller's first packet late when it was paused for less than 250 ms. The retransmission then follows within 150 ms and is taken for a duplicate. The node waited for the next one after 200 ms, but it is due after 400 ms, so the node took the request as acknowledged and the target as alive.

A packet that comes early now counts as the last transmission, and the next one is expected after twice the usual time.

--- a/src/include/pimentofold/targetloss/lossevidence.h
+++ b/src/include/pimentofold/targetloss/lossevidence.h
@@ -18,8 +18,6 @@
 constexpr Time evidenceInterval = 100 * millisecond;
 /// Entries of one evidence message, so that it fits into a datagram.
 constexpr std::size_t maxEvidenceEntries = 24;
-/// Callers repeat data without an acknowledgement after this time. Later, it has been acknowledged.
-constexpr Time firstRetransmissionTime = 200 * millisecond;
 /// Callers' timers may be late by this much.
 constexpr Time retransmissionSlack = 100 * millisecond;
 /// A stall without a further retransmission by this long after the time at which it is due has been acknowledged, or its
--- a/src/libpimentofold/targetloss/lossreset_test.cpp
+++ b/src/libpimentofold/targetloss/lossreset_test.cpp
@@ -91,6 +91,7 @@
     const Row rows[] = {
         {"acknowledged", 0, 0, true},
         {"repeated", 200 * millisecond, 0, false},
+        {"repeated early, since the first packet was late", 120 * millisecond, 0, false},
         {"paused since", 0, 100 * millisecond, false},
     };
     for (const Row &row : rows) {
