--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -61,6 +61,10 @@
     friend auto operator<=>(const ConfigProblem &, const ConfigProblem &) = default;
 };
 
+/// Limits of the numbers in ServiceLimits and TargetRecord, so that sums of them stay in range.
+constexpr Time maxColdTime = 24 * 60 * minute;
+constexpr double maxColdRate = 1e6; ///< openings per second
+
 /// Slow start of a service's targets.
 struct ServiceLimits {
     std::string name;
--- a/src/libpimentofold/balancing/balancing.cpp
+++ b/src/libpimentofold/balancing/balancing.cpp
@@ -208,7 +208,9 @@
 
 bool isValid(const DispatchLoad &load)
 {
-    return load.slots >= 0 && load.working >= 0 && load.waiting >= 0 && load.expectedWait >= 0;
+    constexpr int maxCount = 1'000'000; // sums over the dispatchers of a data centre stay in range
+    const auto isCount = [](int n) { return n >= 0 && n <= maxCount; };
+    return isCount(load.slots) && isCount(load.working) && isCount(load.waiting) && load.expectedWait >= 0 && load.expectedWait <= unusableWait;
 }
 
 } // namespace
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -82,12 +82,19 @@
     result.dataCentre = target.dataCentre;
     result.slots = std::max(target.slots, 1);
     result.state = target.draining ? TargetState::Draining : TargetState::Ready;
-    result.warmup = target.warmup;
+    result.warmup = std::clamp<Time>(target.warmup, 0, maxColdTime);
     result.startedAt = target.startedAt;
     result.revision = target.revision;
     return result;
 }
 
+/// A rate that no configuration can have counts as 0, so that the service's cold targets get no openings above the slack.
+ServiceLimits fromWire(const wire::EdgeService &service)
+{
+    const bool isRate = service.coldRate >= 0 && service.coldRate <= maxColdRate;
+    return {service.name, std::clamp<Time>(service.coldTime, 0, maxColdTime), isRate ? service.coldRate : 0};
+}
+
 /// Splits changes into parts of limited size. Sizes are estimated, since an entry's encoded size isn't known in advance.
 struct PartWriter {
     const StoreChanges &changes;
@@ -161,7 +168,7 @@
     if (part.__isset.services) {
         std::vector<ServiceLimits> &services = changes.config.services ? *changes.config.services : changes.config.services.emplace();
         for (const wire::EdgeService &it : part.services) {
-            services.push_back({it.name, it.coldTime, it.coldRate});
+            services.push_back(fromWire(it));
         }
     }
     for (const wire::EdgeTarget &it : part.targets) {
--- a/src/libpimentofold/mutation_test.cpp
+++ b/src/libpimentofold/mutation_test.cpp
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include <libpimentofold/testmutation.h>
 #include <libpimentofold/testviews.h>
 
 #include "peer_types.h"
@@ -23,35 +24,6 @@
 constexpr int otherMessages = 200'000;
 constexpr WallTime now = 500'000;
 
-/// Applies up to three random mutations: changes, removes, inserts or repeats bytes, or cuts the end off.
-std::string mutate(Random &random, std::string bytes)
-{
-    for (std::uint64_t changes = below(random, 4); changes > 0 && !bytes.empty(); --changes) {
-        const std::size_t at = below(random, bytes.size());
-        switch (below(random, 6)) {
-        case 0:
-            bytes[at] = static_cast<char>(next(random));
-            break;
-        case 1:
-            bytes[at] = static_cast<char>(bytes[at] ^ (1 << below(random, 8)));
-            break;
-        case 2:
-            bytes.resize(at);
-            break;
-        case 3:
-            bytes.insert(at, 1 + below(random, 8), static_cast<char>(next(random)));
-            break;
-        case 4:
-            bytes.erase(at, 1 + below(random, 8));
-            break;
-        default:
-            bytes += bytes.substr(at);
-            break;
-        }
-    }
-    return bytes;
-}
-
 wire::CallerPacket validPacket(Random &random, const View &view, std::size_t service, std::int64_t flow)
 {
     const ViewService &viewService = view.services[service];
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -197,8 +197,6 @@
 
 void addService(EdgeConfig &config, const json &value)
 {
-    constexpr double maxColdTime = 86'400; // seconds
-    constexpr double maxColdRate = 1e6;
     const auto serviceName = value.is_object() ? value.find("name") : value.end();
     if (serviceName == value.end() || !serviceName->is_string()) {
         config.problems.push_back({"", "services has an entry without a name"});
@@ -207,7 +205,8 @@
     ServiceLimits limits;
     limits.name = serviceName->get<std::string>();
     std::vector<std::string> problems;
-    limits.coldTime = static_cast<Time>(serviceNumber(value, "cold_start_s", maxColdTime, problems) * static_cast<double>(second));
+    limits.coldTime =
+        static_cast<Time>(serviceNumber(value, "cold_start_s", static_cast<double>(maxColdTime / second), problems) * static_cast<double>(second));
     limits.coldRate = serviceNumber(value, "cold_per_s", maxColdRate, problems);
     if (!problems.empty()) {
         config.unreadableServices.push_back(limits.name);
