Report the steps of a flow up to the verdict on its target

The report now has the target's verdicts, one line for each step with the node that took it, and the outcome `reset` with the owner and the evidence. Ids of dispatchers are replaced by the names of the nodes. `--flow` also takes both addresses as in the logs. The event target_lost says how many nodes have reported how many stalled flows.

--- a/src/include/pimentofold/targetloss/lossmessages.h
+++ b/src/include/pimentofold/targetloss/lossmessages.h
@@ -66,7 +66,8 @@
     FlowKey flow; ///< only for FlowReset
     ResetReason reason = ResetReason::Idle; ///< only for FlowReset
     std::string dataCentre; ///< only for Unreachable
-    int stalledFlows = 0; ///< only for Suspected
+    int stalledFlows = 0; ///< only for Suspected, Lost and Unreachable
+    int reportingNodes = 0; ///< only for Lost and Unreachable; 0: the target's entry is gone
 };
 
 } // namespace pimentofold
--- a/src/include/pimentofold/targetloss/lossverdict.h
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -109,9 +109,16 @@
     std::function<WorkSummary()> work; ///< requests in progress on the targets that this node owns
 };
 
+/// A new verdict with its evidence.
+struct GivenVerdict {
+    LostTarget lost;
+    int stalledFlows = 0;
+    int reportingNodes = 0; ///< 0: the target's entry is gone, without evidence of nodes
+};
+
 /// A decision of tickVerdicts().
 struct VerdictOutput {
-    std::vector<LostTarget> verdicts; ///< new ones, in force at this node now
+    std::vector<GivenVerdict> verdicts; ///< in force at this node now
     std::vector<LostTarget> broadcast; ///< to be sent to all other nodes now
 };
 
--- a/src/libpimentofold/flowreport.cpp
+++ b/src/libpimentofold/flowreport.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <set>
 
 namespace pimentofold {
@@ -13,21 +14,107 @@
 
 constexpr std::array<std::string_view, 4> nodeEvents{"started", "stopping", "stopped", "paused"};
 
+constexpr std::array<std::string_view, 8> targetEvents{
+    "target_changed", "target_removed", "target_suspected", "target_lost", "target_unreachable", "target_recovered", "target_ejected", "target_returned"};
+
+/// What an event means for a flow. Fields of the event stand in braces.
+struct StepText {
+    std::string_view event;
+    std::string_view text;
+};
+
+constexpr std::array<StepText, 27> stepTexts{{
+    {"packet_early", "received, and kept until the configuration is known"},
+    {"packet_stale", "dropped, since the packet had waited while the node was paused"},
+    {"no_route", "dropped: no route to the address in configuration {config}"},
+    {"flow_relayed", "received, and passed to the dispatcher {node}"},
+    {"flow_waiting", "waits, since no target has room"},
+    {"flow_given_up", "dropped, since no target had room in time"},
+    {"no_target", "not placed: no target takes new flows"},
+    {"flow_refused", "refused {reason}"},
+    {"flow_placed", "placed on target {target}, which had {load} flows at work"},
+    {"flow_offered_again", "offered to target {target}, since the target before gave no answer"},
+    {"flow_opened", "opened at target {target}"},
+    {"flow_location_asked", "received without knowing the flow; other nodes are asked for its target"},
+    {"flow_located", "goes on to target {target}, as another node knew"},
+    {"flow_location_unknown", "goes on by its token, since no other node knew its target"},
+    {"unknown_token", "packet dropped, since its target isn't known"},
+    {"flow_ended", "ended by the caller, at target {target}"},
+    {"flow_reset", "reset, since target {target} is lost ({reason})"},
+    {"target_changed", "target {target} has changed: {state}"},
+    {"target_removed", "the entry of target {target} is gone"},
+    {"target_suspected", "target {target} is suspected: {stalled_flows} stalled flows"},
+    {"target_lost", "target {target} is declared lost: {stalled_flows} stalled flows, reported by {reporting_nodes} nodes"},
+    {"target_unreachable", "target {target} is out of reach from data centre {unreachable_from}"},
+    {"target_recovered", "target {target} makes progress again; the verdict is withdrawn"},
+    {"target_ejected", "target {target} gets no new flows: {reason}"},
+    {"target_returned", "target {target} gets new flows again"},
+    {"started", "the node has started"},
+    {"paused", "the node was paused for {length_us} us"},
+}};
+
 std::string_view fieldOf(const TimelineEvent &event, std::string_view name)
 {
     const auto it = std::ranges::find_if(event.fields, [&](const auto &field) { return field.first == name; });
     return it == event.fields.end() ? std::string_view() : std::string_view(it->second);
 }
 
-bool belongsToFlow(const TimelineEvent &event, std::string_view caller)
+bool belongsToFlow(const TimelineEvent &event, std::string_view id)
 {
     const std::string_view flow = fieldOf(event, "flow");
-    return flow.size() > caller.size() && flow.starts_with(caller) && flow[caller.size()] == '>';
+    return flow == id || (flow.size() > id.size() && flow.starts_with(id) && flow[id.size()] == '>');
 }
 
 bool isTargetEvent(const TimelineEvent &event)
 {
-    return event.event == "target_changed" || event.event == "target_removed";
+    return std::ranges::find(targetEvents, event.event) != targetEvents.end();
+}
+
+std::string toHex(std::uint64_t number)
+{
+    std::array<char, 16> buf{};
+    const auto result = std::to_chars(buf.data(), buf.data() + buf.size(), number, 16);
+    return {buf.data(), result.ptr};
+}
+
+/// @return the name of the node with this id, or the id itself
+std::string nodeName(const Timeline &flow, std::string_view id)
+{
+    const auto it = std::ranges::find_if(flow.events, [&](const TimelineEvent &event) { return toHex(static_cast<std::uint64_t>(idOf(event.node))) == id; });
+    return it == flow.events.end() ? std::string(id) : it->node;
+}
+
+/// Replaces the names in braces by the event's fields.
+std::string fillIn(std::string_view text, const TimelineEvent &event, const Timeline &flow)
+{
+    std::string result;
+    while (!text.empty()) {
+        const std::size_t open = std::min(text.find('{'), text.size());
+        result += text.substr(0, open);
+        text.remove_prefix(open);
+        if (const std::size_t close = text.find('}'); close != std::string_view::npos) {
+            const std::string_view key = text.substr(1, close - 1);
+            const std::string_view value = fieldOf(event, key);
+            result += key == "node" ? nodeName(flow, value) : std::string(value);
+            text.remove_prefix(close + 1);
+        }
+    }
+    while (result.ends_with(' ')) {
+        result.pop_back();
+    }
+    return result;
+}
+
+/// @return the verdict that led to the reset of a flow; nullptr when its line is missing
+const TimelineEvent *verdictBefore(const Timeline &flow, const TimelineEvent &reset)
+{
+    const TimelineEvent *found = nullptr;
+    for (const TimelineEvent &it : flow.events) {
+        if (it.event == "target_lost" && fieldOf(it, "target") == fieldOf(reset, "target") && it.hlc <= reset.hlc) {
+            found = &it;
+        }
+    }
+    return found;
 }
 
 const TimelineEvent *findEvent(const Timeline &flow, std::string_view name)
@@ -42,6 +129,22 @@
     return std::to_string(std::max<WallTime>(to.time - from.time, 0)) + " ms";
 }
 
+std::string resetOutcome(const Timeline &flow, const TimelineEvent &reset)
+{
+    const std::string target(fieldOf(reset, "target"));
+    std::string text = "reset by " + reset.node + ": target " + target + " was declared lost";
+    if (const TimelineEvent *verdict = verdictBefore(flow, reset)) {
+        text += " by " + verdict->node + " " + elapsedBetween(*verdict, reset) + " before";
+        const std::string_view nodes = fieldOf(*verdict, "reporting_nodes");
+        if (nodes == "0") {
+            text += ", since its entry was gone";
+        } else if (!nodes.empty()) {
+            text += ", on " + std::string(fieldOf(*verdict, "stalled_flows")) + " stalled flows that " + std::string(nodes) + " nodes had reported";
+        }
+    }
+    return text + (fieldOf(reset, "reason") == "idle" ? "; no request was in progress" : "; the request may have run");
+}
+
 std::string unendedOutcome(const Timeline &flow, const TimelineEvent &opened)
 {
     const std::string target(fieldOf(opened, "target"));
@@ -72,13 +175,13 @@
 
 } // namespace
 
-Timeline eventsOfFlow(const Timeline &timeline, std::string_view caller)
+Timeline eventsOfFlow(const Timeline &timeline, std::string_view id)
 {
     std::set<std::string_view> targets;
     WallTime first = 0;
     WallTime last = 0;
     for (const TimelineEvent &it : timeline.events) {
-        if (belongsToFlow(it, caller)) {
+        if (belongsToFlow(it, id)) {
             first = first == 0 ? it.time : std::min(first, it.time);
             last = std::max(last, it.time);
             targets.insert(fieldOf(it, "target"));
@@ -89,17 +192,33 @@
         const bool near = last > 0 && it.time >= first - contextWindowMs && it.time <= last + contextWindowMs;
         const bool ofTarget = isTargetEvent(it) && targets.contains(fieldOf(it, "target"));
         const bool ofNode = std::ranges::find(nodeEvents, it.event) != nodeEvents.end();
-        if (belongsToFlow(it, caller) || (near && (ofTarget || ofNode))) {
+        if (belongsToFlow(it, id) || (near && (ofTarget || ofNode))) {
             flow.events.push_back(it);
         }
     }
     return flow;
 }
 
+std::vector<std::string> flowSteps(const Timeline &flow)
+{
+    std::vector<std::string> steps;
+    for (const TimelineEvent &it : flow.events) {
+        const auto text = std::ranges::find(stepTexts, it.event, &StepText::event);
+        if (text != stepTexts.end()) {
+            steps.push_back(elapsedBetween(flow.events.front(), it) + " " + it.node + ": " + fillIn(text->text, it, flow));
+        }
+    }
+    return steps;
+}
+
 std::string flowOutcome(const Timeline &flow)
 {
-    if (findEvent(flow, "flow_refused") != nullptr) {
-        return "refused: no target of the service takes new flows; the request hasn't run";
+    if (const TimelineEvent *reset = findEvent(flow, "flow_reset")) {
+        return resetOutcome(flow, *reset);
+    }
+    if (const TimelineEvent *refused = findEvent(flow, "flow_refused")) {
+        const std::string reason(fieldOf(*refused, "reason"));
+        return "refused: " + (reason.empty() ? "no target of the service takes new flows" : reason) + "; the request hasn't run";
     }
     if (findEvent(flow, "no_route") != nullptr) {
         return "dropped: the configuration has no route for the address; the request hasn't run";
--- a/src/libpimentofold/flowreport_test.cpp
+++ b/src/libpimentofold/flowreport_test.cpp
@@ -71,3 +71,50 @@
     CHECK(flowOutcome(parseTimeline({placed, again, opened, ended}))
           == "ended at target i-2 after an earlier target had given no answer; from the first offer to the end 29 ms");
 }
+
+// Guards against a failed request whose cause can't be found: from its flow the steps have to lead to the verdict on its target and to
+// the evidence, whichever nodes have logged them. The lines have the fields that edge nodes log.
+TEST_CASE("the steps of a flow lead to the verdict on its target")
+{
+    const Timeline all = parseTimeline({
+        "time=1000 hlc=10 node=dc1-e1 event=flow_relayed flow=100.66.0.14:1372>198.18.0.1:8443 target=none attempts=1 node=e22a04c1e0922e4b config=2",
+        "time=1001 hlc=11 node=dc1-e2 event=flow_placed flow=100.66.0.14:1372>198.18.0.1:8443 target=i-1 attempts=1 load=3 node=0",
+        "time=1003 hlc=12 node=dc1-e1 event=flow_opened flow=100.66.0.14:1372>198.18.0.1:8443 target=i-1 attempts=1 node=0",
+        "time=5250 hlc=20 node=dc1-e3 event=target_suspected target=i-1 flow=none reason=none stalled_flows=1 reporting_nodes=0",
+        "time=5260 hlc=21 node=dc1-e3 event=target_suspected target=i-2 flow=none reason=none stalled_flows=1 reporting_nodes=0",
+        "time=5700 hlc=22 node=dc1-e3 event=target_lost target=i-1 flow=none reason=none stalled_flows=4 reporting_nodes=2",
+        "time=5752 hlc=23 node=dc1-e1 event=flow_reset target=i-1 flow=100.66.0.14:1372>198.18.0.1:8443 reason=working stalled_flows=0 reporting_nodes=0",
+        "time=5800 hlc=24 node=dc1-e1 event=flow_reset target=i-1 flow=100.66.0.14:1373>198.18.0.1:8443 reason=idle stalled_flows=0 reporting_nodes=0",
+        "time=9000 hlc=30 node=dc1-e3 event=target_lost target=i-3 flow=none reason=none stalled_flows=0 reporting_nodes=0",
+        "time=9300 hlc=31 node=dc1-e1 event=flow_reset target=i-3 flow=100.66.0.14:1374>198.18.0.1:8443 reason=idle stalled_flows=0 reporting_nodes=0",
+        "time=9400 hlc=32 node=dc1-e2 event=flow_refused flow=100.66.0.14:1375>198.18.0.1:8443 target=none reason=no_time",
+    });
+    REQUIRE(all.brokenLines == 0);
+    const std::vector<std::string> expected{
+        "0 ms dc1-e1: received, and passed to the dispatcher dc1-e2",
+        "1 ms dc1-e2: placed on target i-1, which had 3 flows at work",
+        "3 ms dc1-e1: opened at target i-1",
+        "4250 ms dc1-e3: target i-1 is suspected: 1 stalled flows",
+        "4700 ms dc1-e3: target i-1 is declared lost: 4 stalled flows, reported by 2 nodes",
+        "4752 ms dc1-e1: reset, since target i-1 is lost (working)",
+    };
+    CHECK(flowSteps(eventsOfFlow(all, "100.66.0.14:1372>198.18.0.1:8443")) == expected);
+    CHECK(flowSteps(eventsOfFlow(all, "100.66.0.14:1372")) == expected);
+    CHECK(eventsOfFlow(all, "100.66.0.14:1372>198.18.0.1:844").events.empty());
+    struct Row {
+        const char *id;
+        const char *outcome;
+    };
+    const Row rows[] = {
+        {"100.66.0.14:1372",
+         "reset by dc1-e1: target i-1 was declared lost by dc1-e3 52 ms before, on 4 stalled flows that 2 nodes had reported; the request may have run"},
+        {"100.66.0.14:1373",
+         "reset by dc1-e1: target i-1 was declared lost by dc1-e3 100 ms before, on 4 stalled flows that 2 nodes had reported; no request was in progress"},
+        {"100.66.0.14:1374", "reset by dc1-e1: target i-3 was declared lost by dc1-e3 300 ms before, since its entry was gone; no request was in progress"},
+        {"100.66.0.14:1375", "refused: no_time; the request hasn't run"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.id);
+        CHECK(flowOutcome(eventsOfFlow(all, row.id)) == row.outcome);
+    }
+}
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -213,9 +213,10 @@
     return now - suspect.conditionsSince >= verdicts.settings.settleTime;
 }
 
-void announce(LossVerdicts &verdicts, const LostTarget &lost, VerdictOutput &out, Time now)
+/// @param evidence without reports when the target's entry is gone
+void announce(LossVerdicts &verdicts, const LostTarget &lost, const SuspectedTarget &evidence, VerdictOutput &out, Time now)
 {
-    out.verdicts.push_back(lost);
+    out.verdicts.push_back({lost, stalledFlowsOf(evidence), static_cast<int>(evidence.reports.size())});
     verdicts.pending.push_back({lost, now + verdicts.settings.verdictJoinTime, false});
 }
 
@@ -251,11 +252,11 @@
         if (lost) {
             target->lostSince = now;
             verdicts.lostStallsSince[id] = std::ranges::min_element(suspect.reports, {}, &LossReport::since)->since;
-            announce(verdicts, makeVerdict(*target, ""), out, now);
+            announce(verdicts, makeVerdict(*target, ""), suspect, out, now);
             suspect.reports.clear();
         } else {
             suspect.unreachableUntil = now + verdicts.settings.recoveryHold;
-            announce(verdicts, makeVerdict(*target, *from), out, now);
+            announce(verdicts, makeVerdict(*target, *from), suspect, out, now);
         }
     }
     std::erase_if(verdicts.suspected,
@@ -280,7 +281,7 @@
             && isInContact(verdicts, dataCentre, now - verdicts.settings.removalProofTime, now) && !isMostlySuspected(verdicts, table, dataCentre, now)) {
             target->lostSince = now;
             verdicts.lostStallsSince[id] = target->removedAt;
-            announce(verdicts, makeVerdict(*target, ""), out, now);
+            announce(verdicts, makeVerdict(*target, ""), {}, out, now);
         }
     }
 }
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -275,9 +275,12 @@
                                  }};
     VerdictOutput decided = tickVerdicts(loss.verdicts, forwarder.table, queries, now);
     std::set<std::uint64_t> targets;
-    for (const LostTarget &it : decided.verdicts) {
+    for (const GivenVerdict &given : decided.verdicts) {
+        const LostTarget &it = given.lost;
         LossEventRecord event = makeEvent(it.dataCentre.empty() ? LossEvent::Lost : LossEvent::Unreachable, it.target);
         event.dataCentre = it.dataCentre;
+        event.stalledFlows = given.stalledFlows;
+        event.reportingNodes = given.reportingNodes;
         out.lossEvents.push_back(std::move(event));
         if (it.dataCentre.empty()) {
             EdgeTarget &target = *findTarget(forwarder.table, it.target);
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -68,6 +68,7 @@
               {"data_centre", target == nullptr ? "" : target->record.dataCentre},
               {"unreachable_from", note.dataCentre},
               {"stalled_flows", note.stalledFlows},
+              {"reporting_nodes", note.reportingNodes},
               {"registered", target != nullptr && target->registered ? 1 : 0},
               {"held_back", takeHeldCount(budget, event)}});
 }
--- a/src/pimentofoldctl/commandline_test.cpp
+++ b/src/pimentofoldctl/commandline_test.cpp
@@ -1,7 +1,11 @@
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 
 #include <doctest/doctest.h>
 
+#include <pimentofold/eventlog.h>
+
 #include <pimentofoldctl/difference.h>
 #include <pimentofoldctl/objectfile.h>
 #include <pimentofoldctl/options.h>
@@ -49,6 +53,8 @@
         {{"apply", "--platform", platform, "--deadline-ms", "0", "x.json"}, 2, "--deadline-ms"},
         {{"list", "--platform", platform, "--flow", "100.66.0.14:1372"}, 2, "--flow"},
         {{"timeline", "--flow", "100.66.0.14", "x.log"}, 2, "--flow"},
+        {{"timeline", "--flow", "100.66.0.14:1372>198.18.0.1", "x.log"}, 2, "--flow"},
+        {{"timeline", "--flow", "100.66.0.14:1372>198.18.0.1:443", "/nonexistent/x.log"}, 1, "readable file"},
         {{"apply", "--platfrm", platform, "x.json"}, 2, "--platfrm"},
         {{"get", "team", "a", "--platform", platform, "--wait"}, 2, "--wait: not an option of 'get'"},
         {{"get", "team", "a", "--platform", platform, "--reason", "x"}, 2, "--reason"},
@@ -125,3 +131,18 @@
     CHECK(toText(difference("keys", json(), keys)).find("abcdef") == std::string::npos);
     CHECK(withoutSecrets("keys", {{"secret", "abcdef"}}).is_null());
 }
+
+// Guards against a failed request whose cause the command doesn't name: the log lines of a lost target are replayed.
+TEST_CASE("the command follows a flow to the verdict on its target")
+{
+    const std::filesystem::path file = std::filesystem::temp_directory_path() / ("flow-" + std::to_string(wallNow()) + ".log");
+    std::ofstream(file) << "time=1001 hlc=11 node=dc1-e2 event=flow_placed flow=100.66.0.14:1372>198.18.0.1:8443 target=i-1 load=3\n"
+                           "time=5700 hlc=22 node=dc1-e3 event=target_lost target=i-1 flow=none reason=none stalled_flows=4 reporting_nodes=2\n"
+                           "time=5752 hlc=23 node=dc1-e1 event=flow_reset target=i-1 flow=100.66.0.14:1372>198.18.0.1:8443 reason=working\n";
+    std::ostringstream out;
+    CHECK(runProgram({"timeline", "--flow", "100.66.0.14:1372>198.18.0.1:8443", file.string()}, "9.9", out, out) == 0);
+    for (const char *it : {"0 ms dc1-e2: placed on target i-1", "declared lost: 4 stalled flows, reported by 2 nodes", "reset by dc1-e1: target i-1"}) {
+        CHECK_MESSAGE(out.str().find(it) != std::string::npos, it);
+    }
+    std::filesystem::remove(file);
+}
--- a/src/pimentofoldctl/options.cpp
+++ b/src/pimentofoldctl/options.cpp
@@ -74,7 +74,13 @@
         "", "if-version", "write only if this version is the current one; 0: the object must not exist", false, -1, "N", command};
     TCLAP::ValueArg<std::string> reason{"", "reason", "reason of a drain", false, "", "TEXT", command};
     TCLAP::ValueArg<std::string> html{"", "html", "write the timeline to this file as an HTML page", false, "", "FILE", command};
-    TCLAP::ValueArg<std::string> flow{"", "flow", "show only the events of this caller's flow, and its outcome", false, "", "IP:PORT", command};
+    TCLAP::ValueArg<std::string> flow{"",
+                                      "flow",
+                                      "show only the events of this flow, its steps and its outcome; the caller's address, or both as in the logs",
+                                      false,
+                                      "",
+                                      "IP:PORT[>IP:PORT]",
+                                      command};
     TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "operands of the command", false, "operand", command};
 };
 
@@ -122,6 +128,13 @@
     }
 }
 
+/// @return whether the text is a caller's address, or a caller's and a service's with ">" between them
+bool isFlow(const std::string &text)
+{
+    const std::size_t at = text.find('>');
+    return isAddress(text.substr(0, at)) && (at == std::string::npos || isAddress(text.substr(at + 1)));
+}
+
 /// Rejects options that have no effect on the command, so that they aren't ignored silently.
 void checkApplicable(const Options &options, const CommandSyntax &syntax)
 {
@@ -131,8 +144,9 @@
     rejectOption(!options.reason.empty() && syntax.name != "drain", "--reason", syntax);
     rejectOption(!options.html.empty() && syntax.name != "timeline", "--html", syntax);
     rejectOption(!options.flow.empty() && syntax.name != "timeline", "--flow", syntax);
-    if (!options.flow.empty() && !isAddress(options.flow)) {
-        throw UsageError("--flow: expected the caller's IPv4 address and port, such as 100.66.0.14:1372");
+    if (!options.flow.empty() && !isFlow(options.flow)) {
+        throw UsageError("--flow: expected the caller's IPv4 address and port, such as 100.66.0.14:1372, or the flow, such as "
+                         "100.66.0.14:1372>198.18.0.1:8443");
     }
     for (const std::string &it : options.operands) {
         // TCLAP parses unknown options as operands.
--- a/src/pimentofoldctl/queries.cpp
+++ b/src/pimentofoldctl/queries.cpp
@@ -257,10 +257,15 @@
     const std::size_t brokenLines = timeline.brokenLines;
     if (!context.options.flow.empty()) {
         timeline = eventsOfFlow(timeline, context.options.flow);
-        report.text = flowOutcome(timeline) + "\n";
+        report.text = "\n";
+        for (const std::string &it : flowSteps(timeline)) {
+            report.text += it + "\n";
+        }
+        report.text += "\n" + flowOutcome(timeline) + "\n";
     }
     report.data = {{"events", timeline.events.size()}, {"processes", processNames(timeline).size()}, {"brokenLines", brokenLines}};
     if (!context.options.flow.empty()) {
+        report.data["steps"] = flowSteps(timeline);
         report.data["outcome"] = flowOutcome(timeline);
     }
     if (!context.options.html.empty()) {
