--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -224,7 +224,8 @@
         const EdgeTarget *target = findTarget(forwarder.table, id);
         // The owner also learns of progress at other nodes.
         if (target != nullptr) {
-            std::erase_if(stalls.stalls, [&](const FlowStall &it) { return it.since < target->lastProgressAt; });
+            const Time since = std::max(target->lastProgressAt, target->incarnationSeenAt);
+            std::erase_if(stalls.stalls, [&](const FlowStall &it) { return it.since < since; });
         }
         if (!stalls.changed || target == nullptr || now < evidence.nextReportAt[target->owner]) {
             continue;
@@ -274,9 +275,12 @@
                                  }};
     VerdictOutput decided = tickVerdicts(loss.verdicts, forwarder.table, queries, now);
     std::set<std::uint64_t> targets;
-    for (const LostTarget &it : decided.verdicts) {
+    for (const GivenVerdict &given : decided.verdicts) {
+        const LostTarget &it = given.lost;
         LossEventRecord event = makeEvent(it.dataCentre.empty() ? LossEvent::Lost : LossEvent::Unreachable, it.target);
         event.dataCentre = it.dataCentre;
+        event.stalledFlows = given.stalledFlows;
+        event.reportingNodes = given.reportingNodes;
         out.lossEvents.push_back(std::move(event));
         if (it.dataCentre.empty()) {
             EdgeTarget &target = *findTarget(forwarder.table, it.target);
@@ -381,7 +385,10 @@
     if (keeps) {
         scheduleAcknowledgementCheck(loss, packet, flow);
     }
-    const bool counts = seen.stalled && target.lostSince == never && seen.stall.since > loss.pausedUntil && seen.stall.since >= target.lastProgressAt;
+    // A flow to an earlier incarnation stalls until the target's reset reaches its caller, which says nothing about the present one.
+    const bool isCurrent = flow.startedAt >= target.incarnationSeenAt;
+    const bool counts =
+        seen.stalled && isCurrent && target.lostSince == never && seen.stall.since > loss.pausedUntil && seen.stall.since >= target.lastProgressAt;
     if (counts) {
         recordStall(loss.evidence, target.record.id, seen.stall);
         scheduleTick(loss, now);
