Use one limit for the cold time of a service

After the merges, platform::maxColdTime (seconds) hid pimentofold::maxColdTime (microseconds), so that the node refused cold times above 0.09 s. The test of corrupted configurations failed on it; it is the check that found the fault.

--- a/src/libpimentofold/edgemutation_test.cpp
+++ b/src/libpimentofold/edgemutation_test.cpp
@@ -10,7 +10,7 @@
 #include <pimentofold/codec.h>
 #include <pimentofold/edgecodec.h>
 #include <pimentofold/reachability/reachability.h>
-#include <pimentofold/storereplication.h>
+#include <pimentofold/replication/storereplication.h>
 #include <pimentofold/targetloss/targetloss.h>
 
 using namespace pimentofold;
--- a/src/platform/configlimits.h
+++ b/src/platform/configlimits.h
@@ -2,12 +2,13 @@
 
 #include <cstdint>
 
+#include <pimentofold/edgeconfig.h>
+
 /// Largest values that the fields of a configuration may have.
 namespace pimentofold::platform {
 
 constexpr std::int64_t maxMilliseconds = 86'400'000;
 constexpr int maxUrgency = 1000;
-constexpr double maxColdTime = 86'400; ///< seconds
-constexpr double maxColdRate = 1e6; ///< openings per second
+constexpr double maxColdSeconds = static_cast<double>(maxColdTime / second);
 
 } // namespace pimentofold::platform
--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -37,7 +37,7 @@
 constexpr NumberRule priorityRule{"priority", maxUrgency};
 constexpr NumberRule attemptsRule{"max_attempts", maxCount};
 constexpr NumberRule connectionsRule{"max_conns", maxCount};
-constexpr NumberRule coldTimeRule{"cold_start_s", maxColdTime, false};
+constexpr NumberRule coldTimeRule{"cold_start_s", maxColdSeconds, false};
 constexpr NumberRule coldRateRule{"cold_per_s", maxColdRate, false};
 
 /// 2^53: doubles up to here represent each integer.
