--- a/src/libpimentofold/balancing/dispatcherranking.cpp
+++ b/src/libpimentofold/balancing/dispatcherranking.cpp
@@ -5,166 +5,16 @@
 #include <unordered_set>
 #include <utility>
 
-namespace pimentofold {
+#include <libpimentofold/balancing/rankedlists.h>
 
-namespace {
+namespace pimentofold {
 
-/// A list is computed anew when more than this share of it changes at once; below, each change costs a binary search.
-constexpr std::size_t bulkShare = 8;
+using namespace rankedlists;
 
-/// Members that became candidates and that are none any more.
-struct CandidateChange {
-    std::vector<NodeIndex> added;
-    std::vector<NodeIndex> removed;
-};
+namespace {
 
 using NodeSet = std::unordered_set<NodeIndex>;
 
-std::uint64_t rankOf(DispatcherRanking &ranking, std::uint64_t key, NodeIndex node)
-{
-    ++ranking.counts.hashes;
-    return rendezvousRank(static_cast<Id>(key), ranking.nodes[node].key);
-}
-
-// Candidates
-
-bool isOlder(DispatcherRanking &ranking, NodeIndex a, NodeIndex b)
-{
-    ++ranking.counts.comparisons;
-    const InstanceKey &first = ranking.nodes[a].key;
-    const InstanceKey &other = ranking.nodes[b].key;
-    return first.incarnation != other.incarnation ? first.incarnation < other.incarnation : first.instance < other.instance;
-}
-
-std::size_t positionByAge(DispatcherRanking &ranking, const CandidateList &list, NodeIndex node)
-{
-    const auto it = std::ranges::lower_bound(list.byAge, node, [&](NodeIndex a, NodeIndex b) { return isOlder(ranking, a, b); });
-    return static_cast<std::size_t>(it - list.byAge.begin());
-}
-
-std::size_t countCandidates(DispatcherRanking &ranking, const CandidateList &list)
-{
-    return candidateCount(list.byAge.size(), [&](std::size_t position) {
-        ++ranking.counts.comparisons;
-        return ranking.nodes[list.byAge[position]].key.incarnation;
-    });
-}
-
-/// @return the candidates among the removed members
-std::vector<NodeIndex> removeByAge(DispatcherRanking &ranking, CandidateList &list, const std::vector<NodeIndex> &removed)
-{
-    std::vector<NodeIndex> candidates;
-    const auto begin = list.byAge.begin();
-    if (removed.size() * bulkShare > list.byAge.size()) {
-        const NodeSet gone(removed.begin(), removed.end());
-        ranking.counts.visits += static_cast<std::int64_t>(list.byAge.size());
-        std::copy_if(begin, begin + static_cast<std::ptrdiff_t>(list.count), std::back_inserter(candidates), [&](NodeIndex it) { return gone.contains(it); });
-        std::erase_if(list.byAge, [&](NodeIndex it) { return gone.contains(it); });
-        list.count -= candidates.size();
-        return candidates;
-    }
-    for (const NodeIndex it : removed) {
-        const std::size_t position = positionByAge(ranking, list, it);
-        list.byAge.erase(list.byAge.begin() + static_cast<std::ptrdiff_t>(position));
-        if (position < list.count) {
-            --list.count;
-            candidates.push_back(it);
-        }
-    }
-    return candidates;
-}
-
-/// Applies a change of the members to a list. The candidates are the first members by age, so that only those on either side
-/// of the previous limit can change.
-CandidateChange updateCandidates(DispatcherRanking &ranking, CandidateList &list, const std::vector<NodeIndex> &added, const std::vector<NodeIndex> &removed)
-{
-    std::map<NodeIndex, int> changes;
-    for (const NodeIndex it : removeByAge(ranking, list, removed)) {
-        --changes[it];
-    }
-    for (const NodeIndex it : added) {
-        const std::size_t position = positionByAge(ranking, list, it);
-        list.byAge.insert(list.byAge.begin() + static_cast<std::ptrdiff_t>(position), it);
-        if (position < list.count) {
-            ++list.count;
-            ++changes[it];
-        }
-    }
-    const std::size_t count = countCandidates(ranking, list);
-    for (std::size_t i = list.count; i < count; ++i) {
-        ++changes[list.byAge[i]];
-    }
-    for (std::size_t i = count; i < list.count; ++i) {
-        --changes[list.byAge[i]];
-    }
-    list.count = count;
-    CandidateChange result;
-    for (const auto &[node, change] : changes) {
-        if (change != 0) {
-            (change > 0 ? result.added : result.removed).push_back(node);
-        }
-    }
-    return result;
-}
-
-// Ranked lists
-
-/// A member with its rank for a service.
-struct RankedIndex {
-    std::uint64_t rank = 0;
-    NodeIndex node = noNode;
-};
-
-bool precedes(DispatcherRanking &ranking, const RankedIndex &a, const RankedIndex &b)
-{
-    ++ranking.counts.comparisons;
-    return a.rank != b.rank ? a.rank > b.rank : ranking.nodes[a.node].key.instance < ranking.nodes[b.node].key.instance;
-}
-
-std::vector<NodeIndex>::iterator positionByRank(DispatcherRanking &ranking, Id service, std::vector<NodeIndex> &ranked, NodeIndex node)
-{
-    const auto key = static_cast<std::uint64_t>(service);
-    const RankedIndex wanted{rankOf(ranking, key, node), node};
-    const auto isBefore = [&](const RankedIndex &a, const RankedIndex &b) { return precedes(ranking, a, b); };
-    return std::ranges::lower_bound(ranked, wanted, isBefore, [&](NodeIndex it) { return RankedIndex{rankOf(ranking, key, it), it}; });
-}
-
-void sortByRank(DispatcherRanking &ranking, Id service, std::vector<NodeIndex> &ranked)
-{
-    std::vector<RankedIndex> byRank;
-    byRank.reserve(ranked.size());
-    for (const NodeIndex it : ranked) {
-        byRank.push_back({rankOf(ranking, static_cast<std::uint64_t>(service), it), it});
-    }
-    std::ranges::sort(byRank, [&](const RankedIndex &a, const RankedIndex &b) { return precedes(ranking, a, b); });
-    std::ranges::transform(byRank, ranked.begin(), &RankedIndex::node);
-}
-
-void removeRanked(DispatcherRanking &ranking, Id service, std::vector<NodeIndex> &ranked, const std::vector<NodeIndex> &removed)
-{
-    if (removed.size() * bulkShare > ranked.size()) {
-        const NodeSet gone(removed.begin(), removed.end());
-        ranking.counts.visits += static_cast<std::int64_t>(ranked.size());
-        std::erase_if(ranked, [&](NodeIndex it) { return gone.contains(it); });
-        return;
-    }
-    for (const NodeIndex it : removed) {
-        ranked.erase(positionByRank(ranking, service, ranked, it));
-    }
-}
-
-void addRanked(DispatcherRanking &ranking, Id service, std::vector<NodeIndex> &ranked, const std::vector<NodeIndex> &added)
-{
-    if (added.size() * bulkShare > ranked.size()) {
-        ranked.insert(ranked.end(), added.begin(), added.end());
-        sortByRank(ranking, service, ranked);
-        return;
-    }
-    for (const NodeIndex it : added) {
-        ranked.insert(positionByRank(ranking, service, ranked, it), it);
-    }
-}
-
 void markChanged(DispatcherRanking &ranking, const std::string &name, ServiceRanking &service)
 {
     if (!service.changed) {
@@ -173,12 +23,6 @@
     }
 }
 
-void applyChange(DispatcherRanking &ranking, Id service, DispatcherGroup &group, const CandidateChange &change)
-{
-    removeRanked(ranking, service, group.ranked, change.removed);
-    addRanked(ranking, service, group.ranked, change.added);
-}
-
 /// @param dataCentre of the list; nullptr: list of all members
 void updateServices(DispatcherRanking &ranking, const std::string *dataCentre, const CandidateChange &change)
 {
@@ -187,13 +31,13 @@
     }
     for (auto &[name, service] : ranking.services) {
         if (dataCentre == nullptr) {
-            applyChange(ranking, service.key, service.shared, change);
+            applyChange(ranking, service.key, service.shared.ranked, change);
             markChanged(ranking, name, service);
             continue;
         }
         const auto group = service.local.find(*dataCentre);
         if (group != service.local.end()) {
-            applyChange(ranking, service.key, group->second, change);
+            applyChange(ranking, service.key, group->second.ranked, change);
         }
         if (service.dataCentres.contains(*dataCentre)) {
             markChanged(ranking, name, service);
