Keep the timeout of routes, and let refusals carry a reason

The admission queue has to know how long the callers of a route wait, but timeout_ms was dropped when a configuration was decoded, and the message Refused didn't say why.

EdgeRoute::timeout is decoded from timeout_ms and replicated in an optional field of the wire struct. EdgeMessage gets the optional field refusalReason.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -18,7 +18,7 @@
   Locate = 13,   // asks the flow's dispatcher which target has the flow
   Located = 14,  // answers a Locate
   DispatchLoad = 15, // load of the sender's data centre, for the dispatchers of other data centres
-  Refused = 16   // no target may get the flow: the node that asked for its placement refuses it
+  Refused = 16   // no target may or can get the flow in time: the node that asked for its placement refuses it
 }
 
 struct EdgeShare {
@@ -34,6 +34,7 @@
   5: i8 kind
   6: i32 urgency
   7: i64 aim              // microseconds
+  8: optional i64 timeout // microseconds until callers give a request up
 }
 
 struct EdgeEndpoint {
@@ -146,4 +147,5 @@
   18: optional list<EdgeLostTarget> lostTargets  // TargetLost
   19: optional list<EdgeDispatchLoad> loads  // DispatchLoad
   20: i64 evacuationsKnown = 0    // Beat, Fetch: revision of the store up to which the sender knows the evacuations
+  21: optional i8 refusalReason   // Refused: why, as numbered in RefusalReason
 }
--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -47,6 +47,7 @@
     RouteType type = RouteType::Safe;
     int urgency = 0; ///< priority of waiting flows: 0 is the most urgent
     Time responseTimeGoal = 0; ///< response time that callers expect; 0: the route sets no goal
+    Time timeout = 0; ///< callers give a request up after this time; 0: not known
 
     friend bool operator==(const EdgeRoute &, const EdgeRoute &) = default;
 };
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -23,6 +23,9 @@
     result.kind = static_cast<std::int8_t>(route.type);
     result.urgency = route.urgency;
     result.aim = route.responseTimeGoal;
+    if (route.timeout > 0) {
+        result.__set_timeout(route.timeout);
+    }
     return result;
 }
 
@@ -52,6 +55,7 @@
     result.type = routeTypeFromWire(route.kind);
     result.urgency = route.urgency;
     result.responseTimeGoal = route.aim;
+    result.timeout = std::max<Time>(route.timeout, 0);
     return result;
 }
 
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -141,6 +141,7 @@
     constexpr int maxUrgency = 1000;
     route.urgency = static_cast<int>(optionalField(value, "priority", maxUrgency, problems));
     route.responseTimeGoal = optionalField(value, "aim_ms", maxMilliseconds, problems) * millisecond;
+    route.timeout = optionalField(value, "timeout_ms", maxMilliseconds, problems) * millisecond;
     return route;
 }
 
