Add the admission queue of the dispatcher

Waiting flows were one list. Its order let one route or data centre take all room, one flow without room held up the flows of other services, and at its limit the newest flow was dropped.

queueing/ keeps the waiting flows. With fair queueing they are grouped by route and data centre: flows that can meet their goal come first, then urgency and age, with floors of a tenth for each route and half of an equal share for each data centre. A flow may go to any service of its route. At the limit the flow that would be placed last loses its place. Flows that can't be placed while their callers wait are refused; the estimate is a lower bound from the measured rate of placements. Without fair queueing, order and limits are as before.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -11,6 +11,7 @@
 #include <pimentofold/balancing/dispatchload.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/placement.h>
+#include <pimentofold/queueing/admissionqueue.h>
 #include <pimentofold/random.h>
 #include <pimentofold/targetloss/lossmessages.h>
 #include <pimentofold/targettable.h>
@@ -67,24 +68,6 @@
     Time loadChangedAt = 0; ///< when `load` was last changed or confirmed
 };
 
-/// A request to place a flow.
-struct OpeningFlow {
-    FlowKey key;
-    std::string openingPacket; ///< bytes of the opening packet
-    Id originNode = 0; ///< node that received the opening packet from the caller; 0: this node
-    int attempt = 1; ///< above 1 when earlier attempts got no answer
-    Time openingAge = 0; ///< time since the caller sent the first opening packet of this flow
-    bool preferOwned = true; ///< use only targets that this node owns as a dispatcher, if it owns any that can be used
-};
-
-/// A flow that waits until a target has room.
-struct WaitingFlow {
-    OpeningFlow flow;
-    int urgency = 0; ///< of the route; 0 is the most urgent
-    Time responseTimeGoal = 0; ///< of the route; 0: none
-    Time waitingSince = 0;
-};
-
 /// Events of packets and flows, for the log and the counters.
 enum class ForwardEvent {
     Placed, ///< the flow was offered to a target for the first time
@@ -118,6 +101,7 @@
     int load = 0; ///< flows on the target with a request at work, as known to this node
     Id node = 0; ///< Relayed: the dispatcher
     Time elapsed = 0; ///< since the flow's first packet at this node
+    RefusalReason reason = RefusalReason::NoTarget; ///< Refused: why
 };
 
 /// A packet to be sent to a target.
@@ -154,10 +138,17 @@
     FlowKey flow;
 };
 
-/// Notifies the node that requested placement that only evacuated or unreachable targets are left, so that it refuses the flow.
+/// Notifies the node that requested placement that no target may get the flow, or none in time, so that it refuses the flow.
 struct RefusedNotice {
     Id originNode = 0; ///< 0: this node, whose flow waited here; to be passed to handleRefusedNotice()
     FlowKey flow;
+    RefusalReason reason = RefusalReason::NoTarget;
+};
+
+/// How long a flow waited in the admission queue until it was placed.
+struct QueueWait {
+    Address route;
+    Time wait = 0;
 };
 
 /// What a node that receives a flow's packets reports to the flow's dispatcher.
@@ -202,6 +193,7 @@
     std::vector<EvidenceMessage> evidence; ///< for the owners of suspected targets
     std::vector<LostTarget> lostTargets; ///< to be broadcast to all nodes
     std::vector<LossEventRecord> lossEvents;
+    std::vector<QueueWait> queueWaits; ///< only with fair queueing
 };
 
 /// How much of the time the open flows of a route have a request at work. Flows that are open for the first request only
@@ -220,7 +212,7 @@
     DispatchSettings settings;
     Random random;
     std::unordered_map<FlowKey, PlacedFlow> placedFlows;
-    std::unordered_map<FlowKey, WaitingFlow> waitingFlows;
+    AdmissionQueue queue; ///< flows that wait for room
     std::map<Address, RouteActivity> routeActivity; ///< by service address
     double meanServiceTime = 0; ///< moving average of the time from placement to the first answer of flows, in microseconds
     Time nextSweepAt = 0; ///< when tickDispatcher() next checks waiting flows
@@ -236,6 +228,7 @@
     NoTarget, ///< no target accepts new flows, or too many flows are waiting
     Evacuated, ///< only targets in evacuated data centres would accept the flow; it has to be refused
     Unreachable, ///< only targets in unreachable data centres would accept the flow; see refusesUnreachable()
+    Refused, ///< the admission queue doesn't take the flow; it has to be refused, for the reason in AdmissionQueue::refusals
 };
 
 /// Offers a flow to a target, or lets the flow wait when no target has room. A flow that was offered before is offered to
@@ -247,7 +240,8 @@
 void handleFlowNotice(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out);
 
 /// Counts requests and flows without further notices as answered or ended after their timeouts, drops flows that have waited
-/// longer than maxWaitTime, and places waiting flows for which a target has room.
+/// longer than maxWaitTime, and places waiting flows for which a target has room. With fair queueing, refuses flows that can't be
+/// placed in time.
 void tickDispatcher(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out);
 
 /// @return when tickDispatcher() has to be called next
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -78,7 +78,7 @@
     Time lastPacketAt = 0; ///< time of the caller's last packet
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
-    bool refused = false; ///< refused because only evacuated or unreachable targets are left; a retransmission of the opening packet counts as a new flow
+    bool refused = false; ///< refused because no target may get it, or none in time; a retransmission of the opening packet counts as a new flow
     FlowProgress progress; ///< only with TargetLossSettings::enabled
     bool startedElsewhere = false; ///< the first opening packet went through another node, so there may be more offers than attempts here
     bool locationReported = false; ///< other nodes have a location of the flow, see flowlocation.h
@@ -140,9 +140,10 @@
 /// Handles a dispatcher's notice that a flow must not be offered again.
 void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow);
 
-/// Handles a dispatcher's notice that only evacuated or unreachable targets are left for a flow: resets the flow if it hasn't opened.
+/// Handles a dispatcher's notice that no target may get a flow, or none in time: resets the flow if it hasn't opened.
 /// @param dispatcher that sent the notice; 0: this node. A notice from a dispatcher that the flow no longer waits for is ignored.
-void handleRefusedNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out);
+void handleRefusedNotice(
+    EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out, RefusalReason reason = RefusalReason::NoTarget);
 
 /// Answers another node's question for the target of a flow. A flow that isn't known here is recorded with the target that the
 /// asking node uses then.
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -34,9 +34,11 @@
     bool preferOwned = false; ///< prefer targets that this node owns as a dispatcher
     double flowsPerSlot = 2; ///< see hasRoom() and DispatchSettings; affects only whether cold targets are used
     int attempt = 1; ///< placement attempt of the flow, from 1
+    bool overflow = false; ///< use another service of the route when no target of the drawn one has room
 };
 
-/// Draws one of the route's services by weight and selects one of its targets.
+/// Draws one of the route's services by weight and selects one of its targets. With PlacementQuery::overflow, the services without a
+/// target with room are left out, as far as others have one.
 /// @return the preferred target with the least load per slot; among equal ones the one whose last flow was placed longest
 ///         ago; nullptr when no target of the drawn service accepts new flows
 EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random);
--- a/src/libpimentofold/balancing/balancing.cpp
+++ b/src/libpimentofold/balancing/balancing.cpp
@@ -39,7 +39,7 @@
 std::map<std::string_view, int> countWaiting(const Dispatcher &dispatcher, const TargetTable &table)
 {
     std::map<std::string_view, int> counts;
-    for (const auto &[key, flow] : dispatcher.waitingFlows) {
+    for (const auto &[key, flow] : dispatcher.queue.flows) {
         const EdgeRoute *route = findRoute(table, key.service);
         if (route != nullptr) {
             ++counts[route->weightedServices.front().service];
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -1,11 +1,13 @@
 #include <pimentofold/dispatch.h>
 
 #include <algorithm>
-#include <span>
 
-#include <pimentofold/evacuation/evacuation.h>
+#include <pimentofold/queueing/waitinglist.h>
 #include <pimentofold/reachability/reachability.h>
 
+#include <libpimentofold/queueing/unplaceable.h>
+#include <libpimentofold/queueing/waiting.h>
+
 namespace pimentofold {
 
 namespace {
@@ -28,12 +30,12 @@
                                                       "flow_location_unknown"};
 
 constexpr Time sweepInterval = second;
-/// Sweep interval while flows wait, because targets may gain room without the end of a flow being reported.
-constexpr Time waitingSweepInterval = 20 * millisecond;
 /// When placing waiting flows, this many routes without a target with room are passed over. It bounds the work of each pass.
 constexpr std::size_t maxHeldRoutes = 8;
 /// The caller of a flow that has waited for longer may have given up, so a missing answer isn't counted against the target.
 constexpr Time longWaitThreshold = 100 * millisecond;
+/// With fair queueing, further flows are placed in the next pass, which follows at once. It bounds the work of each event.
+constexpr int maxPlacementsPerPass = 64;
 
 void removeFromLoad(TargetTable &table, PlacedFlow &flow)
 {
@@ -96,37 +98,6 @@
     appendEvent(out, placed.offerCount > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, flow.key, &target, static_cast<int>(placed.offerCount), 0);
 }
 
-PlaceResult enqueueFlow(Dispatcher &dispatcher, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
-{
-    if (dispatcher.waitingFlows.size() >= dispatcher.settings.maxWaitingFlows) {
-        return PlaceResult::NoTarget;
-    }
-    dispatcher.waitingFlows.insert_or_assign(flow.key, WaitingFlow{flow, route.urgency, route.responseTimeGoal, now});
-    dispatcher.nextSweepAt = std::min(dispatcher.nextSweepAt, now + waitingSweepInterval);
-    out.heldNotices.push_back({flow.originNode, flow.key});
-    appendEvent(out, ForwardEvent::Waiting, flow.key, nullptr, flow.attempt, 0);
-    return PlaceResult::Waiting;
-}
-
-PlacementQuery queryFor(const Dispatcher &dispatcher, const OpeningFlow &flow, std::span<const std::uint64_t> tried, const EdgeRoute &route)
-{
-    return {route, tried, dispatcher.settings.dataCentre, flow.preferOwned, dispatcher.settings.flowsPerSlot, flow.attempt};
-}
-
-EdgeTarget *chooseTargetFor(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const PlacedFlow *placed, const EdgeRoute &route, Time now)
-{
-    const std::span<const std::uint64_t> tried =
-        placed == nullptr ? std::span<const std::uint64_t>() : std::span<const std::uint64_t>(placed->offeredTargets.data(), placed->offerCount);
-    const PlacementQuery query = queryFor(dispatcher, flow, tried, route);
-    return choosePlacementTarget(table, dispatcher.settings.placement, query, now, dispatcher.random);
-}
-
-/// @return whether a cold target may get the flow later
-bool isHeldBack(const Dispatcher &dispatcher, const TargetTable &table, const OpeningFlow &flow, const EdgeRoute &route, Time now)
-{
-    return isHeldBackByColdLimit(table, dispatcher.settings.placement, queryFor(dispatcher, flow, {}, route), now);
-}
-
 /// Removes the record of a flow and its load, if there is one.
 void removePlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key)
 {
@@ -137,140 +108,118 @@
     }
 }
 
-/// Forgets a flow for which only evacuated targets are left, and notifies the node that asked for its placement.
-PlaceResult refuseEvacuated(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, ForwardOutput &out)
+/// Lets a flow wait for which no target was found, if a cold target may get it later. A flow for which only evacuated targets are
+/// left is refused, and so is one for which only unreachable targets are left if that is to be done at once. Without a notice, the
+/// node that asked for the placement places the flow itself, by its own evidence.
+/// @return the result of the placement
+PlaceResult waitOrRefuse(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
 {
-    removePlacedFlow(dispatcher, table, flow.key);
+    const Unplaceable why = whyUnplaceable(dispatcher, table, flow, route, now);
+    if (why == Unplaceable::HeldBack) {
+        ++table.slowStart.limited;
+        removePlacedFlow(dispatcher, table, flow.key);
+        return enqueueFlow(dispatcher, table, flow, route, now, out);
+    }
     appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
-    if (flow.originNode != 0) {
-        out.refusedNotices.push_back({flow.originNode, flow.key});
+    if (why == Unplaceable::NoTarget) {
+        return PlaceResult::NoTarget;
     }
-    return PlaceResult::Evacuated;
-}
-
-/// Forgets a flow for which only unreachable targets are left, and notifies the node that asked for its placement if the flow has
-/// to be refused at once. Without a notice that node places the flow itself, by its own evidence.
-PlaceResult refuseUnreachable(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, Time now, ForwardOutput &out)
-{
     removePlacedFlow(dispatcher, table, flow.key);
-    appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
-    if (flow.originNode != 0 && refusesUnreachable(table.reachability, now)) {
-        out.refusedNotices.push_back({flow.originNode, flow.key});
+    if (why == Unplaceable::Evacuated) {
+        refuseFlow(dispatcher, flow, RefusalReason::Evacuated, false, now, out);
+        return PlaceResult::Evacuated;
+    }
+    if (refusesUnreachable(table.reachability, now)) {
+        refuseFlow(dispatcher, flow, RefusalReason::Unreachable, false, now, out);
     }
     return PlaceResult::Unreachable;
 }
 
-/// Lets a flow wait for which no target was found, if a cold target may get it later. A flow for which only evacuated targets are
-/// left is refused.
-/// @return the result of the placement
-PlaceResult waitOrRefuse(Dispatcher &dispatcher, TargetTable &table, const OpeningFlow &flow, const EdgeRoute &route, Time now, ForwardOutput &out)
+/// Offers a waiting flow to a target that has room.
+void offerWaiting(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, EdgeTarget &target, Time now, ForwardOutput &out)
 {
-    if (!isHeldBack(dispatcher, table, flow, route, now)) {
-        if (hasOnlyUnreachableTargets(table, route, now)) {
-            return refuseUnreachable(dispatcher, table, flow, now, out);
-        }
-        if (hasEvacuatedTargets(table, route, now)) {
-            return refuseEvacuated(dispatcher, table, flow, out);
-        }
-        appendEvent(out, ForwardEvent::NoTarget, flow.key, nullptr, flow.attempt, 0);
-        return PlaceResult::NoTarget;
-    }
-    ++table.slowStart.limited;
-    removePlacedFlow(dispatcher, table, flow.key);
-    return enqueueFlow(dispatcher, flow, route, now, out);
+    const WaitingFlow waiting = dispatcher.queue.flows.at(key);
+    if (dispatcher.queue.fair) {
+        recordPlacement(dispatcher.queue, target.record.service, &key, now);
+        out.queueWaits.push_back({key.service, now - waiting.waitingSince});
+    }
+    remove(dispatcher.queue, key, now);
+    PlacedFlow &placed = dispatcher.placedFlows[key];
+    placed = {};
+    placed.waitedLong = now - waiting.waitingSince > longWaitThreshold;
+    offerTo(dispatcher, table, waiting.flow, placed, target, now, out);
 }
 
-/// Order in which waiting flows are placed. Flows that can still meet their response time goal come first, the most urgent
-/// and then the oldest ones before the others. Late flows follow, those with the fewest retransmissions first, since their
-/// callers are the least likely to have given up.
-bool hasPrecedence(const WaitingFlow &a, const WaitingFlow &b, Time now, Time serviceTime)
+/// What became of a waiting flow.
+enum class WaitingOutcome {
+    Placed,
+    Removed, ///< it can't be placed any more
+    NoRoom, ///< it goes on to wait
+};
+
+WaitingOutcome tryWaiting(Dispatcher &dispatcher, TargetTable &table, const FlowKey &key, Time now, ForwardOutput &out)
 {
-    const auto isLate = [&](const WaitingFlow &it) {
-        return it.responseTimeGoal > 0 && it.flow.openingAge + (now - it.waitingSince) + serviceTime > it.responseTimeGoal;
-    };
-    const bool lateA = isLate(a);
-    const bool lateB = isLate(b);
-    if (lateA != lateB) {
-        return lateB;
+    const EdgeRoute *route = findRoute(table, key.service);
+    if (route == nullptr) {
+        remove(dispatcher.queue, key, now);
+        return WaitingOutcome::Removed;
     }
-    if (!lateA && a.urgency != b.urgency) {
-        return a.urgency < b.urgency;
+    const OpeningFlow &flow = dispatcher.queue.flows.at(key).flow;
+    EdgeTarget *target = chooseTargetFor(dispatcher, table, flow, nullptr, *route, now);
+    const Unplaceable why = target == nullptr ? whyUnplaceable(dispatcher, table, flow, *route, now) : Unplaceable::NoTarget;
+    if (why == Unplaceable::Unreachable || why == Unplaceable::Evacuated) {
+        dropUnplaceable(dispatcher, table, key, why, now, out);
+        return WaitingOutcome::Removed;
     }
-    if (lateA && a.flow.openingAge != b.flow.openingAge) {
-        return a.flow.openingAge < b.flow.openingAge;
+    if (target == nullptr || !hasRoom(*target, dispatcher.settings.flowsPerSlot)) {
+        return WaitingOutcome::NoRoom;
     }
-    return a.waitingSince < b.waitingSince;
+    offerWaiting(dispatcher, table, key, *target, now, out);
+    return WaitingOutcome::Placed;
 }
 
-/// @param held addresses of routes whose flows are passed over
-/// @return the waiting flow that comes first in the order of hasPrecedence(); the end of the list when there is none
-auto nextWaiting(Dispatcher &dispatcher, std::span<const Address> held, Time now)
+/// Places waiting flows in the order of nextToPlace() until no service with waiting flows has room.
+/// @return whether further flows may be placed, which were left for the next pass
+bool placeFairly(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
 {
-    const auto serviceTime = static_cast<Time>(dispatcher.meanServiceTime);
-    auto best = dispatcher.waitingFlows.end();
-    for (auto it = dispatcher.waitingFlows.begin(); it != dispatcher.waitingFlows.end(); ++it) {
-        if (std::ranges::find(held, it->first.service) != held.end()) {
-            continue;
+    startPlacement(dispatcher.queue, now);
+    int placed = 0;
+    while (const std::optional<FlowKey> key = nextToPlace(dispatcher.queue, now)) {
+        if (placed == maxPlacementsPerPass) {
+            return true;
         }
-        if (best == dispatcher.waitingFlows.end() || hasPrecedence(it->second, best->second, now, serviceTime)) {
-            best = it;
+        const WaitingOutcome outcome = tryWaiting(dispatcher, table, *key, now, out);
+        placed += outcome == WaitingOutcome::Placed ? 1 : 0;
+        if (outcome == WaitingOutcome::NoRoom) {
+            skipServices(dispatcher.queue, *key);
         }
     }
-    return best;
+    return false;
 }
 
-/// Places waiting flows in the order of hasPrecedence() until no target has room for the next one. With slow start, flows of
+/// Places waiting flows in the order of nextWaiting() until no target has room for the next one. With slow start, flows of
 /// other routes follow then, since flows for cold targets may wait for a long time.
-void placeWaiting(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
+void placeInOrder(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
 {
     std::vector<Address> held;
-    while (true) {
-        const auto next = nextWaiting(dispatcher, held, now);
-        if (next == dispatcher.waitingFlows.end()) {
-            return;
-        }
-        const EdgeRoute *route = findRoute(table, next->first.service);
-        if (route == nullptr) {
-            dispatcher.waitingFlows.erase(next);
-            continue;
-        }
-        EdgeTarget *target = chooseTargetFor(dispatcher, table, next->second.flow, nullptr, *route, now);
-        const bool heldBack = target == nullptr && isHeldBack(dispatcher, table, next->second.flow, *route, now);
-        const bool unreachable = target == nullptr && !heldBack && hasOnlyUnreachableTargets(table, *route, now);
-        if (unreachable || (target == nullptr && !heldBack && hasEvacuatedTargets(table, *route, now))) {
-            appendEvent(out, ForwardEvent::NoTarget, next->first, nullptr, next->second.flow.attempt, now - next->second.waitingSince);
-            if (!unreachable || refusesUnreachable(table.reachability, now)) {
-                out.refusedNotices.push_back({next->second.flow.originNode, next->first});
-            }
-            dispatcher.waitingFlows.erase(next);
+    while (const std::optional<FlowKey> key = nextWaiting(dispatcher.queue, held, now)) {
+        if (tryWaiting(dispatcher, table, *key, now, out) != WaitingOutcome::NoRoom) {
             continue;
         }
-        if (target == nullptr || !hasRoom(*target, dispatcher.settings.flowsPerSlot)) {
-            if (!table.slowStart.settings.enabled || held.size() >= maxHeldRoutes) {
-                return;
-            }
-            held.push_back(next->first.service);
-            continue;
+        if (!table.slowStart.settings.enabled || held.size() >= maxHeldRoutes) {
+            return;
         }
-        const OpeningFlow flow = std::move(next->second.flow);
-        const Time since = next->second.waitingSince;
-        dispatcher.waitingFlows.erase(next);
-        PlacedFlow &placed = dispatcher.placedFlows[flow.key];
-        placed = {};
-        placed.waitedLong = now - since > longWaitThreshold;
-        offerTo(dispatcher, table, flow, placed, *target, now, out);
+        held.push_back(key->service);
     }
 }
 
-void dropExpiredWaiting(Dispatcher &dispatcher, Time now, ForwardOutput &out)
+void placeWaiting(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
 {
-    std::erase_if(dispatcher.waitingFlows, [&](const auto &it) {
-        const bool expired = now - it.second.waitingSince > dispatcher.settings.maxWaitTime;
-        if (expired) {
-            appendEvent(out, ForwardEvent::GivenUp, it.first, nullptr, it.second.flow.attempt, now - it.second.waitingSince);
-        }
-        return expired;
-    });
+    if (!dispatcher.queue.fair) {
+        placeInOrder(dispatcher, table, now, out);
+    } else if (placeFairly(dispatcher, table, now, out)) {
+        dispatcher.nextSweepAt = now;
+    }
 }
 
 void updateMeanServiceTime(Dispatcher &dispatcher, Time sample)
@@ -278,6 +227,7 @@
     constexpr double gain = 0.05;
     const auto value = static_cast<double>(sample);
     dispatcher.meanServiceTime = dispatcher.meanServiceTime == 0 ? value : dispatcher.meanServiceTime + gain * (value - dispatcher.meanServiceTime);
+    dispatcher.queue.serviceTime = static_cast<Time>(dispatcher.meanServiceTime);
 }
 
 /// @return the record of the flow, which is added if it is unknown; nullptr when the target is unknown or too many flows are recorded
@@ -329,7 +279,7 @@
 
 void endPlacedFlow(Dispatcher &dispatcher, TargetTable &table, const FlowNotice &notice, Time now, ForwardOutput &out)
 {
-    dispatcher.waitingFlows.erase(notice.flow);
+    remove(dispatcher.queue, notice.flow, now);
     const auto it = dispatcher.placedFlows.find(notice.flow);
     if (it == dispatcher.placedFlows.end()) {
         return;
@@ -411,10 +361,13 @@
         appendEvent(out, ForwardEvent::NoRoute, flow.key, nullptr, flow.attempt, 0);
         return PlaceResult::NoRoute;
     }
-    if (dispatcher.waitingFlows.contains(flow.key)) {
+    if (dispatcher.queue.flows.contains(flow.key)) {
         out.heldNotices.push_back({flow.originNode, flow.key});
         return PlaceResult::Waiting;
     }
+    if (refuseAgain(dispatcher, flow, now, out)) {
+        return PlaceResult::Refused;
+    }
     const auto known = dispatcher.placedFlows.find(flow.key);
     PlacedFlow *placed = known == dispatcher.placedFlows.end() ? nullptr : &known->second;
     if (placed != nullptr && flow.attempt == 1) {
@@ -444,8 +397,9 @@
     }
     const bool isFirst = placed == nullptr || placed->offerCount == 0;
     if (isFirst && !hasRoom(*target, dispatcher.settings.flowsPerSlot)) {
-        return enqueueFlow(dispatcher, flow, *route, now, out);
+        return enqueueFlow(dispatcher, table, flow, *route, now, out);
     }
+    recordPlacement(dispatcher.queue, target->record.service, nullptr, now);
     if (placed == nullptr && dispatcher.placedFlows.size() >= dispatcher.settings.maxFlows) {
         // Beyond the limit, flows are placed without being stored.
         PlacedFlow temporary;
@@ -496,8 +450,10 @@
         sweepPlacedFlows(dispatcher, table, now);
     }
     dropExpiredWaiting(dispatcher, now, out);
+    dispatcher.nextSweepAt = now + sweepInterval;
     placeWaiting(dispatcher, table, now, out);
-    dispatcher.nextSweepAt = now + (dispatcher.waitingFlows.empty() ? sweepInterval : waitingSweepInterval);
+    refuseHopeless(dispatcher, now, out);
+    dispatcher.nextSweepAt = std::min(dispatcher.nextSweepAt, now + (dispatcher.queue.flows.empty() ? sweepInterval : waitingSweepInterval));
 }
 
 Time nextDispatcherTick(const Dispatcher &dispatcher)
--- a/src/libpimentofold/dispatch_test.cpp
+++ b/src/libpimentofold/dispatch_test.cpp
@@ -52,7 +52,7 @@
         REQUIRE(afterEnd.packets.size() == 1);
         CHECK(dispatcher.placedFlows.contains(makeKey(port)));
     }
-    CHECK(dispatcher.waitingFlows.empty());
+    CHECK(dispatcher.queue.flows.empty());
 }
 
 // Guards against trying to place every waiting flow whenever one flow ends. The work was proportional to the number of
@@ -67,10 +67,10 @@
     ForwardOutput afterEnd;
     handleFlowNotice(node.dispatcher, node.table, {FlowNoticeKind::Ended, 0, makeKey(1), 1}, millisecond, afterEnd);
     CHECK(afterEnd.packets.size() == 1);
-    CHECK(node.dispatcher.waitingFlows.size() == 199);
+    CHECK(node.dispatcher.queue.flows.size() == 199);
     ForwardOutput expired;
     tickDispatcher(node.dispatcher, node.table, 2 * second, expired);
-    CHECK(node.dispatcher.waitingFlows.empty());
+    CHECK(node.dispatcher.queue.flows.empty());
 }
 
 // Guards against loads that never fall when no node reports the end of a flow.
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -39,34 +39,47 @@
     return !found || found->instance == forwarder.self.instance ? 0 : found->instance;
 }
 
-OpeningFlow toOpeningFlow(const FlowKey &key, const EdgeFlow &flow)
+OpeningFlow toOpeningFlow(const EdgeForwarder &forwarder, const FlowKey &key, const EdgeFlow &flow)
 {
     OpeningFlow opening;
     opening.key = key;
     opening.openingPacket = flow.openingPacket;
     opening.attempt = flow.attempts;
     opening.openingAge = flow.openingAge;
+    opening.dataCentre = forwarder.dispatcher.settings.dataCentre;
     return opening;
 }
 
-void refuseFlow(const FlowKey &key, ForwardOutput &out)
+void resetRefused(const FlowKey &key, RefusalReason reason, ForwardOutput &out)
 {
     out.resets.push_back({key, 0});
     appendEvent(out, ForwardEvent::Refused, key, nullptr, 0, 0);
+    out.events.back().reason = reason;
 }
 
-/// Refuses a flow whose remaining targets are all evacuated or unreachable. Its caller may open another flow at once.
-void refuseUnplaceableFlow(const FlowKey &key, EdgeFlow &flow, ForwardOutput &out)
+/// Refuses a flow that no target may get, or none in time. Its caller may open another flow at once.
+void refuseUnplaceableFlow(const FlowKey &key, EdgeFlow &flow, RefusalReason reason, ForwardOutput &out)
 {
     flow.stage = FlowStage::Ended;
     flow.refused = true;
-    refuseFlow(key, out);
+    resetRefused(key, reason, out);
 }
 
 /// @return whether a flow has to be refused after this result of its placement
 bool mustRefuse(PlaceResult result, const Reachability &reachability, Time now)
 {
-    return result == PlaceResult::Evacuated || (result == PlaceResult::Unreachable && refusesUnreachable(reachability, now));
+    const bool isUnreachable = result == PlaceResult::Unreachable && refusesUnreachable(reachability, now);
+    return result == PlaceResult::Evacuated || result == PlaceResult::Refused || isUnreachable;
+}
+
+/// @return why a flow has to be refused after this result of its placement at this node
+RefusalReason refusalReason(const Dispatcher &dispatcher, PlaceResult result, const FlowKey &key, Time now)
+{
+    if (result == PlaceResult::Evacuated || result == PlaceResult::Unreachable) {
+        return result == PlaceResult::Evacuated ? RefusalReason::Evacuated : RefusalReason::Unreachable;
+    }
+    const std::optional<RefusalRecord> refusal = findRefusal(dispatcher.queue.refusals, key, now);
+    return refusal ? refusal->reason : RefusalReason::NoTarget;
 }
 
 /// @return whether the node that received an opening packet is in this node's data centre
@@ -82,7 +95,7 @@
 bool relayElsewhere(EdgeForwarder &forwarder, const OpeningFlow &flow, ForwardOutput &out)
 {
     const Dispatcher &dispatcher = forwarder.dispatcher;
-    const bool isKnown = dispatcher.placedFlows.contains(flow.key) || dispatcher.waitingFlows.contains(flow.key);
+    const bool isKnown = dispatcher.placedFlows.contains(flow.key) || dispatcher.queue.flows.contains(flow.key);
     if (forwarder.balancing.services.empty() || flow.attempt > 1 || isKnown || !isFromOwnDataCentre(forwarder, flow)) {
         return false;
     }
@@ -120,16 +133,16 @@
         out.events.back().node = flow.dispatcher;
         return;
     }
-    const OpeningFlow opening = toOpeningFlow(key, flow);
+    const OpeningFlow opening = toOpeningFlow(forwarder, key, flow);
     if (relayElsewhere(forwarder, opening, out)) {
         return;
     }
     const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, opening, now, out);
     if (result == PlaceResult::NoTarget && flow.attempts == 1) {
         flow.stage = FlowStage::Ended;
-        refuseFlow(key, out);
+        resetRefused(key, RefusalReason::NoTarget, out);
     } else if (mustRefuse(result, reachability, now)) {
-        refuseUnplaceableFlow(key, flow, out);
+        refuseUnplaceableFlow(key, flow, refusalReason(forwarder.dispatcher, result, key, now), out);
     } else if (result == PlaceResult::Waiting) {
         handleHeldNotice(forwarder, key, now);
     } else if (result == PlaceResult::Settled) {
@@ -255,9 +268,9 @@
     if (forwarder.flows.size() >= forwarder.settings.maxFlows) {
         flow.dispatcher = 0;
         flow.attempts = 1;
-        const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, toOpeningFlow(packet.flow, flow), now, out);
+        const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, toOpeningFlow(forwarder, packet.flow, flow), now, out);
         if (mustRefuse(result, forwarder.table.reachability, now)) {
-            refuseFlow(packet.flow, out);
+            resetRefused(packet.flow, refusalReason(forwarder.dispatcher, result, packet.flow, now), out);
         }
         return;
     }
@@ -519,7 +532,8 @@
         if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
             continue;
         }
-        if (isOverdue || it->second.attempts >= forwarder.settings.maxAttempts) {
+        const bool isGivenUp = forwarder.dispatcher.queue.fair && now - it->second.lastPacketAt + it->second.openingAge > openingTimeout;
+        if (isOverdue || isGivenUp || it->second.attempts >= forwarder.settings.maxAttempts) {
             // The flow no longer counts as load. A retransmission of the caller may place it again.
             notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, key, 0}, now, out);
             continue;
@@ -605,7 +619,10 @@
     if (now < forwarder.dropOpeningsUntil) {
         appendEvent(out, ForwardEvent::Stale, flow.key, nullptr, flow.attempt, 0);
     } else if (canPlaceFlows(forwarder) && !relayElsewhere(forwarder, flow, out)) {
-        placeFlow(forwarder.dispatcher, forwarder.table, flow, now, out);
+        OpeningFlow opening = flow;
+        const auto origin = forwarder.memberDataCentres.find(flow.originNode);
+        opening.dataCentre = origin == forwarder.memberDataCentres.end() ? "" : origin->second;
+        placeFlow(forwarder.dispatcher, forwarder.table, opening, now, out);
     }
 }
 
@@ -629,13 +646,13 @@
     }
 }
 
-void handleRefusedNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out)
+void handleRefusedNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out, RefusalReason reason)
 {
     const auto it = forwarder.flows.find(flow);
     if (it != forwarder.flows.end() && it->second.stage == FlowStage::Opening && it->second.dispatcher == dispatcher) {
         // This node may have offered the flow itself before.
         notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, flow, 0}, now, out);
-        refuseUnplaceableFlow(flow, it->second, out);
+        refuseUnplaceableFlow(flow, it->second, reason, out);
     }
 }
 
--- a/src/libpimentofold/evacuation/evacuation_test.cpp
+++ b/src/libpimentofold/evacuation/evacuation_test.cpp
@@ -187,12 +187,12 @@
     ForwardOutput waiting;
     handlePacket(forwarder, makeOpening(1), 0, waiting);
     placeForPeer(forwarder, makeRelayedOpening(2, 1), 0, waiting);
-    REQUIRE(forwarder.dispatcher.waitingFlows.size() == 2);
+    REQUIRE(forwarder.dispatcher.queue.flows.size() == 2);
     evacuate(forwarder, 50, {"dc1", "dc2", "dc3"});
     ForwardOutput out;
     tickForwarder(forwarder, 20 * millisecond, out);
     CHECK(out.packets.empty());
-    CHECK(forwarder.dispatcher.waitingFlows.empty());
+    CHECK(forwarder.dispatcher.queue.flows.empty());
     REQUIRE(out.refusedNotices.size() == 2);
     const auto own = std::ranges::find(out.refusedNotices, Id{0}, &RefusedNotice::originNode);
     REQUIRE(own != out.refusedNotices.end());
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 #include <pimentofold/evacuation/evacuation.h>
 #include <pimentofold/reachability/reachability.h>
@@ -79,29 +80,12 @@
     }
 }
 
-const std::string &drawService(const EdgeRoute &route, Random &random)
+/// @return the preferred target of one service
+Candidate chooseOfService(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, const std::string &service, Time now)
 {
-    double sum = 0;
-    for (const WeightedService &it : route.weightedServices) {
-        sum += it.weight;
-    }
-    double draw = unit(random) * sum;
-    for (const WeightedService &it : route.weightedServices) {
-        draw -= it.weight;
-        if (draw < 0) {
-            return it.service;
-        }
-    }
-    return route.weightedServices.back().service;
-}
-
-} // namespace
-
-EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
-{
-    const auto ids = table.services.find(drawService(query.route, random));
+    const auto ids = table.services.find(service);
     if (ids == table.services.end()) {
-        return nullptr;
+        return {};
     }
     Candidate best;
     Candidate bestCold; // used when no warm target has room
@@ -127,11 +111,59 @@
         }
     }
     if (best.target == nullptr || bestCold.target == nullptr) {
-        return best.target == nullptr ? bestCold.target : best.target;
+        return best.target == nullptr ? bestCold : best;
     }
     // A target that is suspected, has been tried before or is draining counts as one without room.
     const bool bestHasRoom = isUsual(best.preference) && hasRoom(*best.target, query.flowsPerSlot);
-    return !bestHasRoom && isUsual(bestCold.preference) ? bestCold.target : best.target;
+    return !bestHasRoom && isUsual(bestCold.preference) ? bestCold : best;
+}
+
+/// @param services never empty
+const std::string &drawService(std::span<const WeightedService> services, Random &random)
+{
+    double sum = 0;
+    for (const WeightedService &it : services) {
+        sum += it.weight;
+    }
+    double draw = unit(random) * sum;
+    for (const WeightedService &it : services) {
+        draw -= it.weight;
+        if (draw < 0) {
+            return it.service;
+        }
+    }
+    return services.back().service;
+}
+
+/// Draws services by weight until one has a target with room.
+/// @return that target, or else the best one of the drawn services
+EdgeTarget *chooseWithOverflow(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
+{
+    std::vector<WeightedService> left = query.route.weightedServices;
+    std::erase_if(left, [](const WeightedService &it) { return it.weight <= 0; });
+    Candidate best;
+    while (!left.empty()) {
+        const std::string service = drawService(left, random);
+        std::erase_if(left, [&](const WeightedService &it) { return it.service == service; });
+        const Candidate found = chooseOfService(table, settings, query, service, now);
+        if (found.target != nullptr && isUsual(found.preference) && hasRoom(*found.target, query.flowsPerSlot)) {
+            return found.target;
+        }
+        if (found.target != nullptr && found.preference < best.preference) {
+            best = found;
+        }
+    }
+    return best.target;
+}
+
+} // namespace
+
+EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
+{
+    if (query.overflow) {
+        return chooseWithOverflow(table, settings, query, now, random);
+    }
+    return chooseOfService(table, settings, query, drawService(query.route.weightedServices, random), now).target;
 }
 
 bool isHeldBackByColdLimit(const TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now)
--- a/src/libpimentofold/slowstart/slowstart_test.cpp
+++ b/src/libpimentofold/slowstart/slowstart_test.cpp
@@ -146,7 +146,7 @@
         CHECK(placeMany(node, row.flows, 1, 0) == row.offered);
         CHECK(node.table.slowStart.openings == row.offered);
         // None of the flows is refused.
-        CHECK(static_cast<int>(node.dispatcher.waitingFlows.size() + node.dispatcher.placedFlows.size()) == row.flows);
+        CHECK(static_cast<int>(node.dispatcher.queue.flows.size() + node.dispatcher.placedFlows.size()) == row.flows);
     }
 }
 
