Add the setting, events and metrics of the admission queue

fairQueueing in the program's settings turns the queue on (default false; deploy/edge.json sets it). flow_refused gets a reason, which a dispatcher sends along in Refused. Metrics: flows_refused_total by reason, waiting_flows by route and data centre, flow_wait_seconds by route, flows_deferred_total. Histograms may have labels now; before, the bucket's bound would have been put behind the labels.

A node whose flow has lost its place asks again by itself, so it gets no second Held.

--- a/src/include/pimentofold/metrics.h
+++ b/src/include/pimentofold/metrics.h
@@ -15,7 +15,7 @@
 using DurationHistogram =
     decltype(boost::histogram::make_histogram(boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(24, 0.00005, 60.0)));
 
-/// Counters, gauges and histograms by name. Names of counters and gauges may end in labels: `dropped_total{reason="forged"}`.
+/// Counters, gauges and histograms by name. Names may end in labels: `dropped_total{reason="forged"}`.
 /// Names have no "pimentofold_" prefix here; renderMetrics() adds it.
 struct Metrics {
     std::map<std::string, std::int64_t> counters;
--- a/src/libpimentofold/basics_test.cpp
+++ b/src/libpimentofold/basics_test.cpp
@@ -116,10 +116,13 @@
     count(metrics, "requests_total", 2);
     recordDuration(metrics, "wait_seconds", 0.001);
     recordDuration(metrics, "wait_seconds", 100.0);
+    recordDuration(metrics, "route_wait_seconds{route=\"a\"}", 1.0);
     const std::string text = renderMetrics(metrics);
     CHECK(text.find("pimentofold_requests_total 2\n") != std::string::npos);
     CHECK(text.find("pimentofold_wait_seconds_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
     CHECK(text.find("pimentofold_wait_seconds_count 2\n") != std::string::npos);
+    CHECK(text.find("pimentofold_route_wait_seconds_bucket{route=\"a\",le=\"+Inf\"} 1\n") != std::string::npos);
+    CHECK(text.find("pimentofold_route_wait_seconds_count{route=\"a\"} 1\n") != std::string::npos);
 }
 
 TEST_CASE("random numbers can be repeated from their seed")
--- a/src/libpimentofold/metrics.cpp
+++ b/src/libpimentofold/metrics.cpp
@@ -8,23 +8,35 @@
 
 constexpr const char *prefix = "pimentofold_";
 
-void renderDuration(std::ostream &out, const std::string &name, const DurationHistogram &histogram, double sum)
+/// @param labels of the metric, "a=\"b\"" or empty
+/// @param more further label or empty
+/// @return all labels in braces; empty when there are none
+std::string joinLabels(const std::string &labels, const std::string &more)
 {
+    const std::string all = labels + (labels.empty() || more.empty() ? "" : ",") + more;
+    return all.empty() ? "" : "{" + all + "}";
+}
+
+void renderDuration(std::ostream &out, const std::string &fullName, const DurationHistogram &histogram, double sum)
+{
+    const std::size_t brace = fullName.find('{');
+    const std::string name = fullName.substr(0, brace);
+    const std::string labels = brace == std::string::npos ? "" : fullName.substr(brace + 1, fullName.size() - brace - 2);
     // Prometheus buckets are cumulative. The first cell of the indexed range counts the underflow.
     std::uint64_t cumulative = 0;
     for (auto &&cell : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
         cumulative += static_cast<std::uint64_t>(*cell);
         const bool overflow = cell.index() == histogram.axis().size();
-        out << prefix << name << "_bucket{le=\"";
+        std::ostringstream bound;
         if (overflow) {
-            out << "+Inf";
+            bound << "+Inf";
         } else {
-            out << cell.bin().upper();
+            bound << cell.bin().upper();
         }
-        out << "\"} " << cumulative << '\n';
+        out << prefix << name << "_bucket" << joinLabels(labels, "le=\"" + bound.str() + "\"") << ' ' << cumulative << '\n';
     }
-    out << prefix << name << "_sum " << sum << '\n';
-    out << prefix << name << "_count " << cumulative << '\n';
+    out << prefix << name << "_sum" << joinLabels(labels, "") << ' ' << sum << '\n';
+    out << prefix << name << "_count" << joinLabels(labels, "") << ' ' << cumulative << '\n';
 }
 
 } // namespace
--- a/src/libpimentofold/queueing/queueing_test.cpp
+++ b/src/libpimentofold/queueing/queueing_test.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include <libpimentofold/edgetestdata.h>
+#include <pimentofold/edgecodec.h>
 #include <pimentofold/queueing/waitestimate.h>
 
 using namespace pimentofold;
@@ -335,3 +336,44 @@
         CHECK(std::ranges::none_of(hopeless, [](const WaitingFlow &it) { return it.flow.key.caller.port <= 100; }));
     }
 }
+
+// Guards against a refusal whose reason is lost between nodes of different versions, and against a timeout that only the node that reads
+// the store knows.
+TEST_CASE("admission queue: timeouts and reasons in messages")
+{
+    StoreChanges changes;
+    changes.config = makeConfig(10, {makeQueueRoute(1, 0), makeRoute(otherAddress, "shop")});
+    ChangesAssembler assembler;
+    const std::optional<StoreChanges> received = addPart(assembler, 7, toWire(changes).front());
+    REQUIRE(received);
+    CHECK(received->config.routes == changes.config.routes);
+    CHECK(received->config.routes.front().timeout == 2 * second);
+    for (const int number : {-1, 6, 127}) {
+        CHECK(refusalReasonFromNumber(number) == RefusalReason::NoTarget);
+    }
+    CHECK(name(refusalReasonFromNumber(5)) == "retry_limit");
+}
+
+// Load: a full queue at a node that places its own flows. Guards against a node that goes on to ask for flows whose callers have given up,
+// and against refusals without a reset.
+TEST_CASE("admission queue: a node refuses its own waiting flow, and stops to ask for one that was given up")
+{
+    EdgeForwarder node = makeForwarder(1, 0);
+    node.dispatcher.queue.fair = true;
+    ForwardOutput out;
+    for (std::uint16_t port = 1; port <= room + 2; ++port) {
+        handlePacket(node, makeOpening(port), millisecond, out);
+    }
+    REQUIRE(node.dispatcher.queue.flows.size() == 2);
+    ForwardOutput refused;
+    handleRefusedNotice(node, 0, makeKey(room + 1), 2 * millisecond, refused, RefusalReason::NoTime);
+    REQUIRE(refused.resets.size() == 1);
+    CHECK(refused.events.back().reason == RefusalReason::NoTime);
+    CHECK(node.dispatcher.queue.flows.size() == 1);
+    findTarget(node.table, 1)->workingFlows = 1000; // never has room
+    for (Time now = 2 * millisecond; now < 3 * second; now += 10 * millisecond) {
+        tickForwarder(node, now, out);
+    }
+    CHECK(node.dispatcher.queue.flows.empty());
+    CHECK(std::ranges::count(out.events, ForwardEvent::GivenUp, &ForwardEventRecord::event) == 1);
+}
--- a/src/libpimentofold/queueing/waiting.cpp
+++ b/src/libpimentofold/queueing/waiting.cpp
@@ -27,7 +27,10 @@
     }
     ++dispatcher.queue.deferred;
     recordOpening(dispatcher.queue.openings, flow.key, now - flow.openingAge, now);
-    out.heldNotices.push_back({flow.originNode, flow.key});
+    if (!hasWaited) {
+        // A node whose flow has waited asks again in any case.
+        out.heldNotices.push_back({flow.originNode, flow.key});
+    }
     return PlaceResult::Waiting;
 }
 
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <pimentofold-edge/edgelog.h>
+#include <pimentofold-edge/queuemetrics.h>
 #include <pimentofold/balancing/loadwire.h>
 #include <pimentofold/reachability/reachability.h>
 #include <pimentofold/targetloss/targetloss.h>
@@ -74,6 +75,7 @@
     m_logBudget.burst = options.logBurst;
     m_forwarder.settings = options.forward;
     m_forwarder.dispatcher.settings = options.dispatch;
+    m_forwarder.dispatcher.queue.fair = options.fairQueueing;
     m_forwarder.balancing.settings = options.balancing;
     m_replication.settings = options.replication;
     m_forwarder.targetLoss.settings = options.targetLoss;
@@ -123,7 +125,7 @@
     setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
     setGauge(m_metrics, "flow_locations", static_cast<double>(m_forwarder.locations.reported.size()));
     setGauge(m_metrics, "packets_held", static_cast<double>(m_forwarder.locations.heldPackets));
-    setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.waitingFlows.size()));
+    setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.queue.flows.size()));
     const FlowCounts counts = countFlows(table);
     setGauge(m_metrics, "target_flows_working", counts.working);
     setGauge(m_metrics, "target_flows_idle", counts.idle);
@@ -143,6 +145,7 @@
     counter(m_metrics, "log_events_held_back_total") = m_logBudget.held;
     updateTrafficMetrics();
     updateBalancingMetrics();
+    updateQueueMetrics(m_metrics, table, m_forwarder.dispatcher.queue);
     HttpResponse response;
     response.contentType = "text/plain; version=0.0.4";
     response.body = renderMetrics(m_metrics);
@@ -223,10 +226,10 @@
     for (const RefusedNotice &it : out.refusedNotices) {
         if (it.originNode == 0) {
             ForwardOutput refused;
-            handleRefusedNotice(m_forwarder, 0, it.flow, now, refused);
+            handleRefusedNotice(m_forwarder, 0, it.flow, now, refused, it.reason);
             send(refused, now);
         } else {
-            sendFlowNotice(wire::EdgeKind::Refused, it.originNode, it.flow, 0);
+            sendRefusedNotice(it);
         }
     }
     for (const FlowNotice &it : out.flowNotices) {
@@ -242,6 +245,7 @@
     for (const ForwardEventRecord &it : out.events) {
         recordForwardNote(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
     }
+    recordQueueWaits(m_metrics, m_forwarder.table, out.queueWaits);
     sendLossMessages(out);
     for (const LossEventRecord &it : out.lossEvents) {
         recordLossEvent(m_log, m_logBudget, m_metrics, m_forwarder.table, it, now);
@@ -334,6 +338,14 @@
     m_peers.send(message, to);
 }
 
+void Edge::sendRefusedNotice(const RefusedNotice &notice)
+{
+    wire::EdgeMessage message = newMessage(wire::EdgeKind::Refused);
+    message.__set_flow(toWire(notice.flow));
+    message.__set_refusalReason(static_cast<std::int8_t>(notice.reason));
+    m_peers.send(message, notice.originNode);
+}
+
 void Edge::onForwardTick()
 {
     m_forwardTimerAt = never;
@@ -491,7 +503,7 @@
         handleSettledNotice(m_forwarder, flow);
     } else if (message.kind == wire::EdgeKind::Refused) {
         ForwardOutput out;
-        handleRefusedNotice(m_forwarder, message.sender, flow, now, out);
+        handleRefusedNotice(m_forwarder, message.sender, flow, now, out, refusalReasonFromNumber(message.refusalReason));
         send(out, now);
     } else if (const std::optional<FlowNoticeKind> kind = noticeKindFromWire(message.kind)) {
         const FlowNotice notice{*kind, 0, flow, static_cast<std::uint64_t>(message.target)};
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -89,6 +89,7 @@
     /// Sends the load reports, and logs the changes of the share of flows that leaves the data centre.
     void sendLoadReports(const ForwardOutput &out);
     void sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
+    void sendRefusedNotice(const RefusedNotice &notice);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
     /// @param acceptLarge whether the peer should send its changes even if they take more than maxParts datagrams
     wire::EdgeMessage fetchMessage(bool acceptLarge) const;
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -24,6 +24,10 @@
 {
     const std::string_view event = name(note.event);
     count(metrics, std::string(event) + "_total");
+    const bool isRefusal = note.event == ForwardEvent::Refused;
+    if (isRefusal) {
+        count(metrics, "flows_refused_total{reason=\"" + std::string(name(note.reason)) + "\"}");
+    }
     if (note.event == ForwardEvent::Opened) {
         recordDuration(metrics, "flow_open_seconds", static_cast<double>(note.elapsed) / static_cast<double>(second));
     } else if (note.event == ForwardEvent::Ended && note.attempts > 0) {
@@ -43,6 +47,7 @@
               {"unanswered", target == nullptr ? 0 : target->unansweredOpenings},
               {"node", toHex(static_cast<std::uint64_t>(note.node))},
               {"elapsed_us", note.elapsed},
+              {"reason", isRefusal ? name(note.reason) : "none"},
               {"config", table.configVersion},
               {"target_revision", target == nullptr ? 0 : target->record.revision},
               {"held_back", takeHeldCount(budget, event)}});
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -48,6 +48,7 @@
     options.dispatch.flowsPerSlot = takeNumber(top, "flowsPerSlot", 1, maxFlowsPerSlot, options.dispatch.flowsPerSlot);
     readMilliseconds(top, "waitLimitMs", options.dispatch.maxWaitTime);
     readCount(top, "mostWaiting", maxEntries, options.dispatch.maxWaitingFlows);
+    options.fairQueueing = takeBoolean(top, "fairQueueing", options.fairQueueing);
     readMilliseconds(top, "beatIntervalMs", options.replication.heartbeatInterval);
     options.targetLoss.enabled = takeBoolean(top, "targetLoss", options.targetLoss.enabled);
     readMilliseconds(top, "beatSilenceMs", options.replication.heartbeatTimeout);
--- a/src/pimentofold-edge/edgeoptions.h
+++ b/src/pimentofold-edge/edgeoptions.h
@@ -16,6 +16,7 @@
     BalancingSettings balancing;
     ReplicationSettings replication;
     TargetLossSettings targetLoss;
+    bool fairQueueing = false; ///< see AdmissionQueue::fair
     std::uint16_t metricsPort = 9464; ///< TCP port of the metrics page; 0: no metrics page
     double logEventsPerSecond = 200; ///< limit for the events of each name
     double logBurst = 400; ///< number of events of each name that may be logged at once
--- a/src/pimentofold-edge/edgeoptions_test.cpp
+++ b/src/pimentofold-edge/edgeoptions_test.cpp
@@ -19,6 +19,8 @@
     const EdgeOptions shipped = parseEdgeOptions(readSettings(PIMENTOFOLD_SOURCE_DIR "/deploy/edge.json"));
     CHECK(shipped.dispatch.flowsPerSlot == DispatchSettings().flowsPerSlot);
     CHECK(shipped.forward.localDispatch);
+    CHECK(shipped.fairQueueing);
+    CHECK_FALSE(EdgeOptions().fairQueueing);
     CHECK(shipped.replication.heartbeatTimeout == ReplicationSettings().heartbeatTimeout);
     CHECK_FALSE(parseEdgeOptions(parseSettings("{}", "f")).targetLoss.enabled);
     CHECK(shipped.targetLoss.enabled);
@@ -33,6 +35,7 @@
         {R"({"beatIntervalMs": -1})", "beatIntervalMs"},
         {R"({"targetLoss": 1})", "targetLoss"},
         {R"({"localDispatch": 1})", "localDispatch"},
+        {R"({"fairQueueing": 1})", "fairQueueing"},
         {R"({"unknown": 1})", "unknown"},
     };
     for (const Row &row : rows) {
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -29,7 +29,7 @@
                            R"("zone":"attica-a","version":"v1","slots":3,"state":"ready","cold_remaining_ms":250,"seq":4,"born":1700}})";
 
 const std::string config = R"({"meta":{"name":"main","revision":9},"spec":{"version":7,"routes":[)"
-                           R"({"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe","aim_ms":200,"priority":2,)"
+                           R"({"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe","aim_ms":200,"timeout_ms":2000,"priority":2,)"
                            R"("backends":[{"service":"x","weight":90},{"service":"y","weight":10},{"service":"z","weight":0}],"max_attempts":2},)"
                            R"({"name":"b","host":"198.18.0.2","path_prefix":"/80/","type":"unsafe","service":"x"}],"limits":{"idle_timeout_ms":15000}}})";
 
@@ -118,6 +118,8 @@
     CHECK(toString(read.routes[0].address) == "198.18.0.1:8443");
     CHECK(read.routes[0].weightedServices == std::vector<WeightedService>{{"x", 90}, {"y", 10}});
     CHECK(read.routes[0].responseTimeGoal == 200 * millisecond);
+    CHECK(read.routes[0].timeout == 2 * second);
+    CHECK(read.routes[1].timeout == 0);
     CHECK(read.routes[1].type == RouteType::Unsafe);
 
     response = decodeStoreResponse(StoreKind::Targets, R"({"events":[{"deleted":true,"object":)" + target + R"(}],"store_revision":60})");
@@ -306,6 +308,7 @@
         {R"("type":"safe",)", "", 2, {}},
         {R"("aim_ms":200)", R"("aim_ms":"soon")", 2, {}},
         {R"("aim_ms":200)", R"("aim_ms":-1)", 2, {}},
+        {R"("timeout_ms":2000)", R"("timeout_ms":"long")", 2, {}},
         {R"("priority":2)", R"("priority":null)", 2, {}},
         {R"("priority":2)", R"("priority":99999999999999999999)", 2, {}},
         {R"("idle_timeout_ms":15000)", R"("idle_timeout_ms":[])", 2, {}},
