Skip the admission queue's work on events without waiting flows

With fair queueing, the end of each flow reset the marks of all services, and each placement looked up its service, also when no flow waited. Both return at once now.

--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -182,6 +182,9 @@
 /// @return whether further flows may be placed, which were left for the next pass
 bool placeFairly(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
 {
+    if (dispatcher.queue.flows.empty()) {
+        return false;
+    }
     startPlacement(dispatcher.queue, now);
     int placed = 0;
     while (const std::optional<FlowKey> key = nextToPlace(dispatcher.queue, now)) {
--- a/src/libpimentofold/queueing/admissionqueue.cpp
+++ b/src/libpimentofold/queueing/admissionqueue.cpp
@@ -246,6 +246,9 @@
 
 void recordPlacement(AdmissionQueue &queue, std::string_view service, const FlowKey *waited, Time now)
 {
+    if (queue.flows.empty()) {
+        return;
+    }
     const auto found = std::ranges::find(queue.services, service, &QueuedService::name);
     if (found == queue.services.end() || found->waitingFlows == 0) {
         return;
--- a/src/libpimentofold/queueing/queueing_test.cpp
+++ b/src/libpimentofold/queueing/queueing_test.cpp
@@ -214,6 +214,7 @@
 TEST_CASE("admission queue: one event places a limited number of flows, and the others follow at once")
 {
     std::vector<EdgeRoute> routes;
+    routes.reserve(300);
     for (int n = 0; n < 300; ++n) {
         routes.push_back(makeQueueRoute(n, n % 3));
     }
