--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 #include <pimentofold/evacuation/evacuation.h>
 #include <pimentofold/outlier/outlier.h>
@@ -129,33 +130,64 @@
     return ids == table.services.end() ? Candidates{} : findCandidates(table, ids->second, settings, query, now);
 }
 
-const std::string &drawService(const EdgeRoute &route, Random &random)
+/// @return the preferred target of one service
+Candidate chooseOfService(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, const std::string &service, Time now)
+{
+    const auto [best, bestCold] = findCandidates(table, service, settings, query, now);
+    if (best.target == nullptr || bestCold.target == nullptr) {
+        return best.target == nullptr ? bestCold : best;
+    }
+    // A target that is suspected, has been tried before or is draining counts as one without room.
+    const bool bestHasRoom = isUsual(best.preference) && hasRoom(*best.target, query.flowsPerSlot);
+    return !bestHasRoom && isUsual(bestCold.preference) ? bestCold : best;
+}
+
+/// @param services never empty
+const std::string &drawService(std::span<const WeightedService> services, Random &random)
 {
     double sum = 0;
-    for (const WeightedService &it : route.weightedServices) {
+    for (const WeightedService &it : services) {
         sum += it.weight;
     }
     double draw = unit(random) * sum;
-    for (const WeightedService &it : route.weightedServices) {
+    for (const WeightedService &it : services) {
         draw -= it.weight;
         if (draw < 0) {
             return it.service;
         }
     }
-    return route.weightedServices.back().service;
+    return services.back().service;
+}
+
+/// Draws services by weight until one has a target with room.
+/// @return that target, or else the best one of the drawn services
+EdgeTarget *chooseWithOverflow(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
+{
+    std::vector<WeightedService> left = query.route.weightedServices;
+    std::erase_if(left, [](const WeightedService &it) { return it.weight <= 0; });
+    Candidate best;
+    while (!left.empty()) {
+        const std::string service = drawService(left, random);
+        std::erase_if(left, [&](const WeightedService &it) { return it.service == service; });
+        const Candidate found = chooseOfService(table, settings, query, service, now);
+        if (found.target != nullptr && isUsual(found.preference) && hasRoom(*found.target, query.flowsPerSlot)) {
+            return found.target;
+        }
+        if (found.target != nullptr && found.preference < best.preference) {
+            best = found;
+        }
+    }
+    return best.target;
 }
 
 } // namespace
 
 EdgeTarget *choosePlacementTarget(TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now, Random &random)
 {
-    const auto [best, bestCold] = findCandidates(table, drawService(query.route, random), settings, query, now);
-    if (best.target == nullptr || bestCold.target == nullptr) {
-        return best.target == nullptr ? bestCold.target : best.target;
+    if (query.overflow) {
+        return chooseWithOverflow(table, settings, query, now, random);
     }
-    // A target that is suspected, has been tried before or is draining counts as one without room.
-    const bool bestHasRoom = isUsual(best.preference) && hasRoom(*best.target, query.flowsPerSlot);
-    return !bestHasRoom && isUsual(bestCold.preference) ? bestCold.target : best.target;
+    return chooseOfService(table, settings, query, drawService(query.route.weightedServices, random), now).target;
 }
 
 bool isHeldBackByColdLimit(const TargetTable &table, const PlacementSettings &settings, const PlacementQuery &query, Time now)
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -49,6 +49,7 @@
     options.dispatch.flowsPerSlot = takeNumber(top, "flowsPerSlot", 1, maxFlowsPerSlot, options.dispatch.flowsPerSlot);
     readMilliseconds(top, "waitLimitMs", options.dispatch.maxWaitTime);
     readCount(top, "mostWaiting", maxEntries, options.dispatch.maxWaitingFlows);
+    options.fairQueueing = takeBoolean(top, "fairQueueing", options.fairQueueing);
     readMilliseconds(top, "beatIntervalMs", options.replication.heartbeatInterval);
     options.targetLoss.enabled = takeBoolean(top, "targetLoss", options.targetLoss.enabled);
     options.outliers.enabled = takeBoolean(top, "outlierDetection", options.outliers.enabled);
