Accept a target's own entries after a wrong first one

A node that first learned of a target from another writer's entry with a wrong service refused the target's own entries for 90 s, or until a restart, since a target keeps its service as long as its start is the same.

A service that only one entry has named is not confirmed. Two entries in a row that name another one, with the same `born` and rising `seq`, are the target's, which renews its entry every heartbeat. A confirmed service stays, and an entry that contradicts it names no target, as before. Nodes that hear of entries from other nodes apply the same rule without `seq`, which isn't sent.

--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -41,6 +41,9 @@
     Time drainingSince = never; ///< when this node learned that the target is draining
     Time warmupEndsAt = 0;
     Time incarnationSeenAt = 0; ///< when this node learned of this incarnation; earlier flows belong to an earlier one
+    bool serviceConfirmed = false; ///< two entries of this incarnation have named record.service
+    std::string otherService; ///< that the last entry has named in contradiction to record.service; empty: none
+    std::int64_t otherSequence = 0; ///< sequence of that entry
     // Observations from callers' packets.
     int openFlows = 0; ///< open flows on the target that this node knows of as a dispatcher
     int workingFlows = 0; ///< those of openFlows with a request at work
@@ -94,7 +97,8 @@
 bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed);
 
 /// A target keeps its service until it starts again. An entry with another service and no later start was not written by the
-/// target.
+/// target, unless the entry from which this node first learned of the target is the wrong one. The target renews its own entry:
+/// while only one entry has named the known service, two in a row that name another one, with rising sequences, are the target's.
 /// @return whether @p record names another service than the one that is known for this start of the target
 bool contradictsService(const TargetTable &table, const TargetRecord &record);
 
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -53,6 +53,7 @@
 {
     const bool sameIncarnation = target.record.startedAt == record.startedAt && target.record.address == record.address;
     target.record = record;
+    target.otherService.clear();
     if (!sameIncarnation) {
         resetObservations(target);
         target.incarnationSeenAt = now;
@@ -69,6 +70,20 @@
     }
 }
 
+/// @return whether a target whose service isn't confirmed has renewed an entry with another service
+bool renewsOtherService(const EdgeTarget &target, const TargetRecord &record)
+{
+    const bool rises = record.sequence == 0 || record.sequence > target.otherSequence;
+    return !target.serviceConfirmed && record.startedAt == target.record.startedAt && record.service == target.otherService && rises;
+}
+
+/// Entries from other nodes have no sequence; the node that reads the store has checked them.
+bool confirmsService(const EdgeTarget &target, const TargetRecord &record)
+{
+    const bool rises = record.sequence == 0 || record.sequence > target.record.sequence;
+    return record.startedAt == target.record.startedAt && record.service == target.record.service && rises;
+}
+
 /// Adds or replaces a route. An unchanged route keeps its revision, so that it isn't sent to peers again.
 void storeRoute(TargetTable &table, const EdgeRoute &route, std::int64_t revision)
 {
@@ -146,7 +161,8 @@
 bool contradictsService(const TargetTable &table, const TargetRecord &record)
 {
     const EdgeTarget *target = findTarget(table, record.id);
-    return target != nullptr && record.startedAt <= target->record.startedAt && target->record.service != record.service;
+    return target != nullptr && record.startedAt <= target->record.startedAt && target->record.service != record.service
+        && !renewsOtherService(*target, record);
 }
 
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now)
@@ -166,18 +182,24 @@
         return false;
     }
     if (contradictsService(table, record)) {
+        target.otherService = record.startedAt == target.record.startedAt ? record.service : "";
+        target.otherSequence = record.sequence;
         target.removedAt = target.registered ? now : target.removedAt;
         target.registered = false;
         target.removedRevision = record.revision;
         return true;
     }
     if (target.record.service != record.service) {
+        const bool renewed = renewsOtherService(target, record);
         removeFromService(table, target);
         updateRecord(target, record, now);
         addToService(table, target);
+        target.serviceConfirmed = renewed;
         return true;
     }
+    const bool confirmed = confirmsService(target, record);
     updateRecord(target, record, now);
+    target.serviceConfirmed = target.serviceConfirmed || confirmed;
     return true;
 }
 
--- a/src/libpimentofold/targettable_test.cpp
+++ b/src/libpimentofold/targettable_test.cpp
@@ -128,6 +128,49 @@
     }
 }
 
+// Guards against a target whose own entries are refused until this node restarts, since another writer's entry was the first one here,
+// and against other writers that take a target over.
+TEST_CASE("the service of a target is the one of the entries that the target renews")
+{
+    struct Entry {
+        std::string service;
+        std::int64_t sequence; ///< 0: from another node
+        std::string known; ///< service that is known afterwards
+        bool registered;
+    };
+    struct Row {
+        std::string pattern;
+        std::vector<Entry> entries;
+    };
+    const Row rows[] = {
+        {"the first entry is wrong", {{"other", 4, "other", true}, {"shop", 5, "other", false}, {"shop", 6, "shop", true}, {"other", 7, "shop", false}}},
+        {"the same at a node that hears of entries from the others", {{"other", 0, "other", true}, {"shop", 0, "other", false}, {"shop", 0, "shop", true}}},
+        {"another writer repeats a copy", {{"shop", 4, "shop", true}, {"other", 4, "shop", false}, {"other", 4, "shop", false}, {"shop", 5, "shop", true}}},
+        {"the target's own entry comes in between",
+         {{"shop", 4, "shop", true}, {"other", 5, "shop", false}, {"shop", 6, "shop", true}, {"other", 7, "shop", false}}},
+        {"another writer goes on counting",
+         {{"shop", 4, "shop", true}, {"shop", 5, "shop", true}, {"other", 6, "shop", false}, {"other", 7, "shop", false}, {"shop", 6, "shop", true}}},
+        {"a third service",
+         {{"other", 4, "other", true}, {"shop", 5, "other", false}, {"third", 6, "other", false}, {"shop", 6, "other", false}, {"shop", 7, "shop", true}}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.pattern);
+        TargetTable table;
+        std::int64_t revision = 10;
+        for (const Entry &it : row.entries) {
+            CAPTURE(revision);
+            TargetRecord record = makeTarget(1, ++revision, it.service);
+            record.sequence = it.sequence;
+            applyTarget(table, record, second);
+            const EdgeTarget &target = *findTarget(table, 1);
+            CHECK(target.record.service == it.known);
+            CHECK(target.registered == it.registered);
+            CHECK(table.services.size() == 1);
+            CHECK(table.services.contains(it.known));
+        }
+    }
+}
+
 // Guards against a service losing targets that still run: their entries may expire during an outage of the store.
 TEST_CASE("a target whose entry expires stays in use for the grace period if it answers")
 {
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -305,9 +305,9 @@
     record.warmup = integerField(spec, "cold_remaining_ms", 0, maxMilliseconds) * millisecond;
     // `born` is the wall time at which the target's process started.
     record.startedAt = integerField(spec, "born", 0, INT64_MAX);
-    // Not used here, but a target writes them into each of its entries. An entry without them is from another writer.
+    record.sequence = integerField(spec, "seq", 0, INT64_MAX);
+    // Not used here, but a target writes it into each of its entries. An entry without it is from another writer.
     stringField(spec, "version");
-    integerField(spec, "seq", 0, INT64_MAX);
     return record;
 }
 
