Avoid implicit conversions in the limits of cold times

clang-tidy reports the product of the largest cold time and the comparison in the fuzz test as implicit widening, and the largest number of seconds in a configuration as integer division in a floating-point context.

--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -62,7 +62,7 @@
 };
 
 /// Limits of the numbers in ServiceLimits and TargetRecord, so that sums of them stay in range.
-constexpr Time maxColdTime = 24 * 60 * minute;
+constexpr Time maxColdTime = 86'400 * second;
 constexpr double maxColdRate = 1e6; ///< openings per second
 
 /// Slow start of a service's targets.
--- a/src/libpimentofold/edgemutation_test.cpp
+++ b/src/libpimentofold/edgemutation_test.cpp
@@ -214,7 +214,7 @@
                 excess += report.stalledFlows > static_cast<int>(maxStallsPerTarget) || report.since > now || report.since < now - minute ? 1 : 0;
             }
         }
-        excess += forwarder.targetLoss.verdicts.suspected.size() + forwarder.targetLoss.lost.size() > 2 * targets ? 1 : 0;
+        excess += forwarder.targetLoss.verdicts.suspected.size() + forwarder.targetLoss.lost.size() > 2 * std::size_t{targets} ? 1 : 0;
         excess += assembler.pending.size() > maxPartialChanges ? 1 : 0;
         for (const auto &[service, limits] : forwarder.table.slowStart.services) {
             excess += limits.coldRate >= 0 && limits.coldRate <= maxColdRate && limits.coldTime >= 0 && limits.coldTime <= maxColdTime ? 0 : 1;
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -205,8 +205,8 @@
     ServiceLimits limits;
     limits.name = serviceName->get<std::string>();
     std::vector<std::string> problems;
-    limits.coldTime =
-        static_cast<Time>(serviceNumber(value, "cold_start_s", static_cast<double>(maxColdTime / second), problems) * static_cast<double>(second));
+    limits.coldTime = static_cast<Time>(serviceNumber(value, "cold_start_s", static_cast<double>(maxColdTime) / static_cast<double>(second), problems)
+                                        * static_cast<double>(second));
     limits.coldRate = serviceNumber(value, "cold_per_s", maxColdRate, problems);
     if (!problems.empty()) {
         config.unreadableServices.push_back(limits.name);
