Clarify comments and docs of the admission queue, outlier detection and config check

Cause: several doc comments named parameters that don't exist (jsonposition.h), or results that the code doesn't give (isLate() without its margin, timeUntilLate() as never, Judgement::othersTime as 0 only without other callers). "The part" stood for three features, and some comments told how a constant was found.

They say what the code does, with the present reason for a constant. No behaviour, check or identifier is changed.

--- a/src/include/pimentofold/configcheck/configcheck.h
+++ b/src/include/pimentofold/configcheck/configcheck.h
@@ -130,7 +130,7 @@
 /// @return differences in the order of @p after; those of removed entries and fields follow after them
 std::vector<ConfigFinding> compareConfigs(const ConfigDescription &before, const ConfigDescription &after);
 
-/// Sorts findings by their position.
+/// Sorts findings by their position, those at the same position by code.
 void sortFindings(std::vector<ConfigFinding> &findings);
 
 /// @return @p text as a JSON string literal, so that control characters in names don't reach a terminal
--- a/src/include/pimentofold/outlier/judgement.h
+++ b/src/include/pimentofold/outlier/judgement.h
@@ -20,9 +20,11 @@
     int requests = 0; ///< `samples` and the overdue ones without an answer
     int overdue = 0;
     // Without the requests of the caller that has the most overdue or slow ones, so that no single caller decides.
-    double othersOverdueShare = 0;
-    double othersTime = 0; ///< as relativeTime; 0: no other caller
-    double relativeTime = 0; ///< median of the requests' times against their routes' medians; 0: too few requests
+    double othersOverdueShare = 0; ///< 0 also with too few requests of others, or when overdueShare() is below the limit anyway
+    double othersTime = 0; ///< as relativeTime; 0: too few requests of others, or relativeTime is far below the limit anyway
+    /// Median of the requests' times against their routes' medians, after compareTargets() divided by the median of the targets;
+    /// 0: too few requests, or no peers.
+    double relativeTime = 0;
 
     double overdueShare() const
     {
@@ -44,7 +46,7 @@
 struct EjectionCandidate {
     Judgement *judged = nullptr;
     EjectionReason reason = EjectionReason::Unanswered;
-    double severity = 0; ///< how far above the limit, 1 and more
+    double severity = 0; ///< overdue share or relative time divided by its limit, at least 1
 };
 
 /// @param judged targets of one service that aren't ejected, after compareTargets()
--- a/src/include/pimentofold/outlier/measurement.h
+++ b/src/include/pimentofold/outlier/measurement.h
@@ -22,7 +22,7 @@
 /// Records the result of a trial request on an ejected target.
 void endTrial(EdgeTarget &target, TargetHistory &history, bool passed, Time now);
 
-/// Records that a request has got no answer within the time-out.
+/// Records that a request has got no answer within OutlierSettings::requestTimeout.
 void endUnanswered(TargetTable &table, const FlowKey &flow, Time now);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/outlier/outlier.h
+++ b/src/include/pimentofold/outlier/outlier.h
@@ -11,14 +11,14 @@
 /// service. A target that takes longer than its peers gets fewer new flows. A target that leaves far more requests unanswered,
 /// or takes several times as long, is ejected: it gets only trial requests until it answers these in the usual time.
 ///
-///     recordRequestStarted(table, flow, target, now);    // the evidence: placements and notices of work
+///     recordRequestStarted(table, flow, target, now);    // on placements and notices of work
 ///     recordRequestAnswered(table, flow, target.record.id, now);
 ///     tickOutlierDetection(table, now, events);          // at nextOutlierTick()
 ///     isEjected(target, type, now), expectedSlowdown(target, now)    // in placement
 ///
 /// Requests are compared with requests of the same route only, and targets with targets of the same service. Nothing is
-/// exchanged between nodes, and the state is lost with the owner. A gap of maxRunGap between two calls is a pause of this
-/// process, after which all requests at work are dropped from measurement.
+/// exchanged between nodes, and the state is lost with the owner. After a pause of the process (maxRunGap), all requests at work
+/// are dropped from measurement, because the times of their answers aren't known.
 namespace pimentofold {
 
 struct EdgeTarget;
@@ -63,6 +63,7 @@
 constexpr double minRoom = 1.25;
 /// Room that is too small for this long ends ejections. Shorter bursts are waited out.
 constexpr Time roomShortLimit = 500 * millisecond;
+/// A gap of this length between two calls counts as a pause of the process.
 constexpr Time maxRunGap = 250 * millisecond;
 
 /// Starts the measurement of a request on a target that this node owns, after the request has been counted in
--- a/src/include/pimentofold/queueing/admissionqueue.h
+++ b/src/include/pimentofold/queueing/admissionqueue.h
@@ -29,9 +29,9 @@
 /// Without fair queueing the flows form one list, ordered by lateness, urgency and age; see nextWaiting().
 namespace pimentofold {
 
-/// Each route with waiting flows gets at least one of this many placements; with more competing routes, an equal share.
+/// Floor of a route: with waiting flows, it gets at least one of this many placements; with more competing routes, an equal share.
 constexpr int routeFloorInterval = 10;
-/// The callers of each data centre with waiting flows get at least an equal share of the placements divided by this.
+/// Floor of a data centre: with waiting flows, its callers get at least an equal share of the placements divided by this.
 constexpr int dataCentreFloorDivisor = 2;
 /// Retries take at most one of this many places of the queue while others wait.
 constexpr std::size_t retryPlacesDivisor = 3;
@@ -106,7 +106,7 @@
     std::size_t retries = 0; ///< number of waiting flows that are retries
     std::uint64_t placements = 0;
     std::int64_t deferred = 0; ///< flows that had to ask again because the queue had no place for them
-    Time serviceTime = 0; ///< usual time from the placement of a flow to the first answer; to be kept up to date by the user
+    Time serviceTime = 0; ///< usual time from the placement of a flow to the first answer; kept up to date by the dispatcher
     Time measuredAt = 0; ///< until when backlogTime is counted
     RefusalRecords refusals;
     OpeningRecords openings; ///< of flows that had no place in the queue
@@ -141,16 +141,17 @@
 /// Removes the flows that have waited longer than the limit or whose callers have given up.
 std::vector<WaitingFlow> takeExpired(AdmissionQueue &queue, const QueueLimits &limits, Time now);
 
-/// @return whether a flow of the class that was opened at @p openedAt can't be answered within the goal any more
+/// @return whether a flow of the class that was opened at @p openedAt counts as late: less than twice the usual service time is left
+///         until its goal. False for a route without a goal.
 bool isLate(const AdmissionQueue &queue, const WaitingClass &waiting, Time openedAt, Time now);
 
 /// @return number of the class's flows that are late; they come first in WaitingClass::flows
 std::size_t countLate(const AdmissionQueue &queue, const WaitingClass &waiting, Time now);
 
-/// @return one of how many placements a route with these services gets at least
+/// @return n, when a route with these services gets at least one of n placements
 int floorInterval(const AdmissionQueue &queue, const std::vector<std::size_t> &services);
 
-/// @return one of how many placements the callers of each data centre get at least; 0 when flows of one data centre wait
+/// @return n, when the callers of each data centre get at least one of n placements; 0 when flows of at most one data centre wait
 int dataCentreFloorInterval(const AdmissionQueue &queue);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/queueing/waitestimate.h
+++ b/src/include/pimentofold/queueing/waitestimate.h
@@ -11,8 +11,8 @@
 namespace pimentofold {
 
 /// The measured rate of placements is multiplied by this for an estimate, so that a flow isn't refused because targets take
-/// flows faster than in the last second: targets come back, or the flows ahead need less work than those before. With 2 some refused
-/// flows would have been placed in the tests.
+/// flows faster than in the last second: targets come back, or the flows ahead need less work than those before. A factor of 2 would
+/// refuse flows that can still be placed.
 constexpr double rateMargin = 3.0;
 /// After a pause of the process of this length the measured rates are dropped.
 constexpr Time estimatePause = 250 * millisecond;
--- a/src/libpimentofold/configcheck/configcheck.cpp
+++ b/src/libpimentofold/configcheck/configcheck.cpp
@@ -18,6 +18,7 @@
     FindingSeverity severity;
 };
 
+/// In the order of FindingCode.
 constexpr std::array<CodeInfo, 23> codes{{
     {"not_json", FindingSeverity::Error},         {"wrong_type", FindingSeverity::Error},         {"missing_field", FindingSeverity::Error},
     {"out_of_range", FindingSeverity::Error},     {"invalid_host", FindingSeverity::Error},       {"invalid_port", FindingSeverity::Error},
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t maxHeldRoutes = 8;
 /// The caller of a flow that has waited for longer may have given up, so a missing answer isn't counted against the target.
 constexpr Time longWaitThreshold = 100 * millisecond;
-/// With fair queueing, further flows are placed in the next pass, which follows at once. It bounds the work of each event.
+/// With fair queueing, most waiting flows that one pass places, to bound the work of an event. The next pass follows at once.
 constexpr int maxPlacementsPerPass = 64;
 
 void removeFromLoad(TargetTable &table, PlacedFlow &flow)
--- a/src/libpimentofold/outlier/ejection.cpp
+++ b/src/libpimentofold/outlier/ejection.cpp
@@ -14,9 +14,10 @@
 
 /// With fewer times of a route, its percentile isn't known.
 constexpr std::size_t minRouteEntries = 10;
-/// A target without requests is forgotten after this time.
+/// A target without requests is forgotten after this time, when its last ejection no longer counts.
 constexpr Time historyRetention = ejectionMemory;
-/// Multiple of the median that is usual whatever the 95th percentile is. Times on healthy targets may hardly vary.
+/// A time up to this multiple of the median is usual even above the 95th percentile, which is close to the median where times hardly
+/// vary.
 constexpr double usualRatio = 3;
 
 /// Gain of the moving average of the requests at work, in each tick: an average over about half a second.
@@ -255,7 +256,7 @@
     for (auto &[id, history] : table.outliers.targets) {
         EdgeTarget &target = *findTarget(table, id);
         if (!isMeasured(table, target, now)) {
-            // What it did until now says nothing about it once it is usable again.
+            // Earlier requests say nothing about the target once it is usable again.
             history.samples.clear();
             history.evidenceSince = now;
             history.slowSince = never;
--- a/src/libpimentofold/outlier/outlier.cpp
+++ b/src/libpimentofold/outlier/outlier.cpp
@@ -14,6 +14,7 @@
 
 /// Times kept of one route. Enough for a 95th percentile.
 constexpr std::size_t maxRouteEntries = 256;
+/// Bounds the memory. Requests of further routes have no times to be compared with.
 constexpr std::size_t maxRoutes = 256;
 /// Requests that start this soon after a pause aren't measured: the notices of their start may have waited in the socket.
 constexpr Time backlogTime = 50 * millisecond;
@@ -37,7 +38,7 @@
 }
 
 /// @param duration divided by the request's place in the queue
-/// @param answered false: the time-out has passed
+/// @param answered false: OutlierSettings::requestTimeout has passed
 void endRequest(TargetTable &table, std::unordered_map<FlowKey, MeasuredRequest>::iterator it, Time duration, bool answered, Time now)
 {
     OutlierDetection &detection = table.outliers;
@@ -228,7 +229,8 @@
         return 1;
     }
     // The logarithm of a median of exponentially distributed times has a standard deviation of about 1.4 divided by the root of the
-    // number. With a smaller constant, healthy targets under heavy load were treated as different, and more requests were late.
+    // number of samples. With a constant near that, healthy targets under heavy load would get different shares by chance, and more
+    // requests would be late.
     constexpr double noise = 5;
     const double logNoise = std::log(1 + noise / std::sqrt(static_cast<double>(samples)));
     const double logTime = std::log(relativeTime);
--- a/src/libpimentofold/outlier/outlier_test.cpp
+++ b/src/libpimentofold/outlier/outlier_test.cpp
@@ -205,7 +205,7 @@
 }
 
 // Guards against requests that the evidence leaves out: the first of a flow, which starts with its offer, and further ones on the
-// same flow. With the part off nothing is recorded.
+// same flow. Without outlier detection nothing is recorded.
 TEST_CASE("outlier detection: requests are measured from callers' packets")
 {
     struct Step {
--- a/src/libpimentofold/outlier/outlierload_test.cpp
+++ b/src/libpimentofold/outlier/outlierload_test.cpp
@@ -54,7 +54,7 @@
 } // namespace
 
 // Guards against lost and late requests through bad targets, and against ejections that leave too few targets. Each row names its load.
-TEST_CASE("outlier detection: requests lost and late with bad targets, with and without the part")
+TEST_CASE("outlier detection: requests lost and late with bad targets, with and without outlier detection")
 {
     const LoadRow rows[] = {
         {"targets that let 45% of their requests hang", {.bad = 3, .hangShare = 0.45}, 3, 3, 0.6, 0.55, 1},
--- a/src/libpimentofold/queueing/admissionqueue.cpp
+++ b/src/libpimentofold/queueing/admissionqueue.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Beyond this number, services are forgotten when no flow waits. Services without waiting flows are of no use but for their rate.
+/// With more services than this, all are removed when no flow waits. Only their measured rates are lost.
 constexpr std::size_t maxIdleServices = 1000;
 /// A flow counts as late when less than this many usual service times are left until its goal, since service times vary.
 constexpr Time goalMargin = 2;
--- a/src/libpimentofold/queueing/queueing_test.cpp
+++ b/src/libpimentofold/queueing/queueing_test.cpp
@@ -324,8 +324,8 @@
 
 } // namespace
 
-// Loads: overload, and a pause of the process. Guards against waits without hope, refusals at a wrong rate after a pause, and refusals
-// that take an attempt from a caller whose others don't last until the timeout.
+// Loads: overload, and a pause of the process. Guards against flows that wait although they can't be placed in time, refusals at a wrong
+// rate after a pause, and refusals that take an attempt from a caller whose others don't last until the timeout.
 TEST_CASE("admission queue: flows without time are refused")
 {
     struct Row {
--- a/src/libpimentofold/queueing/queuesim.h
+++ b/src/libpimentofold/queueing/queuesim.h
@@ -321,7 +321,7 @@
         });
     }
 
-    /// Targets that go serve their flows and get no new ones.
+    /// Lost targets finish their flows and get no new ones.
     void setLost(bool lost)
     {
         for (std::uint64_t id = 1; id <= targets; id += 3) {
--- a/src/libpimentofold/queueing/unplaceable.h
+++ b/src/libpimentofold/queueing/unplaceable.h
@@ -26,7 +26,8 @@
 /// refused by the result of its placement instead.
 void refuseFlow(Dispatcher &dispatcher, const OpeningFlow &flow, RefusalReason reason, bool hasWaited, Time now, ForwardOutput &out);
 
-/// Removes a waiting flow for which only evacuated or unreachable targets are left, and has it refused if that is to be done at once.
+/// Removes a waiting flow for which only evacuated or unreachable targets are left, and refuses it. With unreachable targets it is refused
+/// only if refusesUnreachable() says so; otherwise its node gets no notice.
 void dropUnplaceable(Dispatcher &dispatcher, const TargetTable &table, const FlowKey &key, Unplaceable why, Time now, ForwardOutput &out);
 
 } // namespace pimentofold
--- a/src/libpimentofold/queueing/waitestimate.cpp
+++ b/src/libpimentofold/queueing/waitestimate.cpp
@@ -11,7 +11,7 @@
 constexpr Time bucketLength = second / static_cast<Time>(rateBuckets);
 /// The rate of this many last parts counts if it is higher than that of the whole second, since targets may have come back.
 constexpr std::int64_t recentBuckets = 2;
-// Fewer placements or a shorter backlog say too little about the rate.
+// With fewer placements or a shorter time of waiting flows, the rate counts as unknown: it would vary by chance too much.
 constexpr int minPlacements = 5;
 constexpr Time minBacklogTime = 200 * millisecond;
 /// A flow whose caller gives it up sooner than this isn't refused: the caller would gain little, and the flow may be placed after all
@@ -52,7 +52,7 @@
     double late = 0;
 };
 
-/// What the walk knows of a class.
+/// State of a class in the walk.
 struct ClassState {
     const ClassKey *key = nullptr;
     const WaitingClass *waiting = nullptr;
@@ -127,7 +127,8 @@
     return static_cast<Time>(flows * static_cast<double>(second) / rate);
 }
 
-/// @return time until the flow can no longer be answered within the goal; never when the route has none
+/// @return time until less than the usual service time is left before the goal; openingTimeout, after which the caller gives up, when
+///         the route has no goal
 Time timeUntilLate(const Walk &walk, const Entry &entry)
 {
     const WaitingClass &waiting = *walk.classes[entry.classIndex].waiting;
--- a/src/libpimentofold/queueing/waiting.cpp
+++ b/src/libpimentofold/queueing/waiting.cpp
@@ -16,7 +16,7 @@
 }
 
 /// Handles a flow for which the admission queue has no place. It is refused if it couldn't be placed while its caller waits.
-/// Otherwise the node that received it is to ask again, since the caller has few attempts: one that is refused is lost.
+/// Otherwise the node that received it has to ask again, since a refusal takes one of the caller's few attempts.
 /// @return the result of the placement
 PlaceResult
 turnAway(Dispatcher &dispatcher, const OpeningFlow &flow, const EdgeRoute &route, RefusalReason reason, bool hasWaited, Time now, ForwardOutput &out)
--- a/src/pimentofoldctl/options.cpp
+++ b/src/pimentofoldctl/options.cpp
@@ -78,7 +78,7 @@
     TCLAP::SwitchArg strict{"", "strict", "exit with 1 on warnings or differences", command};
     TCLAP::ValueArg<std::string> flow{"",
                                       "flow",
-                                      "show only the events of this flow, its steps and its outcome; the caller's address, or both as in the logs",
+                                      "show only the events of this flow, its steps and its outcome; the caller's address, or both addresses as in the logs",
                                       false,
                                       "",
                                       "IP:PORT[>IP:PORT]",
--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -18,7 +18,7 @@
 
 using nlohmann::json;
 
-// Nodes don't use these counts, and take any weight. The limits only find values that can't be meant.
+// Nodes don't use these counts, and take any weight. The limits only reject values that are evidently mistakes.
 constexpr double maxCount = std::numeric_limits<std::int32_t>::max();
 constexpr double maxWeight = 1e9;
 
@@ -45,7 +45,7 @@
 
 constexpr std::size_t maxShownDigits = 40;
 
-/// What the decoding of one configuration needs in each step.
+/// State of the decoding of one configuration.
 struct Reader {
     LineIndex lines;
     std::vector<ConfigFinding> findings;
--- a/src/platform/jsonposition.h
+++ b/src/platform/jsonposition.h
@@ -16,11 +16,12 @@
     std::vector<std::size_t> starts;
 };
 
-/// @param text it must outlive the result, which refers to it
+/// @param text must outlive the result, which refers to it
 LineIndex indexLines(std::string_view text);
 
-/// @param at a part of the text
+/// @param at must be a view into the text of @p lines
 /// @param field path of the field at this position
+/// @return line and column of the start of @p at
 FieldLocation locate(const LineIndex &lines, std::string_view at, const std::string &field);
 
 /// A value of a JSON text. Nested values are decoded only when they are asked for.
@@ -35,12 +36,10 @@
     JsonValue value;
 };
 
-/// @param text text of one JSON object
-/// @param field path of the object, put in front of the paths of the members
-/// @return its members in order; nothing when it is no object
+/// @return the members of an object in order, with the object's path in front of their names; nothing when it is no object
 std::optional<std::vector<JsonField>> fieldsOf(const JsonValue &object);
 
-/// @return the elements of an array in order; nothing when it is none
+/// @return the elements of an array in order; nothing when it is no array
 std::optional<std::vector<JsonValue>> elementsOf(const JsonValue &array);
 
 /// @return the value without white space, and numbers and strings in the form in which they are usually written
--- a/src/platform/storecalls.h
+++ b/src/platform/storecalls.h
@@ -67,7 +67,7 @@
 std::optional<StoreResponse> decodeStoreResponse(StoreKind kind, const std::string &body);
 
 /// @param text one element of `routes` in the configuration
-/// @return nothing when the route can't be decoded
+/// @return the route, with defaults for invalid optional fields; nothing when it can't be decoded
 std::optional<EdgeRoute> decodeRoute(std::string_view text);
 
 /// Peer addresses of the edge nodes. They are stored in one object of a kind of their own.
