Mend comments and docs of dispatchers, contact and lost targets

What confused: - The comment on onReachabilityChanged() stood above hasTargets(). - "broadcast" of a verdict still promised all nodes, although most verdicts go to the holders of flows only. - Early packets were said to wait for the configuration; they wait until their flows can be placed.

Behaviour is unchanged but for four texts of flowSteps().

--- a/src/include/pimentofold/balancing/balancing.h
+++ b/src/include/pimentofold/balancing/balancing.h
@@ -65,7 +65,8 @@
 };
 
 /// Updates the dispatchers of a service after a change of members or targets.
-/// @param targets ids of this node's targets in its own data centre
+/// @param found dispatchers of the service
+/// @param targets ids of the targets that this node owns in its own data centre
 void updateBalance(Balancing &balancing, const std::string &service, const ServiceDispatchers &found, const std::vector<std::uint64_t> &targets);
 
 /// Removes the services that have no targets any more.
--- a/src/include/pimentofold/balancing/dispatcherranking.h
+++ b/src/include/pimentofold/balancing/dispatcherranking.h
@@ -20,10 +20,10 @@
 ///
 /// The result is that of divideTargets() with dispatcherCandidates(), which compute it from scratch.
 ///
-/// Memory: 4 bytes for each service and member, about 150 bytes for each target.
+/// Memory: one or two NodeIndex for each service and member, and one DividedTarget for each target.
 namespace pimentofold {
 
-/// Operations since the start, for measurements.
+/// Numbers of operations since the start.
 struct RankingCounts {
     std::int64_t hashes = 0; ///< ranks of a member for a service or target
     std::int64_t comparisons = 0; ///< of ranks, ages or owners
@@ -40,8 +40,8 @@
 struct RankedTarget {
     std::uint64_t id = 0;
     std::string dataCentre;
-    int slots = 0; ///< by which the number of dispatchers is determined
-    int weightedSlots = 0; ///< by which the flows are divided
+    int slots = 0; ///< determine the number of dispatchers
+    int weightedSlots = 0; ///< determine the dispatcher's share of the flows, see weighColdTargets()
     bool serving = false; ///< accepts new flows
 
     friend bool operator==(const RankedTarget &, const RankedTarget &) = default;
@@ -129,13 +129,14 @@
 /// @return whether there was a change
 bool setRankedNodes(DispatcherRanking &ranking, std::span<const RankedNode> nodes);
 
-/// Adds or changes a target.
+/// Adds or changes a target, which may move to another service or data centre.
 void setRankedTarget(DispatcherRanking &ranking, const std::string &service, const RankedTarget &target);
 
 /// Removes a target. Unknown targets are ignored.
 void removeRankedTarget(DispatcherRanking &ranking, std::uint64_t id);
 
 /// Determines the dispatchers and owners after changes of members or targets.
+/// @return what has changed since the last call
 RankingChanges refreshRanking(DispatcherRanking &ranking);
 
 /// @param ownDataCentre data centre in which the openings arrive
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -51,7 +51,7 @@
     Time backlogDropTime = 20 * millisecond;
     Time idleTimeout = 15 * second; ///< a flow without packets for this long is removed from memory
     Time endedFlowRetention = 3 * second; ///< a flow that the caller has ended is removed from memory after this time
-    Time earlyPacketRetention = 1200 * millisecond; ///< packets that arrive before the configuration is known are stored for this long
+    Time earlyPacketRetention = 1200 * millisecond; ///< packets that arrive before their flows can be placed are stored for this long
     std::size_t maxEarlyPackets = 2'000; ///< further early packets are dropped
     std::size_t maxFlows = 50'000; ///< flows that are stored; further ones are forwarded without being stored
     /// A service has one dispatcher for each full or started group of this many slots. With this size a dispatcher knows the
@@ -83,13 +83,13 @@
     Time lastPacketAt = 0; ///< time of the caller's last packet
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
-    bool refused = false; ///< refused because no target may get it, or none in time; a retransmission of the opening packet counts as a new flow
+    bool refused = false; ///< refused because no target may get it, or none has room in time; a retransmission of the opening packet counts as a new flow
     FlowProgress progress; ///< only with TargetLossSettings::enabled
     bool startedElsewhere = false; ///< the first opening packet went through another node, so there may be more offers than attempts here
     bool locationReported = false; ///< other nodes have a location of the flow, see flowlocation.h
 };
 
-/// A packet that arrived before the configuration and the targets were known.
+/// A packet that arrived before this node could place its flow, see canPlaceFlow().
 struct EarlyPacket {
     Address service; ///< address that the packet is for
     std::string bytes;
@@ -165,8 +165,9 @@
 /// Handles a dispatcher's notice that a flow must not be offered again.
 void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow);
 
-/// Handles a dispatcher's notice that no target may get a flow, or none in time: resets the flow if it hasn't opened.
+/// Handles a dispatcher's notice that no target may get a flow, or that none has room in time: resets the flow if it hasn't opened.
 /// @param dispatcher that sent the notice; 0: this node. A notice from a dispatcher that the flow no longer waits for is ignored.
+/// @param reason for the event of the refusal
 void handleRefusedNotice(
     EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now, ForwardOutput &out, RefusalReason reason = RefusalReason::NoTarget);
 
@@ -190,7 +191,7 @@
 Time nextForwarderTick(const EdgeForwarder &forwarder);
 
 /// Removes the stored early packets whose flows can be placed now, and those that are too old.
-/// @return the packets that are not older than earlyPacketRetention, to be passed to handlePacket() again
+/// @return the packets whose flows can be placed and that are not older than earlyPacketRetention, to be passed to handlePacket() again
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now);
 
 /// @return how long an answer may take before the flow is offered to another target: the mean answer time times two plus its
@@ -204,7 +205,8 @@
 bool canPlaceFlows(const EdgeForwarder &forwarder);
 
 /// @param service address that the flow's packets are for
-/// @return whether a flow can be placed: canPlaceFlows(), or the first configuration is being read and the flow's route has arrived
+/// @return whether a flow can be placed: canPlaceFlows(), or the first configuration is being read, the flow's route has arrived, and
+///     the complete list of targets and the evacuations are known
 bool canPlaceFlow(const EdgeForwarder &forwarder, const Address &service);
 
 } // namespace pimentofold
--- a/src/include/pimentofold/flowreport.h
+++ b/src/include/pimentofold/flowreport.h
@@ -25,7 +25,8 @@
 
 /// Describes what happened to a flow.
 /// @param flow result of eventsOfFlow()
-/// @return one line for each step: time since the first step, the node, and what it did with the flow or found out about its target.
+/// @return one line for each step: the time since the first event of @p flow in ms, the node, and what it did with the flow or found
+///     out about its target. Events without a text are left out.
 ///     Ids of nodes are replaced by the names of those that have logged an event of the flow.
 std::vector<std::string> flowSteps(const Timeline &flow);
 
--- a/src/include/pimentofold/membership/membership.h
+++ b/src/include/pimentofold/membership/membership.h
@@ -84,16 +84,16 @@
     Time isolationThreshold = 2500 * millisecond;
     Time isolationTimeout = 15 * second;
     // Contact with other data centres, only with severalDataCentres.
-    /// When a member of another data centre is suspected and nothing was heard from there for contactCheckAfter, members there are
-    /// pinged, one each contactPingInterval.
+    /// When a member of another data centre is suspected and nothing was heard from there for contactCheckAfter, random members there
+    /// are pinged, one every contactPingInterval.
     Time contactCheckAfter = 1500 * millisecond;
     Time contactPingInterval = 100 * millisecond;
-    /// The contact is lost when nothing was heard for this long, and contactPings pings to at least contactMembers different members
-    /// had no answer. Any message from a member there ends this.
+    /// The contact is lost when nothing was heard for this long and contactPings pings, to contactMembers different members or to all
+    /// when there are fewer, had no answer. Any message from a member there restores it.
     Time contactTimeout = 2500 * millisecond;
     int contactPings = 8;
     std::size_t contactMembers = 3;
-    Time lostPingInterval = 500 * millisecond; ///< of pings to a data centre whose contact is lost
+    Time lostPingInterval = 500 * millisecond; ///< between pings to a data centre with which the contact is lost
     /// The states of its members are left as they are for this long, so that one message brings all of them back. Later on they are
     /// probed, and declared dead, one by one.
     Time lostHold = minute;
@@ -114,16 +114,16 @@
 /// Change of the contact with all members of a data centre.
 struct ContactChange {
     std::string dataCentre;
-    bool lost = false; ///< false: a message from a member there has ended the loss
+    bool lost = false; ///< false: restored by a message from a member there
 };
 
 /// Contact of this member with a data centre.
 struct MembershipContact {
     Time heardAt = 0; ///< last message from a member there
     Time checkedSince = never; ///< when a suspicion has started the check; never: none since the last message
-    int pings = 0; ///< since then
-    std::set<Id> pinged; ///< members that were pinged since then, up to contactMembers
-    Time nextPingAt = 0;
+    int pings = 0; ///< since checkedSince
+    std::set<Id> pinged; ///< members that were pinged since checkedSince, up to contactMembers
+    Time nextPingAt = 0; ///< only valid during a check
     Time lostAt = never; ///< when the contact was lost; never: it isn't
 };
 
@@ -220,8 +220,7 @@
 /// Records that a message of any kind from a member has arrived. handleMembership() does this for its messages.
 void recordHeard(MembershipState &state, Id sender, Time now, MembershipOutput &out);
 
-/// @return whether the contact with a data centre is lost: this member has heard none of its members for some seconds, although it
-///     has pinged some
+/// @return whether the contact with a data centre is lost, see MembershipOptions::contactTimeout
 bool isOutOfContact(const MembershipState &state, const std::string &dataCentre);
 
 /// Sends probes and digests, expires suspicions and leaves, and removes old entries of dead members. To be called about
--- a/src/include/pimentofold/targetloss/flowprogress.h
+++ b/src/include/pimentofold/targetloss/flowprogress.h
@@ -14,7 +14,7 @@
 /// A caller keeps at most this many packets without an acknowledgement in flight. A further packet proves that the oldest
 /// one was acknowledged.
 constexpr std::size_t maxPacketsInFlight = 16;
-/// Callers repeat data without an acknowledgement after this time. Later, it has been acknowledged.
+/// Callers repeat data without an acknowledgement after this time. Data that isn't repeated then was acknowledged.
 constexpr Time firstRetransmissionTime = 200 * millisecond;
 /// A packet that comes again earlier than this was duplicated on the way. Callers retransmit after 200 ms at the earliest.
 constexpr Time minRetransmissionTime = 150 * millisecond;
--- a/src/include/pimentofold/targetloss/lossholders.h
+++ b/src/include/pimentofold/targetloss/lossholders.h
@@ -13,15 +13,18 @@
 /// these nodes only, since the others have nothing to reset.
 namespace pimentofold {
 
-/// Settings of the recipients of verdicts.
+/// Settings that determine who gets a verdict.
 struct HolderSettings {
-    Time memory = minute; ///< a node that has reported nothing on a target for this long isn't counted
-    /// Nodes that are recorded for one target. With more of them, a verdict goes to all nodes.
+    /// A node that has reported nothing on a target for this long isn't a holder. Longer than ForwardSettings::idleTimeout, after
+    /// which nodes drop idle flows.
+    Time memory = minute;
+    /// Limit of the holders that are recorded for one target, which bounds memory. With more of them, a verdict goes to all nodes.
     std::size_t maxNodes = 64;
-    /// An owner for a shorter time doesn't know the holders of the flows, which drop a flow that is idle for this long.
+    /// A node that has owned a target for a shorter time may not know all holders, so its verdicts go to all nodes. Equal to
+    /// ForwardSettings::idleTimeout: by then each flow has been reported again or dropped.
     Time minOwnership = 15 * second;
-    /// A node that reports stalls on a lost target gets the verdict again within this time. Later on, a recovery of the target
-    /// that the owner hasn't seen is likely.
+    /// A node that reports stalls on a lost target within this time gets the verdict again. Later, the target may have recovered
+    /// without the owner knowing of it.
     Time answerTime = 3 * second;
 };
 
@@ -43,7 +46,8 @@
     std::vector<LostTarget> all; ///< to be broadcast
 };
 
-/// Records that a node has reported work or evidence on a target.
+/// Records that a node has reported work or evidence on a target. Beyond HolderSettings::maxNodes the node is left out, and verdicts
+/// on the target go to all nodes.
 void recordHolder(FlowHolders &holders, std::uint64_t target, Id node, Time now);
 
 /// Forgets the holders of targets that this node doesn't own any more.
@@ -52,7 +56,8 @@
 
 /// Determines who gets verdicts. Those on targets whose holders aren't all known go to all nodes, and so do all verdicts when that
 /// takes fewer messages.
-/// @param nodes number of live nodes
+/// @param ownedSince by target; see LossVerdicts
+/// @param nodes number of live nodes, including this one
 VerdictRecipients recipientsOf(
     const FlowHolders &holders, std::span<const LostTarget> verdicts, const std::unordered_map<std::uint64_t, Time> &ownedSince, std::size_t nodes, Time now);
 
--- a/src/include/pimentofold/targetloss/lossverdict.h
+++ b/src/include/pimentofold/targetloss/lossverdict.h
@@ -113,13 +113,13 @@
 struct GivenVerdict {
     LostTarget lost;
     int stalledFlows = 0;
-    int reportingNodes = 0; ///< 0: the target's entry is gone, without evidence of nodes
+    int reportingNodes = 0; ///< 0: the verdict follows from the missing entry of the target
 };
 
 /// A decision of tickVerdicts().
 struct VerdictOutput {
     std::vector<GivenVerdict> verdicts; ///< in force at this node now
-    std::vector<LostTarget> broadcast; ///< to be sent to all other nodes now
+    std::vector<LostTarget> broadcast; ///< new or repeated verdicts to be sent now; recipientsOf() determines the receivers
 };
 
 /// Records which targets this node owns, for minOwnership.
--- a/src/include/pimentofold/targetloss/targetloss.h
+++ b/src/include/pimentofold/targetloss/targetloss.h
@@ -27,10 +27,11 @@
 /// Records which targets this node owns.
 void updateOwnership(EdgeForwarder &forwarder, Time now);
 
-/// Records that a node has reported work on a target, so that it gets a verdict on the target.
+/// Records that a node has reported work on a target, so that it gets verdicts on the target. Ignored for targets that this node
+/// doesn't own.
 void recordFlowHolder(EdgeForwarder &forwarder, std::uint64_t target, Id node, Time now);
 
-/// Handles evidence of a node against targets that this node owns.
+/// Handles evidence of a node against targets that this node owns. A sender that doesn't know of a verdict gets it again.
 /// @param dataCentre of the sender
 void handleEvidence(EdgeForwarder &forwarder, std::span<const TargetEvidence> evidence, Id sender, const std::string &dataCentre, Time now, ForwardOutput &out);
 
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -44,8 +44,8 @@
     Time warmupEndsAt = 0;
     Time incarnationSeenAt = 0; ///< when this node learned of this incarnation; earlier flows belong to an earlier one
     bool serviceConfirmed = false; ///< two entries of this incarnation have named record.service
-    std::string otherService; ///< that the last entry has named in contradiction to record.service; empty: none
-    std::int64_t otherSequence = 0; ///< sequence of that entry
+    std::string otherService; ///< service that the last entry has named instead of record.service; empty: none
+    std::int64_t otherSequence = 0; ///< sequence of the entry that has named otherService
     // Observations from callers' packets.
     int openFlows = 0; ///< open flows on the target that this node knows of as a dispatcher
     int workingFlows = 0; ///< those of openFlows with a request at work
@@ -110,9 +110,9 @@
 ///         nothing changes then
 bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed);
 
-/// A target keeps its service until it starts again. An entry with another service and no later start was not written by the
-/// target, unless the entry from which this node first learned of the target is the wrong one. The target renews its own entry:
-/// while only one entry has named the known service, two in a row that name another one, with rising sequences, are the target's.
+/// A target keeps its service until it starts again, so an entry with another service and no later start was written by another
+/// process. The exception is a first entry that was itself wrong: the target renews its own entry, so two entries in a row that name
+/// the same other service with rising sequences are the target's, as long as only one entry has named the known service.
 /// @return whether @p record names another service than the one that is known for this start of the target
 bool contradictsService(const TargetTable &table, const TargetRecord &record);
 
--- a/src/libnet/streamhttp.h
+++ b/src/libnet/streamhttp.h
@@ -36,8 +36,8 @@
     void start(const std::string &method, const std::string &target, const std::string &body, Time timeout, std::function<void(const HttpResult &)> onDone);
 
     /// Reports the progress of the call that start() began last.
-    /// @param onProgress called from the loop with the body so far when more of it has arrived, if the status is 200; not called
-    ///        for the last part, which onDone gets. It must not start or abandon a call
+    /// @param onProgress called from the loop with the body so far when more of it has arrived, if the status is 200. It isn't
+    ///        called for the last part, which onDone gets, and must not start or abandon a call.
     void watchProgress(std::function<void(std::string_view body)> onProgress);
 
     /// Closes the connection and abandons a call that is under way: its onDone isn't called. Further calls go to @p server. Must
--- a/src/libpimentofold/balancing/dispatcherranking.cpp
+++ b/src/libpimentofold/balancing/dispatcherranking.cpp
@@ -23,6 +23,7 @@
     }
 }
 
+/// Applies a change of the candidates of one list to all services that use the list.
 /// @param dataCentre of the list; nullptr: list of all members
 void updateServices(DispatcherRanking &ranking, const std::string *dataCentre, const CandidateChange &change)
 {
@@ -72,6 +73,8 @@
     return same;
 }
 
+/// Removes the members that the current call of setRankedNodes() doesn't contain.
+/// @return their positions, which stay in use until the next refresh
 std::vector<NodeIndex> takeMissing(DispatcherRanking &ranking)
 {
     std::vector<NodeIndex> removed;
@@ -167,7 +170,7 @@
     return it == ranking.byDataCentre.end() ? 0 : it->second.count;
 }
 
-/// Moves the targets of a data centre between its own dispatchers and those of all data centres without their own.
+/// Moves the targets of a data centre to its own dispatchers, or back to the shared ones.
 void regroup(DispatcherRanking &ranking, ServiceRanking &service, const std::string &dataCentre, bool local)
 {
     if (local) {
--- a/src/libpimentofold/balancing/rankedlists.cpp
+++ b/src/libpimentofold/balancing/rankedlists.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// A list is passed over as a whole when more than one in this many of its members changes at once; else each change costs a binary search.
+/// When more than one in this many members of a list changes at once, the list is processed as a whole; otherwise each change takes a
+/// binary search and moves the entries behind it.
 constexpr std::size_t bulkShare = 8;
 
 using NodeSet = std::unordered_set<NodeIndex>;
--- a/src/libpimentofold/balancing/rankedlists.h
+++ b/src/libpimentofold/balancing/rankedlists.h
@@ -8,7 +8,7 @@
 /// Lists of members in the order of their ages and of their ranks for a service. Internal to the library.
 namespace pimentofold::rankedlists {
 
-/// Members that became candidates and that are none any more.
+/// Members that have become candidates, and members that no longer are.
 struct CandidateChange {
     std::vector<NodeIndex> added;
     std::vector<NodeIndex> removed;
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -481,6 +481,7 @@
         if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
             continue;
         }
+        // The caller has stopped retransmitting its opening packet.
         const bool isGivenUp = forwarder.dispatcher.queue.fair && now - it->second.lastPacketAt + it->second.openingAge > openingTimeout;
         if (isOverdue || isGivenUp || it->second.attempts >= forwarder.settings.maxAttempts) {
             // The flow no longer counts as load. A retransmission of the caller may place it again.
@@ -493,13 +494,14 @@
     }
 }
 
-/// Derives the dispatchers again after a data centre has become reachable or unreachable. Nodes and targets there that didn't answer
-/// get flows again once they are reachable.
+/// @return whether the complete list of targets is known and not empty
 bool hasTargets(const TargetTable &table)
 {
     return table.targetHistoryStart > 0 && !table.targets.empty();
 }
 
+/// Derives the dispatchers again after a data centre has become reachable or unreachable. Nodes and targets there that didn't answer
+/// get flows again once they are reachable.
 void onReachabilityChanged(EdgeForwarder &forwarder, Time now)
 {
     const Reachability &reachability = forwarder.table.reachability;
--- a/src/libpimentofold/edgemutation_test.cpp
+++ b/src/libpimentofold/edgemutation_test.cpp
@@ -26,7 +26,7 @@
 constexpr Time tickInterval = 25 * millisecond;
 constexpr std::int64_t firstRevision = 1000;
 
-/// A number of which each decoder is likely to see the valid range, its ends and what is far beyond.
+/// @return a number that is in the valid range of most fields, at one of its limits, or far out of range
 std::int64_t someNumber(Random &random)
 {
     constexpr std::array<std::int64_t, 8> special{
@@ -74,7 +74,7 @@
     return it;
 }
 
-/// The configuration in force with other services, in a new revision.
+/// A new revision of the configuration with other limits of its services, and the entry of a target.
 wire::EdgeChanges someChanges(Random &random, std::int64_t revision)
 {
     StoreChanges changes;
@@ -231,8 +231,8 @@
 
 } // namespace
 
-// Guards against crashes, states that grow without bound and states out of range by messages of other nodes that were damaged or that
-// hold any numbers.
+// Guards against crashes, states that grow without bound and values out of range that are caused by damaged messages of other nodes or
+// by messages with arbitrary numbers.
 TEST_CASE("mutated messages of edge nodes cause no crash and no state out of range")
 {
     Random random{seed};
@@ -269,7 +269,7 @@
     }
     INFO("seed " << seed);
     CHECK(excess == 0);
-    // Ensures that the mutations reached what is behind the decoders.
+    // Guards against mutations that never get past the decoders.
     CHECK(receiver.handled > messages / 4);
     CHECK(refused > messages / 10);
     CHECK(events > 1000);
--- a/src/libpimentofold/flowreport.cpp
+++ b/src/libpimentofold/flowreport.cpp
@@ -24,7 +24,7 @@
 };
 
 constexpr std::array<StepText, 27> stepTexts{{
-    {"packet_early", "received, and kept until the configuration is known"},
+    {"packet_early", "received, and kept until the flow can be placed"},
     {"packet_stale", "dropped, since the packet had waited while the node was paused"},
     {"no_route", "dropped: no route to the address in configuration {config}"},
     {"flow_relayed", "received, and passed to the dispatcher {node}"},
@@ -33,11 +33,11 @@
     {"no_target", "not placed: no target takes new flows"},
     {"flow_refused", "refused {reason}"},
     {"flow_placed", "placed on target {target}, which had {load} flows at work"},
-    {"flow_offered_again", "offered to target {target}, since the target before gave no answer"},
+    {"flow_offered_again", "offered to target {target}, since the previous target gave no answer"},
     {"flow_opened", "opened at target {target}"},
     {"flow_location_asked", "received without knowing the flow; other nodes are asked for its target"},
-    {"flow_located", "goes on to target {target}, as another node knew"},
-    {"flow_location_unknown", "goes on by its token, since no other node knew its target"},
+    {"flow_located", "forwarded to target {target}, which another node has named"},
+    {"flow_location_unknown", "forwarded by its token, since no other node knew its target"},
     {"unknown_token", "packet dropped, since its target isn't known"},
     {"flow_ended", "ended by the caller, at target {target}"},
     {"flow_reset", "reset, since target {target} is lost ({reason})"},
--- a/src/libpimentofold/membership/datacentrecontact.cpp
+++ b/src/libpimentofold/membership/datacentrecontact.cpp
@@ -28,7 +28,8 @@
     return result;
 }
 
-/// @return whether this member hears its own data centre, so that the silence of another one isn't its own fault
+/// @return whether this member hears its own data centre, so that the silence of another one isn't its own fault. After
+///     isolationTimeout without any message it no longer assumes a fault of its own.
 bool hearsOwnDataCentre(const MembershipState &state, Time now)
 {
     const auto own = state.contacts.find(state.self.dataCentre);
@@ -48,7 +49,7 @@
     contact.nextPingAt = now + (contact.lostAt != never ? options.lostPingInterval : options.contactPingInterval);
     const std::vector<Id> members = liveMembersOf(state, dataCentre);
     if (members.empty()) {
-        // All have been declared dead one by one.
+        // All members there were declared dead one by one. A member that comes back ends the loss with its first message.
         endCheck(contact);
         return;
     }
@@ -60,6 +61,7 @@
     pingMember(state, target, out);
 }
 
+/// @return whether the contact has to be declared lost now
 bool isOutOfContact(const MembershipState &state, const std::string &dataCentre, const MembershipContact &contact, Time now)
 {
     const MembershipOptions &options = state.options;
@@ -81,7 +83,7 @@
     contact.heardAt = added ? now : contact.heardAt;
     if (contact.checkedSince == never) {
         contact.checkedSince = now;
-        // Spreads the pings of all members that learn of the same suspicion.
+        // Spreads the pings of the members that learn of the same suspicion.
         contact.nextPingAt = now + static_cast<Time>(below(state.random, static_cast<std::uint64_t>(state.options.contactPingInterval)));
     }
 }
@@ -134,7 +136,7 @@
         return;
     }
     contact.lostAt = never;
-    // Refutations couldn't arrive until now.
+    // Refutations couldn't arrive until now, so the suspicions start again.
     for (auto &[id, it] : state.members) {
         if (it.dataCentre == dataCentre && it.state == wire::MemberState::Suspect) {
             it.stateSince = now;
--- a/src/libpimentofold/membership/datacentrecontact.h
+++ b/src/libpimentofold/membership/datacentrecontact.h
@@ -4,8 +4,8 @@
 
 /// Contact with whole data centres. Internal to the library.
 ///
-/// A probe of each member takes long to show that all members of a data centre are out of reach. The first suspicion of one of
-/// them, raised by any member, makes each member ping others of that data centre by itself.
+/// Probes of single members take long to show that all members of a data centre are out of reach. The first suspicion of one of
+/// them, raised by any member, therefore makes each member ping other members of that data centre itself.
 namespace pimentofold::datacentrecontact {
 
 /// Starts to check the contact with the data centre of a member that is suspected.
--- a/src/libpimentofold/membership/membershiptraffic_test.cpp
+++ b/src/libpimentofold/membership/membershiptraffic_test.cpp
@@ -246,7 +246,7 @@
 // Guards against a data centre that stays divided from the others after its links have come back.
 TEST_CASE("membership: a data centre that was cut off is known again")
 {
-    // The states of members are held for a minute, and entries of dead members are kept for two.
+    // The cuts end within lostHold, while the entries of dead members are still known, and after these entries were removed.
     for (const Time duration : {15 * second, 100 * second, 4 * minute}) {
         CAPTURE(duration / second);
         Region region = makeRegion(31, true);
@@ -279,8 +279,8 @@
 
 } // namespace
 
-// Guards against members of a data centre that is cut off which stay candidates for dispatchers for up to a minute, and against a
-// slow return after a short cut.
+// Guards against members of a data centre that is cut off but that stay candidates for dispatchers for up to a minute, and against
+// a slow return after a short cut.
 TEST_CASE("membership: a cut data centre is known to all nodes within 5 s, and known again at the first message")
 {
     for (const std::size_t nodes : {3U, 6U, 31U, 100U, 300U, 1'000U}) {
--- a/src/libpimentofold/reachability/reachabilitystate_test.cpp
+++ b/src/libpimentofold/reachability/reachabilitystate_test.cpp
@@ -103,7 +103,7 @@
     CHECK(nextEvidenceUpdate(state) == never);
 }
 
-// Guards against a node that uses the part without being asked to.
+// Guards against a node that uses reachability although its settings don't turn it on.
 TEST_CASE("reachability is on only with several data centres and a bound for evacuations")
 {
     EdgeSettings settings;
--- a/src/libpimentofold/targetloss/flowprogress.cpp
+++ b/src/libpimentofold/targetloss/flowprogress.cpp
@@ -50,7 +50,7 @@
         return;
     }
     if (now - known->lastSentAt < minRetransmissionTime) {
-        // It may be a retransmission after a first packet that was late, so the next one may be due after twice the usual time.
+        // It may be a retransmission that follows a delayed first packet, so the next one may be due after twice the usual time.
         known->lastSentAt = now;
         known->interval = std::max(known->interval, firstRetransmissionTime);
         return;
--- a/src/libpimentofold/targetloss/lossholders_test.cpp
+++ b/src/libpimentofold/targetloss/lossholders_test.cpp
@@ -6,8 +6,8 @@
 using namespace pimentofold;
 using namespace pimentofold::testdata;
 
-// Guards against a verdict that misses nodes with flows of the target, because the owner can't know all of them, and against a
-// broadcast to all nodes where it can.
+// Guards against a verdict that misses nodes with flows of the target because the owner doesn't know all of them, and against a
+// broadcast to all nodes when the owner does.
 TEST_CASE("target loss: a verdict goes to the holders of the target's flows, or to all nodes")
 {
     struct Row {
--- a/src/libpimentofold/targetloss/lossverdict.cpp
+++ b/src/libpimentofold/targetloss/lossverdict.cpp
@@ -33,9 +33,9 @@
     return dataCentre == verdicts.dataCentre || it == verdicts.contacts.end() ? 0 : it->second.since;
 }
 
-/// Evidence older than the last progress or than the target's incarnation says nothing about the target as it is now. Progress since a stall that began before
-/// the contact with the target's data centre may have been missed, and a cut between the reporting node's data centre and this one
-/// explains the stall.
+/// Evidence older than the last progress or than the target's incarnation says nothing about the target as it is now. Progress
+/// since a stall that began before the contact with the target's data centre may have been missed, and a cut between the reporting
+/// node's data centre and this one explains the stall.
 void dropOutdatedReports(const LossVerdicts &verdicts, SuspectedTarget &suspect, const EdgeTarget &target, Time now)
 {
     std::erase_if(suspect.reports, [&](const LossReport &it) {
--- a/src/libpimentofold/targetloss/targetloss.cpp
+++ b/src/libpimentofold/targetloss/targetloss.cpp
@@ -297,7 +297,7 @@
     std::ranges::move(recipients.messages, std::back_inserter(out.lostTargetMessages));
 }
 
-/// Repeats verdicts to a node that reports stalls on lost targets, because it didn't get them.
+/// Repeats verdicts to a node that reports stalls on lost targets, since the node can't have received them.
 void answerEvidence(const EdgeForwarder &forwarder, std::span<const TargetEvidence> evidence, Id sender, Time now, ForwardOutput &out)
 {
     LostTargetMessage answer{sender, {}};
@@ -385,7 +385,7 @@
     if (keeps) {
         scheduleAcknowledgementCheck(loss, packet, flow);
     }
-    // A flow to an earlier incarnation stalls until the target's reset reaches its caller, which says nothing about the present one.
+    // A flow to an earlier incarnation stalls until the new process resets it, which says nothing about the new process.
     const bool isCurrent = flow.startedAt >= target.incarnationSeenAt;
     const bool counts =
         seen.stalled && isCurrent && target.lostSince == never && seen.stall.since > loss.pausedUntil && seen.stall.since >= target.lastProgressAt;
--- a/src/libpimentofold/targetloss/targetloss_test.cpp
+++ b/src/libpimentofold/targetloss/targetloss_test.cpp
@@ -180,7 +180,8 @@
     }
 }
 
-// Guards against a loss that isn't seen because the owners of the targets are lost too, or because the broadcast is.
+// Guards against a loss that isn't seen because the owners of the targets are lost too, or because the first
+// verdict messages are.
 TEST_CASE("target loss: owner lost, broadcast lost, targets of one data centre lost")
 {
     struct Row {
--- a/src/testsupport/lossmodel.cpp
+++ b/src/testsupport/lossmodel.cpp
@@ -24,8 +24,8 @@
     }
 }
 
-/// Plays a run up to its end, and leaves a state for each deviation that the run could have taken at one of its events. Runs that
-/// may not deviate further are played at once, so that their states needn't be stored.
+/// Explores a run up to its end, and stores a state for each deviation that the run could have taken at one of its events. Runs that
+/// may not deviate further are explored at once, so that their states needn't be stored.
 class Search
 {
 public:
@@ -80,7 +80,7 @@
         }
     }
 
-    /// @return false when a run with as few deviations has reached the same state, so that all that may follow is played already
+    /// @return false when a run with as few deviations has reached the same state, so that everything that may follow is explored already
     bool isNew(const LossWorld &world)
     {
         const auto [known, added] = m_known.try_emplace(fingerprint(world), world.deviations);
--- a/src/testsupport/lossmodel.h
+++ b/src/testsupport/lossmodel.h
@@ -12,9 +12,9 @@
 /// owns the target, the second one may become its owner.
 ///
 /// Packets, messages and timers arrive in time unless a run deviates: each deviation loses, delays or repeats one of them, pauses a
-/// node, moves a flow, hands the target over to the other owner, or silences or restarts the target. The check plays all runs with at
-/// most a given number of deviations, those with fewer ones first, and merges runs that reach the same state at the same time. The
-/// nodes run the library's own functions.
+/// node, moves a flow, hands the target over to the other owner, or silences or restarts the target. The check explores all runs with
+/// at most a given number of deviations and merges runs that reach the same state at the same time. The nodes run the library's own
+/// functions. They know no other members, so each verdict goes to all nodes, not only to the holders of flows.
 namespace pimentofold::testsupport {
 
 /// What has to hold in every run.
@@ -39,7 +39,7 @@
     StaleVerdicts, ///< NoEarlierVerdict: nodes ignore the incarnation that a verdict names
 };
 
-/// What one check plays.
+/// Settings of one check.
 struct LossModelOptions {
     std::string_view name;
     std::array<Time, 3> firstRequestAt{}; ///< by flow: start of its first request; the third flow's requests are unsafe
@@ -51,7 +51,7 @@
     /// A fault lasts for 300 ms at most. The requests that are in progress then may give no evidence; they end after a second. The next
     /// ones start 250 ms later and are repeated for the second time after 600 ms, and a verdict follows within 150 ms.
     Time duration = 3300 * millisecond;
-    std::size_t maxTransitions = 60'000'000; ///< the check ends here without being complete
+    std::size_t maxTransitions = 60'000'000; ///< the check ends without being complete after this many events
     LossDefect defect = LossDefect::None;
 };
 
@@ -63,7 +63,7 @@
 };
 
 struct LossModelResult {
-    std::size_t runs = 0; ///< played up to their end
+    std::size_t runs = 0; ///< explored up to their end
     std::size_t states = 0; ///< distinct ones at the nodes' timers
     std::size_t transitions = 0; ///< events that were handled
     std::size_t verdicts = 0;
@@ -72,7 +72,7 @@
     std::vector<LossViolation> violations; ///< the one with the fewest deviations for each property
 };
 
-/// Plays all runs with at most LossModelOptions::maxDeviations deviations.
+/// Explores all runs with at most LossModelOptions::maxDeviations deviations.
 LossModelResult checkLossModel(const LossModelOptions &options);
 
 } // namespace pimentofold::testsupport
--- a/src/testsupport/lossmodel_test.cpp
+++ b/src/testsupport/lossmodel_test.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 // Guards against resets of living targets' flows and of unsafe requests, silent targets that aren't declared lost, and verdicts
-// that come twice or come back, whatever two faults there are and when.
+// that come twice or come back, for any two faults at any time.
 TEST_CASE("model check: verdict on a lost target")
 {
     for (const LossModelOptions &row : {together, apart, silent, hanging}) {
@@ -53,7 +53,7 @@
     }
 }
 
-// Guards against the same while the router moves flows. What happens to unsafe requests is the next test's matter.
+// Guards against the same failures while the router moves flows. The next test covers unsafe requests.
 TEST_CASE("model check: verdict on a lost target whose flows are moved")
 {
     for (const LossModelOptions &row : {withMoves(silent), withMoves(hanging)}) {
@@ -80,7 +80,7 @@
 }
 
 // Guards against a check that finds nothing: each defect has to break its property.
-TEST_CASE("model check: planted defects are found")
+TEST_CASE("model check: seeded defects are found")
 {
     struct Row {
         LossModelOptions options;
--- a/src/testsupport/lossworld.h
+++ b/src/testsupport/lossworld.h
@@ -10,12 +10,13 @@
 #include <pimentofold/targetloss/targetloss.h>
 #include <testsupport/lossmodel.h>
 
-/// The small world of the model check in lossmodel.h: a state that can be copied cheaply, and its next event.
+/// State of the model check in lossmodel.h, which can be copied cheaply, and the handling of its next event.
 namespace pimentofold::testsupport {
 
 constexpr std::size_t lossNodes = 3;
 constexpr std::uint64_t judgedTarget = 1; ///< id
-constexpr Time lossStart = 100 * second; ///< on the nodes' clocks
+/// Start of a run on the nodes' clocks, late enough that the owner has owned the target for longer than any minimum.
+constexpr Time lossStart = 100 * second;
 
 enum class LossEventKind {
     Tick, ///< all nodes run their timers
@@ -120,7 +121,7 @@
 /// Handles the next event.
 LossStep handleNextEvent(LossWorld &world, const LossModelOptions &options, const LossDeviation &deviation);
 
-/// @return hash of all that decides on the further events, without the deviations so far
+/// @return hash of the state that determines the further events, without the deviations so far
 std::uint64_t fingerprint(const LossWorld &world);
 
 } // namespace pimentofold::testsupport
--- a/src/testsupport/lossworldparts.h
+++ b/src/testsupport/lossworldparts.h
@@ -8,7 +8,7 @@
 
 #include <testsupport/lossworld.h>
 
-/// What the files of the world of the model check share.
+/// Helpers of the files that implement lossworld.h.
 namespace pimentofold::testsupport {
 
 constexpr Time transit = millisecond;
