Decode early routes only while packets wait for them

Each route of the first configuration was decoded twice.

Routes are decoded now only while a stored packet has no route.

--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -190,6 +190,9 @@
 /// @return when tickForwarder() has to be called next
 Time nextForwarderTick(const EdgeForwarder &forwarder);
 
+/// @return whether a stored early packet has no route so far
+bool hasPacketsWithoutRoute(const EdgeForwarder &forwarder);
+
 /// Removes the stored early packets whose flows can be placed now, and those that are too old.
 /// @return the packets whose flows can be placed and that are not older than earlyPacketRetention, to be passed to handlePacket() again
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now);
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -669,6 +669,11 @@
                      nextReachabilityTick(forwarder.table.reachability)});
 }
 
+bool hasPacketsWithoutRoute(const EdgeForwarder &forwarder)
+{
+    return std::ranges::any_of(forwarder.earlyPackets, [&](const EarlyPacket &it) { return findRoute(forwarder.table, it.service) == nullptr; });
+}
+
 std::vector<EarlyPacket> takeEarlyPackets(EdgeForwarder &forwarder, Time now)
 {
     std::vector<EarlyPacket> early;
--- a/src/libpimentofold/edgeforward_test.cpp
+++ b/src/libpimentofold/edgeforward_test.cpp
@@ -238,6 +238,7 @@
         handlePacket(forwarder, makeOpening(1), 0, out);
         CHECK(out.packets.size() == (it.isPlaced ? 1 : 0));
         CHECK(out.resets.empty());
+        CHECK(hasPacketsWithoutRoute(forwarder) == (!it.routeArrived || it.readFails));
         CHECK_FALSE(canPlaceFlows(forwarder));
     }
 }
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -70,7 +70,7 @@
           m_forwarder.dispatcher.random,
           m_log,
           [this] { onStoreAnswer(); },
-          options.forward.earlyRoutes ? std::function<void()>([this] { releaseEarlyPackets(); }) : nullptr)
+          options.forward.earlyRoutes ? EarlyRoutes{[this] { return hasPacketsWithoutRoute(m_forwarder); }, [this] { releaseEarlyPackets(); }} : EarlyRoutes())
     , m_roster(settings.storeAddress, m_log, [this](const std::vector<Address> &nodes) { m_peers.contactNodes(nodes, monotonicNow()); })
     , m_forwardTimer([this] { onForwardTick(); })
     , m_replicationTimer([this] { onReplicationTick(); })
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -35,13 +35,12 @@
 {
 }
 
-StoreClient::StoreClient(
-    const Address &store, TargetTable &table, Random &random, EventLog &log, std::function<void()> onAnswered, std::function<void()> onRoutesArrived)
+StoreClient::StoreClient(const Address &store, TargetTable &table, Random &random, EventLog &log, std::function<void()> onAnswered, EarlyRoutes earlyRoutes)
     : m_table(table)
     , m_random(random)
     , m_log(log)
     , m_onAnswered(std::move(onAnswered))
-    , m_onRoutesArrived(std::move(onRoutesArrived))
+    , m_earlyRoutes(std::move(earlyRoutes))
     , m_configReader(platform::StoreKind::Config, store, [this] { startCall(m_configReader); })
     , m_targetsReader(platform::StoreKind::Targets, store, [this] { startCall(m_targetsReader); })
     , m_evacuationsReader(platform::StoreKind::Evacuations, store, [this] { startCall(m_evacuationsReader); })
@@ -178,7 +177,7 @@
         call->watch ? platform::watchPath(reader.kind, call->revision, call->watchTimeout) : platform::listPath(reader.kind, call->startAfter);
     reader.listCall = !call->watch;
     reader.connection.start("GET", target, "", call->timeout, [this, &reader](const HttpResult &result) { onAnswer(reader, result); });
-    if (reader.kind == platform::StoreKind::Config && reader.listCall && m_table.configRevision == 0 && m_onRoutesArrived) {
+    if (reader.kind == platform::StoreKind::Config && reader.listCall && m_table.configRevision == 0 && m_earlyRoutes.areNeeded) {
         m_configStream = {};
         reader.connection.watchProgress([this](std::string_view body) { applyArrivedRoutes(body); });
     }
@@ -186,15 +185,16 @@
 
 void StoreClient::applyArrivedRoutes(std::string_view body)
 {
-    if (m_table.configRevision != 0) {
-        return; // a peer has sent the configuration
+    // The routes are decoded again with the complete configuration, so it is worth it only for packets that wait.
+    if (m_table.configRevision != 0 || !m_earlyRoutes.areNeeded()) {
+        return;
     }
     const std::vector<EdgeRoute> routes = platform::decodeArrivedRoutes(m_configStream, body);
     if (routes.empty()) {
         return;
     }
     addFirstRoutes(m_table, routes);
-    m_onRoutesArrived();
+    m_earlyRoutes.onArrived();
 }
 
 void StoreClient::onAnswer(KindReader &reader, const HttpResult &result)
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -18,6 +18,12 @@
 
 namespace pimentofold {
 
+/// Use of the routes of the first configuration while it still arrives.
+struct EarlyRoutes {
+    std::function<bool()> areNeeded; ///< whether packets wait for their routes; empty: routes aren't used early
+    std::function<void()> onArrived; ///< called when routes have been added to the table
+};
+
 /// Reads the platform's store: lists and watches the configuration, the targets and, where they are on, the evacuations, and
 /// applies them to a table.
 class StoreClient
@@ -27,13 +33,7 @@
     /// @param table to which the store's contents are applied; must outlive this object, as must @p random and @p log
     /// @param random for the back-off after failed calls
     /// @param onAnswered called after each call has ended, also after a failed one
-    /// @param onRoutesArrived called when routes have been applied before the rest of the first configuration has arrived
-    StoreClient(const Address &store,
-                TargetTable &table,
-                Random &random,
-                EventLog &log,
-                std::function<void()> onAnswered,
-                std::function<void()> onRoutesArrived = nullptr);
+    StoreClient(const Address &store, TargetTable &table, Random &random, EventLog &log, std::function<void()> onAnswered, EarlyRoutes earlyRoutes = {});
 
     /// Turns the calls for evacuations on, or off if @p bound is 0, as they are at first.
     /// @param bound time within which an evacuation has to be in force
@@ -101,7 +101,7 @@
     Random &m_random;
     EventLog &m_log;
     std::function<void()> m_onAnswered;
-    std::function<void()> m_onRoutesArrived;
+    EarlyRoutes m_earlyRoutes;
     KindReader m_configReader;
     KindReader m_targetsReader;
     KindReader m_evacuationsReader;
