--- a/src/include/pimentofold/membership/membership.h
+++ b/src/include/pimentofold/membership/membership.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -83,20 +82,6 @@
     /// assumption ends after isolationTimeout, so that a real failure of all other members is detected too.
     Time isolationThreshold = 2500 * millisecond;
     Time isolationTimeout = 15 * second;
-    // Contact with other data centres, only with severalDataCentres.
-    /// When a member of another data centre is suspected and nothing was heard from there for contactCheckAfter, random members there
-    /// are pinged, one every contactPingInterval.
-    Time contactCheckAfter = 1500 * millisecond;
-    Time contactPingInterval = 100 * millisecond;
-    /// The contact is lost when nothing was heard for this long and contactPings pings, to contactMembers different members or to all
-    /// when there are fewer, had no answer. Any message from a member there restores it.
-    Time contactTimeout = 2500 * millisecond;
-    int contactPings = 8;
-    std::size_t contactMembers = 3;
-    Time lostPingInterval = 500 * millisecond; ///< between pings to a data centre with which the contact is lost
-    /// The states of its members are left as they are for this long, so that one message brings all of them back. Later on they are
-    /// probed, and declared dead, one by one.
-    Time lostHold = minute;
 };
 
 /// Datagram to be sent to another agent. Its size including the authenticator is at most maxDatagramBytes.
@@ -111,27 +96,10 @@
     std::optional<wire::MemberState::type> before; ///< previous state; none for a new member
 };
 
-/// Change of the contact with all members of a data centre.
-struct ContactChange {
-    std::string dataCentre;
-    bool lost = false; ///< false: restored by a message from a member there
-};
-
-/// Contact of this member with a data centre.
-struct MembershipContact {
-    Time heardAt = 0; ///< last message from a member there
-    Time checkedSince = never; ///< when a suspicion has started the check; never: none since the last message
-    int pings = 0; ///< since checkedSince
-    std::set<Id> pinged; ///< members that were pinged since checkedSince, up to contactMembers
-    Time nextPingAt = 0; ///< only valid during a check
-    Time lostAt = never; ///< when the contact was lost; never: it isn't
-};
-
 /// Messages to be sent and state changes to be handled by the caller. The functions below append to it.
 struct MembershipOutput {
     std::vector<MemberMessage> messages;
     std::vector<MemberChange> changes;
-    std::vector<ContactChange> contacts; ///< the result of liveMembers() changes with each of these
 };
 
 /// The probe of the current probe interval.
@@ -186,7 +154,6 @@
     double updateBudget = 0; ///< bytes that may be sent now
     Time budgetUpdatedAt = 0;
     bool leaving = false;
-    std::map<std::string, MembershipContact, std::less<>> contacts; ///< by data centre, including the own one
     MembershipCounts counts;
 };
 
@@ -217,12 +184,6 @@
 /// @param from source address of the datagram, to which the reply is sent
 void handleMembership(MembershipState &state, const wire::PeerMessage &message, const std::string &from, Time now, MembershipOutput &out);
 
-/// Records that a message of any kind from a member has arrived. handleMembership() does this for its messages.
-void recordHeard(MembershipState &state, Id sender, Time now, MembershipOutput &out);
-
-/// @return whether the contact with a data centre is lost, see MembershipOptions::contactTimeout
-bool isOutOfContact(const MembershipState &state, const std::string &dataCentre);
-
 /// Sends probes and digests, expires suspicions and leaves, and removes old entries of dead members. To be called about
 /// every 100 ms.
 void tickMembership(MembershipState &state, Time now, MembershipOutput &out);
@@ -231,7 +192,7 @@
 void leaveMembership(MembershipState &state, Time now, MembershipOutput &out);
 
 /// @return members that may be given work, ordered by instance: those alive or suspect, including this one unless it
-///     is leaving, and without those of data centres whose contact is lost
+///     is leaving
 std::vector<Member> liveMembers(const MembershipState &state);
 
 /// @return the number of members that liveMembers() returns
--- a/src/libpimentofold/membership/memberqueries.cpp
+++ b/src/libpimentofold/membership/memberqueries.cpp
@@ -7,20 +7,13 @@
 
 namespace pimentofold {
 
-namespace {
-
-bool isUsable(const MembershipState &state, const Member &member)
-{
-    return memberupdates::isLive(member) && !isOutOfContact(state, member.dataCentre);
-}
-
-} // namespace
+using memberupdates::isLive;
 
 std::vector<Member> liveMembers(const MembershipState &state)
 {
     std::vector<Member> result;
     for (const auto &[id, member] : state.members) {
-        if (isUsable(state, member)) {
+        if (isLive(member)) {
             result.push_back(member);
         }
     }
@@ -29,7 +22,7 @@
 
 std::size_t liveCount(const MembershipState &state)
 {
-    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [&](const auto &it) { return isUsable(state, it.second); }));
+    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [](const auto &it) { return isLive(it.second); }));
 }
 
 Time suspicionTimeout(const MembershipOptions &options, std::size_t members)
@@ -57,7 +50,7 @@
 {
     std::vector<InstanceKey> keys;
     for (const auto &[id, member] : state.members) {
-        if (isUsable(state, member)) {
+        if (isLive(member)) {
             keys.push_back(member.key);
         }
     }
--- a/src/libpimentofold/membership/membership.cpp
+++ b/src/libpimentofold/membership/membership.cpp
@@ -4,12 +4,10 @@
 
 #include <pimentofold/once/once.h>
 
-#include <libpimentofold/membership/datacentrecontact.h>
 #include <libpimentofold/membership/memberupdates.h>
 
 namespace pimentofold {
 
-using namespace datacentrecontact;
 using namespace memberupdates;
 
 namespace {
@@ -178,13 +176,12 @@
 {
     const auto it = state.members.find(state.probe.target);
     state.probe = {};
-    if (it == state.members.end() || isIsolated(state, now) || isHeld(state, it->second, now)) {
+    if (it == state.members.end() || isIsolated(state, now)) {
         return;
     }
     if (it->second.state == State::Alive) {
         ++state.counts.suspicions;
         changeState(state, it->second, State::Suspect, now, out);
-        suspectContact(state, it->second, now);
         sendUpdates(state, it->second, now, out); // gives the member a chance to refute the suspicion
     } else if (it->second.state == State::Leaving) {
         changeState(state, it->second, State::Dead, now, out);
@@ -205,7 +202,7 @@
     }
 }
 
-const Member *nextProbeTarget(MembershipState &state, Time now)
+const Member *nextProbeTarget(MembershipState &state)
 {
     if (state.probeOrder.empty()) {
         refillProbeOrder(state);
@@ -213,7 +210,7 @@
     while (!state.probeOrder.empty()) {
         const auto it = state.members.find(state.probeOrder.back());
         state.probeOrder.pop_back();
-        if (it != state.members.end() && it->second.state != State::Dead && !isHeld(state, it->second, now)) {
+        if (it != state.members.end() && it->second.state != State::Dead) {
             return &it->second;
         }
     }
@@ -223,7 +220,7 @@
 void startProbe(MembershipState &state, Time now, MembershipOutput &out)
 {
     state.nextProbeAt = now + state.options.probeInterval;
-    const Member *target = nextProbeTarget(state, now);
+    const Member *target = nextProbeTarget(state);
     if (target == nullptr) {
         return;
     }
@@ -320,8 +317,7 @@
     for (auto it = state.members.begin(); it != state.members.end();) {
         Member &member = it->second;
         const bool isSelf = it->first == state.self.key.instance;
-        const bool onHold = member.state == State::Suspect && (suspicionsOnHold || isHeld(state, member, now));
-        if (isSelf || stateExpiry(state, member, suspicionDuration) > now || onHold) {
+        if (isSelf || stateExpiry(state, member, suspicionDuration) > now || (suspicionsOnHold && member.state == State::Suspect)) {
             nextEnd = isSelf ? nextEnd : std::min(nextEnd, std::max(stateExpiry(state, member, suspicionDuration), now + 1));
             ++it;
         } else if (member.state == State::Dead) {
@@ -361,7 +357,6 @@
     state.probe = {};
     state.lastHeardAt = now;
     restartSuspicions(state, now);
-    restartContacts(state, now);
 }
 
 void handlePing(MembershipState &state, const wire::PeerMessage &message, const std::string &from, Time now, MembershipOutput &out)
@@ -492,7 +487,6 @@
         restartSuspicions(state, now);
     }
     state.lastHeardAt = now;
-    recordHeard(state, message.sender.instance, now, out);
     bool anyChange = false;
     for (const wire::MemberUpdate &it : message.members) {
         anyChange = mergeUpdate(state, it, now, out) || anyChange;
@@ -511,7 +505,6 @@
 {
     detectPause(state, now);
     expireMemberStates(state, now, out);
-    tickContacts(state, now, out);
     tickProbe(state, now, out);
     tickUrgentUpdates(state, now, out);
     tickCatchUp(state, now, out);
--- a/src/libpimentofold/membership/memberupdates.cpp
+++ b/src/libpimentofold/membership/memberupdates.cpp
@@ -7,15 +7,11 @@
 #include <pimentofold/codec.h>
 #include <pimentofold/settings.h>
 
-#include <libpimentofold/membership/datacentrecontact.h>
-
 namespace pimentofold::memberupdates {
 
 namespace {
 
 using State = wire::MemberState;
-using datacentrecontact::isHeld;
-using datacentrecontact::suspectContact;
 
 /// Upper bound of the encoded size of an update without its strings, in bytes.
 constexpr std::size_t updateOverheadBytes = 44;
@@ -283,17 +279,10 @@
         out.changes.push_back({it->second, it->second.state});
         return true;
     }
-    const bool accuses = claim.state == State::Suspect || claim.state == State::Dead;
-    if (accuses && claim.key.incarnation == it->second.key.incarnation && isHeld(state, it->second, now)) {
-        return false;
-    }
     if (precedence(claim) <= precedence(it->second) || !checkDeathClaim(state, it->second, claim, now)) {
         return false;
     }
     replaceMember(state, it->second, claim, out);
-    if (accuses) {
-        suspectContact(state, it->second, now);
-    }
     queueUpdate(state, claim.key.instance);
     return true;
 }
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -298,9 +298,6 @@
         } else if (bytes.front() == edgeTag) {
             wire::EdgeMessage message;
             m_codec.decode(body, message);
-            MembershipOutput output;
-            recordHeard(m_membership, message.sender, monotonicNow(), output);
-            applyOutput(std::move(output));
             m_onHeard(message.sender);
             m_onMessage(message, from);
         }
@@ -335,11 +332,7 @@
                  "member_changed",
                  {{"member", it.member.name}, {"address", it.member.address}, {"state", name(it.member.state)}, {"members", liveCount(m_membership)}});
     }
-    for (const ContactChange &it : output.contacts) {
-        logEvent(
-            m_log, it.lost ? "data_centre_members_lost" : "data_centre_members_back", {{"data_centre", it.dataCentre}, {"members", liveCount(m_membership)}});
-    }
-    if (!output.changes.empty() || !output.contacts.empty()) {
+    if (!output.changes.empty()) {
         updatePeers();
         m_onMembersChanged();
     }
@@ -360,9 +353,8 @@
             continue;
         }
         DataCentrePeers &dataCentrePeers = m_peersByDataCentre[member.dataCentre];
-        const bool inContact = !isOutOfContact(m_membership, member.dataCentre);
-        (member.state == wire::MemberState::Alive && inContact ? dataCentrePeers.alive : dataCentrePeers.unreliable).push_back(address);
-        if (member.state != wire::MemberState::Leaving && inContact) {
+        (member.state == wire::MemberState::Alive ? dataCentrePeers.alive : dataCentrePeers.unreliable).push_back(address);
+        if (member.state != wire::MemberState::Leaving) {
             m_peerAddresses[id] = address;
         }
     }
