Hash all times of the evidence in the model check

The fingerprint left out when a node learned of an incarnation, and the last proofs of its path, so that states that differ only there were merged.

--- a/src/testsupport/lossfingerprint.cpp
+++ b/src/testsupport/lossfingerprint.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 
 #include <testsupport/lossworld.h>
 
@@ -69,6 +70,12 @@
     for (const auto &[target, at] : evidence.acknowledgedAt) {
         hash.add(target, at);
     }
+    const auto proven = evidence.provenAt.find(judgedTarget);
+    hash.add(proven == evidence.provenAt.end() ? never : proven->second);
+    // Ordered, so that the same state always has the same hash.
+    for (const auto &[caller, at] : std::map(evidence.callerProgressAt.begin(), evidence.callerProgressAt.end())) {
+        hash.add(caller, at);
+    }
 }
 
 void addVerdicts(Hash &hash, const LossVerdicts &verdicts, Time now)
@@ -96,7 +103,13 @@
 void addNode(Hash &hash, const EdgeForwarder &node, Time now)
 {
     const EdgeTarget &target = *findTarget(node.table, judgedTarget);
-    hash.add(target.record.startedAt, target.owner, target.lastProgressAt, target.lostSince, target.noVerdictUntil, target.unansweredOpenings);
+    hash.add(target.record.startedAt,
+             target.owner,
+             target.lastProgressAt,
+             target.lostSince,
+             target.noVerdictUntil,
+             target.unansweredOpenings,
+             target.incarnationSeenAt);
     const TargetLoss &loss = node.targetLoss;
     addEvidence(hash, loss.evidence, now);
     addVerdicts(hash, loss.verdicts, now);
