--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -48,7 +48,7 @@
     """Records what targets take; the cases decide themselves which rule they check."""
 
     def __init__(self, record):
-        super().__init__({"drain_s": 1e9, "config_s": 1e9, "touch_s": 0})
+        super().__init__({"drain_s": 1e9, "config_s": 1e9, "evacuate_s": 1e9, "touch_s": 0})
         self.record = record
         self.took = []  # (time, target, route)
 
