--- a/review/lib-2/world2.py
+++ b/review/lib-2/world2.py
@@ -42,8 +42,26 @@
         self.file.close()
 
 
+class SenderPort(asyncio.DatagramProtocol):
+    def __init__(self, handler):
+        self.handler = handler
+
+    def datagram_received(self, data, addr):
+        self.handler(data, addr[0])
+
+
 class WatchedTarget(Target):
-    """A target that tells the world of each packet that reaches it."""
+    """A target that tells the world of each packet that reaches it, and from which node."""
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: SenderPort(self.receive_from), local_addr=(self.ip, 8080))
+        self.alive = True
+        self.register()
+
+    def receive_from(self, data, sender):
+        self.world.sender = sender
+        self.receive(data)
 
     def receive(self, data):
         intended = int.from_bytes(data[:8], "big")
@@ -63,6 +81,7 @@
         self.opened_at = {}  # flow -> (target, time)
         self.packets = {}  # flow -> [(time, target)], without opening packets
         self.broken = []
+        self.sender = ""  # address of the node that sent the packet that a target takes
 
     def opened(self, key, target):
         super().opened(key, target)
@@ -72,7 +91,7 @@
     def reached(self, key, target, flags):
         if not flags & SYN:
             self.packets.setdefault(key, []).append((time.monotonic(), target))
-        self.record.note(f"target {target} took {'SYN' if flags & SYN else 'packet'} of {show(key)}")
+        self.record.note(f"target {target} took {'SYN' if flags & SYN else 'packet'} of {show(key)} from {self.sender}")
 
     def ran(self, request, target):
         self.record.note(f"target {target} ran request {request[1]} of {show(request[0])}")
@@ -144,6 +163,7 @@
             await world.add_caller_ip(ip)
         for target in self.targets:
             world.targets[target.name] = target
+            world.judge.data_centres.add(target.zone)
             await target.start()
         for node in self.nodes:
             self.servers.append(await asyncio.start_server(node.proxy.serve, node.ip, 8169))
