Record what callers send and get in the review's scripts

Cause: record.txt named only what targets took and ran. Change: the shared world notes each packet of a caller and each answer, and the temporary folder is removed at the end. No check changed.

--- a/review/lib-2/world2.py
+++ b/review/lib-2/world2.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -18,7 +19,7 @@
 sys.path.insert(0, os.path.join(ROOT, "scripts", "lib"))
 
 import edgesoak  # noqa: E402
-from edgeworld import HEAD, SYN, Target, World, number  # noqa: E402
+from edgeworld import HEAD, SYN, Target, World, number  # noqa: E402, F401
 
 BINARY = os.path.join(ROOT, "target", "bin", "pimentofold-edge")
 SETTINGS = os.path.join(ROOT, "deploy", "edge.json")
@@ -83,6 +84,17 @@
         self.broken = []
         self.sender = ""  # address of the node that sent the packet that a target takes
 
+    def to_node(self, key, data):
+        kind = "SYN" if data[0] & SYN else f"{len(data) - HEAD.size} bytes"
+        self.record.note(f"caller {show(key)} sends {kind}")
+        super().to_node(key, data)
+
+    def deliver(self, data, sender):
+        if len(data) > HEAD.size:
+            _, _, dport, dst, src, sport = HEAD.unpack(data[:HEAD.size])[:6]
+            self.record.note(f"caller {show((dst, dport, src, sport))} gets an answer: {data[HEAD.size:].decode(errors='replace')}")
+        super().deliver(data, sender)
+
     def opened(self, key, target):
         super().opened(key, target)
         self.opened_at.setdefault(key, (target, time.monotonic()))
@@ -190,6 +202,7 @@
         await asyncio.gather(*(node.end(signal.SIGKILL) for node in self.nodes))
         for server in self.servers:
             server.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run(main, folder):
