--- a/review/6/run.py
+++ b/review/6/run.py
@@ -13,7 +13,7 @@
 FREEZE_S = 0.25
 IDLE_TIMEOUT_MS = 30_000  # idle_timeout_ms of the configuration
 IDLE_S = 22.0  # pause of the callers between two requests
-ROUTE = (number("198.18.0.1"), 443)
+ROUTE = (number("127.198.0.1"), 443)
 
 
 class LongIdleWorld(FlowWorld):
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -13,7 +13,7 @@
 FREEZE_S = 0.25
 GAP_S = 1.0  # between two restarts
 IDLE_S = 10.0  # pause of the callers between two requests; less than the 12 s after which targets close idle flows
-ROUTE = (number("198.18.0.1"), 443)
+ROUTE = (number("127.198.0.1"), 443)
 
 
 def wake(record, node):
