Read the other nodes' messages before acting on what waited

Change: relayed opening packets and waiting flows are placed once the socket has been read to its end, and a notice that the flow is elsewhere withdraws the opening packet. A process that has not run for 10 ms reads its sockets before a timer or packet is handled. A dispatcher that relayed a flow to another data centre tells the one there when the flow goes on without it. Events: opening_withdrawn; flow_placed names the node that received the opening packet and the age of that packet.

--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -78,6 +78,7 @@
     Opened, ///< the caller has sent a further packet, so a target has answered
     Ended, ///< the caller has finished or reset the flow, or uses its port for a new flow
     Stale, ///< an opening packet was dropped because it waited in a socket while this process was paused
+    Withdrawn, ///< a relayed opening packet was dropped because the flow had gone on elsewhere before it was read
     Early, ///< the packet is stored until the configuration and the targets are known
     NoRoute, ///< an opening packet was dropped because its service address has no route
     NoTarget, ///< the flow wasn't placed because no target accepts it
@@ -99,8 +100,8 @@
     FlowToken token = 0;
     int attempts = 0; ///< placement attempts of the flow so far
     int load = 0; ///< flows on the target with a request at work, as known to this node
-    Id node = 0; ///< Relayed: the dispatcher
-    Time elapsed = 0; ///< since the flow's first packet at this node
+    Id node = 0; ///< Relayed: the dispatcher; Placed, OfferedAgain, Withdrawn: the node that received the opening packet, 0: this node
+    Time elapsed = 0; ///< since the flow's first packet at this node; Placed, OfferedAgain: since the caller's first opening packet
     RefusalReason reason = RefusalReason::NoTarget; ///< Refused: why
 };
 
@@ -219,6 +220,8 @@
     double meanServiceTime = 0; ///< moving average of the time from placement to the first answer of flows, in microseconds
     Time nextSweepAt = 0; ///< when tickDispatcher() next checks waiting flows
     Time nextPlacedSweepAt = 0; ///< when tickDispatcher() next checks placed flows
+    Time placementHeldSince = never; ///< waiting flows are placed only by resumePlacement(); `never`: at once
+    bool placementDue = false; ///< waiting flows may have got room while their placement was held
 };
 
 /// Result of a placement request.
@@ -246,6 +249,9 @@
 /// placed in time.
 void tickDispatcher(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out);
 
+/// Places the waiting flows for which targets have got room since Dispatcher::placementHeldSince was set, and resets it.
+void resumePlacement(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out);
+
 /// @return when tickDispatcher() has to be called next
 Time nextDispatcherTick(const Dispatcher &dispatcher);
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -8,6 +8,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include <pimentofold/backlog/openingbacklog.h>
 #include <pimentofold/balancing/balancing.h>
 #include <pimentofold/balancing/dispatcherranking.h>
 #include <pimentofold/dispatch.h>
@@ -77,6 +78,8 @@
     FlowActivity activity; ///< of the packets that this node has received
     bool countedAsWorking = true; ///< the dispatcher counts the flow as one with a request at work
     std::uint64_t target = 0; ///< id of the target that the caller's packets name; 0 before the flow is open
+    bool relayed = false; ///< an opening packet was relayed to `dispatcher`
+    bool leftDispatcher = false; ///< this node places the flow itself, after an earlier attempt was relayed to a dispatcher
     int attempts = 0; ///< placement attempts so far
     Time startedAt = 0; ///< time of the flow's first packet at this node
     Time lastOfferAt = 0; ///< time of the last placement attempt
@@ -96,6 +99,12 @@
     Time receivedAt = 0;
 };
 
+/// An opening packet that was relayed to a dispatcher in another data centre.
+struct RelayElsewhere {
+    Id dispatcher = 0;
+    Time relayedAt = 0;
+};
+
 /// Unanswered flows of one dispatcher.
 struct DispatcherMisses {
     int misses = 0; ///< consecutive flows without an answer
@@ -137,6 +146,8 @@
     Time dropOpeningsUntil = 0; ///< opening packets are dropped until then after a pause
     Time dispatcherRetryAt = 0; ///< when an avoided dispatcher is used again; `never` when none is avoided
     std::unordered_map<FlowKey, EdgeFlow> flows;
+    OpeningBacklog backlog; ///< opening packets that other nodes have relayed to this node and that it hasn't placed yet
+    std::unordered_map<FlowKey, RelayElsewhere> relayedElsewhere; ///< first attempts that this node has relayed to other data centres
     std::multimap<Time, FlowKey> answerChecks; ///< flows by the time at which their answer is due
     FlowLocations locations;
     std::vector<EarlyPacket> earlyPackets;
--- a/src/libnet/udpsocket.cpp
+++ b/src/libnet/udpsocket.cpp
@@ -16,6 +16,8 @@
 constexpr int socketBufferBytes = 4 << 20;
 // Batches read in one turn of the loop, so that other sockets and timers get their turn.
 constexpr int batchesPerTurn = 4;
+// So that a socket that fills as fast as it is read doesn't stop the loop.
+constexpr int maxArrivedBatches = 64;
 
 int openSocket(const Address &local)
 {
@@ -39,7 +41,7 @@
 UdpSocket::UdpSocket(const Address &local, Handler handler, std::size_t maxBytes)
     : m_descriptor(openSocket(local))
     , m_handler(std::move(handler))
-    , m_readable([this](int) { receive(); })
+    , m_readable([this](int) { receive(batchesPerTurn); })
     , m_maxBytes(maxBytes)
     , m_in(udpBatch * slotBytes())
     , m_out(udpBatch * slotBytes())
@@ -116,12 +118,22 @@
     m_queued = 0;
 }
 
-void UdpSocket::receive()
+void UdpSocket::setDrainedHandler(std::function<void()> handler)
+{
+    m_drainedHandler = std::move(handler);
+}
+
+void UdpSocket::readArrived()
+{
+    receive(maxArrivedBatches);
+}
+
+void UdpSocket::receive(int batches)
 {
     std::array<mmsghdr, udpBatch> headers{};
     std::array<iovec, udpBatch> parts{};
     std::array<sockaddr_in, udpBatch> addresses{};
-    for (int turn = 0; turn < batchesPerTurn; ++turn) {
+    for (int turn = 0; turn < batches; ++turn) {
         for (std::size_t i = 0; i < udpBatch; ++i) {
             parts[i] = {&m_in[i * slotBytes()], slotBytes()};
             headers[i].msg_hdr = {};
@@ -131,9 +143,6 @@
             headers[i].msg_hdr.msg_namelen = sizeof addresses[i];
         }
         const int n = recvmmsg(m_descriptor, headers.data(), udpBatch, MSG_DONTWAIT, nullptr);
-        if (n <= 0) {
-            return;
-        }
         for (int i = 0; i < n; ++i) {
             const auto slot = static_cast<std::size_t>(i);
             m_bytesReceived += headers[slot].msg_len;
@@ -144,6 +153,7 @@
             runGuarded([&] { m_handler({&m_in[slot * slotBytes()], headers[slot].msg_len}, fromSockaddr(addresses[slot])); });
         }
         if (n < static_cast<int>(udpBatch)) {
+            runGuarded(m_drainedHandler);
             return;
         }
     }
--- a/src/libnet/udpsocket.h
+++ b/src/libnet/udpsocket.h
@@ -33,6 +33,11 @@
     UdpSocket(const UdpSocket &) = delete;
     UdpSocket &operator=(const UdpSocket &) = delete;
 
+    /// Sets a function that is called after the socket has been read to its end.
+    void setDrainedHandler(std::function<void()> handler);
+    /// Reads the datagrams that have arrived, without waiting for the loop.
+    void readArrived();
+
     /// Queues a datagram; it leaves with the batch, at the latest when the loop is about to wait.
     void send(std::string_view bytes, const Address &to);
     /// Sends what is queued. Datagrams that the system refuses are dropped and counted.
@@ -46,11 +51,13 @@
     std::uint64_t bytesReceived() const;
 
 private:
-    void receive();
+    /// Reads up to @p batches batches.
+    void receive(int batches);
     std::size_t slotBytes() const;
 
     int m_descriptor = -1;
     Handler m_handler;
+    std::function<void()> m_drainedHandler = [] {};
     IoWatcher m_readable;
     ev_prepare m_beforeWait{};
     std::size_t m_maxBytes;
--- a/src/libpimentofold/dispatch.cpp
+++ b/src/libpimentofold/dispatch.cpp
@@ -1,6 +1,7 @@
 #include <pimentofold/dispatch.h>
 
 #include <algorithm>
+#include <utility>
 
 #include <pimentofold/outlier/outlier.h>
 #include <pimentofold/queueing/waitinglist.h>
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 16> eventNames{"flow_placed",
+constexpr std::array<std::string_view, 17> eventNames{"flow_placed",
                                                       "flow_offered_again",
                                                       "flow_relayed",
                                                       "flow_waiting",
@@ -21,6 +22,7 @@
                                                       "flow_opened",
                                                       "flow_ended",
                                                       "packet_stale",
+                                                      "opening_withdrawn",
                                                       "packet_early",
                                                       "no_route",
                                                       "no_target",
@@ -97,7 +99,13 @@
     recordOffer(table, target, now);
     recordRequestStarted(table, flow.key, target, now);
     out.packets.push_back({target.record.address, target.record.id, target.token, flow.openingPacket});
-    appendEvent(out, placed.offerCount > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed, flow.key, &target, static_cast<int>(placed.offerCount), 0);
+    appendEvent(out,
+                placed.offerCount > 1 ? ForwardEvent::OfferedAgain : ForwardEvent::Placed,
+                flow.key,
+                &target,
+                static_cast<int>(placed.offerCount),
+                flow.openingAge);
+    out.events.back().node = flow.originNode;
 }
 
 /// Removes the record of a flow and its load, if there is one.
@@ -221,6 +229,10 @@
 
 void placeWaiting(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
 {
+    if (dispatcher.placementHeldSince != never) {
+        dispatcher.placementDue = true;
+        return;
+    }
     if (!dispatcher.queue.fair) {
         placeInOrder(dispatcher, table, now, out);
     } else if (placeFairly(dispatcher, table, now, out)) {
@@ -466,6 +478,14 @@
     dispatcher.nextSweepAt = std::min(dispatcher.nextSweepAt, now + (dispatcher.queue.flows.empty() ? sweepInterval : waitingSweepInterval));
 }
 
+void resumePlacement(Dispatcher &dispatcher, TargetTable &table, Time now, ForwardOutput &out)
+{
+    dispatcher.placementHeldSince = never;
+    if (std::exchange(dispatcher.placementDue, false)) {
+        placeWaiting(dispatcher, table, now, out);
+    }
+}
+
 Time nextDispatcherTick(const Dispatcher &dispatcher)
 {
     return dispatcher.nextSweepAt;
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include <pimentofold/backlog/relayedopenings.h>
 #include <pimentofold/balancing/balancing.h>
 #include <pimentofold/evacuation/evacuation.h>
 #include <pimentofold/outlier/outlier.h>
@@ -93,11 +94,15 @@
 /// Relays an opening packet to another data centre if the flow is to leave this one. Only first attempts leave, so that a
 /// dispatcher elsewhere that doesn't answer costs one attempt. An opening packet from another data centre never leaves again.
 /// @return whether the packet was relayed
-bool relayElsewhere(EdgeForwarder &forwarder, const OpeningFlow &flow, ForwardOutput &out)
+bool relayElsewhere(EdgeForwarder &forwarder, const OpeningFlow &flow, Time now, ForwardOutput &out)
 {
+    if (flow.attempt > 1) {
+        withdrawElsewhere(forwarder, flow.key, out);
+        return false;
+    }
     const Dispatcher &dispatcher = forwarder.dispatcher;
     const bool isKnown = dispatcher.placedFlows.contains(flow.key) || dispatcher.queue.flows.contains(flow.key);
-    if (forwarder.balancing.services.empty() || flow.attempt > 1 || isKnown || !isFromOwnDataCentre(forwarder, flow)) {
+    if (forwarder.balancing.services.empty() || isKnown || !isFromOwnDataCentre(forwarder, flow)) {
         return false;
     }
     const EdgeRoute *route = findRoute(forwarder.table, flow.key.service);
@@ -111,12 +116,34 @@
         return false;
     }
     ++forwarder.balancing.flowsLeft;
+    forwarder.relayedElsewhere[flow.key] = {*to, now};
     out.relayedOpenings.push_back({*to, flow.attempt, flow.openingPacket, flow.originNode});
     appendEvent(out, ForwardEvent::Relayed, flow.key, nullptr, flow.attempt, 0);
     out.events.back().node = *to;
     return true;
 }
 
+/// Sends a notice to a flow's dispatcher, or handles it at once if this node is the dispatcher.
+void notifyDispatcher(EdgeForwarder &forwarder, const FlowNotice &notice, Time now, ForwardOutput &out)
+{
+    if (notice.dispatcher != 0) {
+        out.flowNotices.push_back(notice);
+    } else {
+        handleFlowNotice(forwarder.dispatcher, forwarder.table, notice, now, out);
+    }
+}
+
+/// Makes this node the dispatcher of a flow that opens, and tells the previous one, which may have got an earlier attempt.
+void leaveDispatcher(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
+{
+    if (flow.relayed) {
+        flow.leftDispatcher = true;
+        flow.relayed = false;
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
+    }
+    flow.dispatcher = 0;
+}
+
 /// Starts a placement attempt: relays the opening packet to the flow's dispatcher, or places the flow at this node.
 void attemptPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
@@ -125,17 +152,18 @@
     forwarder.answerChecks.emplace(now + answerTimeout(forwarder), key);
     Reachability &reachability = forwarder.table.reachability;
     if (isStranded(reachability, key.service) || isUnreachableNode(reachability, flow.dispatcher)) {
-        flow.dispatcher = 0;
+        leaveDispatcher(forwarder, key, flow, now, out);
     }
     if (flow.dispatcher != 0) {
         recordRelay(reachability, flow.dispatcher, now);
+        flow.relayed = true;
         out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket, 0});
         appendEvent(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
         out.events.back().node = flow.dispatcher;
         return;
     }
     const OpeningFlow opening = toOpeningFlow(forwarder, key, flow);
-    if (relayElsewhere(forwarder, opening, out)) {
+    if (relayElsewhere(forwarder, opening, now, out)) {
         return;
     }
     const PlaceResult result = placeFlow(forwarder.dispatcher, forwarder.table, opening, now, out);
@@ -160,23 +188,12 @@
     }
 }
 
-/// Sends a notice to a flow's dispatcher, or handles it at once if this node is the dispatcher.
-void notifyDispatcher(EdgeForwarder &forwarder, const FlowNotice &notice, Time now, ForwardOutput &out)
-{
-    if (notice.dispatcher != 0) {
-        out.flowNotices.push_back(notice);
-    } else {
-        handleFlowNotice(forwarder.dispatcher, forwarder.table, notice, now, out);
-    }
-}
-
 void retryPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
     if (flow.dispatcher != 0 && flow.attempts >= 2) {
         // Neither the first nor the second target that the dispatcher chose has answered, so the dispatcher itself may be at fault.
         recordDispatcherMiss(forwarder, flow.dispatcher, now);
-        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
-        flow.dispatcher = 0;
+        leaveDispatcher(forwarder, key, flow, now, out);
     }
     attemptPlacement(forwarder, key, flow, now, out);
 }
@@ -300,7 +317,7 @@
     flow.openingPacket.shrink_to_fit();
     recordAnswer(target, now);
     target.lastProgressAt = now;
-    if (flow.attempts > 1 || flow.startedElsewhere) {
+    if (flow.attempts > 1 || flow.leftDispatcher || flow.startedElsewhere) {
         reportLocation(forwarder, key, flow, flow.target, locationHolderCount, out);
     }
     recordHeard(forwarder.table.reachability, target.record.dataCentre, now);
@@ -462,6 +479,7 @@
 void removeExpired(EdgeForwarder &forwarder, Time now)
 {
     removeExpiredLocations(forwarder.locations, now);
+    removeOldRelays(forwarder, now);
     for (auto it = forwarder.flows.begin(); it != forwarder.flows.end();) {
         const EdgeFlow &flow = it->second;
         const Time idle = now - flow.lastPacketAt;
@@ -573,7 +591,7 @@
 {
     if (now < forwarder.dropOpeningsUntil) {
         appendEvent(out, ForwardEvent::Stale, flow.key, nullptr, flow.attempt, 0);
-    } else if (canPlaceFlow(forwarder, flow.key.service) && !relayElsewhere(forwarder, flow, out)) {
+    } else if (canPlaceFlow(forwarder, flow.key.service) && !relayElsewhere(forwarder, flow, now, out)) {
         OpeningFlow opening = flow;
         const auto origin = forwarder.memberDataCentres.find(flow.originNode);
         opening.dataCentre = origin == forwarder.memberDataCentres.end() ? "" : origin->second;
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -6,6 +6,7 @@
 
 #include <pimentofold-edge/edgelog.h>
 #include <pimentofold-edge/queuemetrics.h>
+#include <pimentofold/backlog/relayedopenings.h>
 #include <pimentofold/balancing/loadwire.h>
 #include <pimentofold/reachability/reachability.h>
 #include <pimentofold/targetloss/targetloss.h>
@@ -23,6 +24,9 @@
 // The process ends this long before the platform's stop limit, so that the platform doesn't kill it.
 constexpr Time stopReserve = second;
 
+// A process that hasn't run for this long reads the other nodes' messages before it goes on. Nodes wait for an answer for 15 ms or longer.
+constexpr Time missedMessagesGap = 10 * millisecond;
+
 // So that the verdicts of one message fit into a datagram.
 constexpr std::size_t maxVerdictsPerMessage = 30;
 
@@ -97,6 +101,7 @@
     configureReplication();
     configureEvacuations();
     m_peers.setHeardHandler([this](Id node) { onHeard(node); });
+    m_peers.setDrainedHandler([this] { onMessagesRead(); });
     configureReachability();
     logEvent(m_log,
              "started",
@@ -187,7 +192,7 @@
 {
     const Time now = monotonicNow();
     m_lastPacketAt = now;
-    checkForPause(now);
+    readMissedMessages(now);
     handlePacketBytes(bytes, now);
     scheduleForwardTick();
 }
@@ -374,8 +379,11 @@
 void Edge::onForwardTick()
 {
     m_forwardTimerAt = never;
+    if (readMissedMessages(monotonicNow())) {
+        // A caller's packet that has arrived may be the answer whose absence the timer would act on.
+        m_packets.readArrived();
+    }
     const Time now = monotonicNow();
-    checkForPause(now);
     ForwardOutput out;
     tickForwarder(m_forwarder, now, out);
     send(out, now);
@@ -463,6 +471,25 @@
     }
 }
 
+bool Edge::readMissedMessages(Time now)
+{
+    const bool missed = now - m_forwarder.lastRunAt > missedMessagesGap;
+    checkForPause(now);
+    if (missed) {
+        m_peers.readArrived();
+    }
+    return missed;
+}
+
+void Edge::onMessagesRead()
+{
+    const Time now = monotonicNow();
+    ForwardOutput out;
+    placeBacklog(m_forwarder, now, out);
+    send(out, now);
+    scheduleForwardTick();
+}
+
 void Edge::onPeerMessage(const wire::EdgeMessage &message, const Address &from)
 {
     const Time now = monotonicNow();
@@ -513,6 +540,9 @@
     default:
         break;
     }
+    if (isBacklogOverdue(m_forwarder, now)) {
+        onMessagesRead();
+    }
     scheduleForwardTick();
 }
 
@@ -536,7 +566,7 @@
             recordFlowHolder(m_forwarder, notice.target, message.sender, now);
         }
         ForwardOutput out;
-        handleFlowNotice(m_forwarder.dispatcher, m_forwarder.table, notice, now, out);
+        receiveFlowNotice(m_forwarder, notice, now, out);
         send(out, now);
     }
 }
@@ -568,7 +598,7 @@
     flow.attempt = std::max(message.attempt, 1);
     flow.openingAge = packet->openingAge;
     ForwardOutput out;
-    placeForPeer(m_forwarder, flow, now, out);
+    receiveRelayedOpening(m_forwarder, flow, now, out);
     send(out, now);
 }
 
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -52,6 +52,12 @@
     void send(const ForwardOutput &out, Time now);
     /// Logs when the process did not run for some time.
     void checkForPause(Time now);
+    /// Handles the messages of other nodes that have arrived while this process didn't run, since what it is about to do may no
+    /// longer hold.
+    /// @return whether the process has not run for a moment
+    bool readMissedMessages(Time now);
+    /// Places what other nodes have relayed, after their messages have been read.
+    void onMessagesRead();
     void onForwardTick();
     /// Logs when slow start stops to use cold targets, because this node has lost the majority, and when it uses them again.
     void logSlowStart();
--- a/src/pimentofold-edge/peertransport.cpp
+++ b/src/pimentofold-edge/peertransport.cpp
@@ -81,6 +81,16 @@
     m_onHeard = std::move(onHeard);
 }
 
+void PeerTransport::setDrainedHandler(std::function<void()> handler)
+{
+    m_socket.setDrainedHandler(std::move(handler));
+}
+
+void PeerTransport::readArrived()
+{
+    m_socket.readArrived();
+}
+
 void PeerTransport::tick(Time now)
 {
     MembershipOutput output;
--- a/src/pimentofold-edge/peertransport.h
+++ b/src/pimentofold-edge/peertransport.h
@@ -39,6 +39,11 @@
     /// Sets a function that is called with the id of the sending node for each message of any kind.
     void setHeardHandler(std::function<void(Id)> onHeard);
 
+    /// Sets a function that is called after the messages that had arrived have been handled.
+    void setDrainedHandler(std::function<void()> handler);
+    /// Handles the messages that have arrived, without waiting for the loop.
+    void readArrived();
+
     /// Runs the timers of the membership protocol: probes, and time-outs of suspicions. To be called about every 50 ms.
     void tick(Time now);
     /// Announces this node's planned stop to the other members.
