Keep the locations of flows through restarts of the nodes that know them

Cause: the location of a flow that was offered to two targets was known to the node through which it had opened and to two holders. Change: nodes that store a reported location compare its holders with the members whenever these change, and send it to new ones. A node that stops does the same without itself, and stays until it is done. Locations carry the sequence number of a packet of the flow, so that one that is still passed on isn't used for a later flow with the same addresses; the end of a flow leaves the locations of later ones. Answers to a question that has ended no longer change what a node stores.

--- a/scripts/lib/edgesoak.py
+++ b/scripts/lib/edgesoak.py
@@ -15,7 +15,7 @@
 from edgeworld import ACK, SYN, Proxy, Target, World, number, packet
 
 PACKETS, READINESS, PEERS, METRICS = 8172, 8167, 7720, 9464
-BOUNDS = {"drain_s": 3.0, "config_s": 3.0, "touch_s": 4.0, "evacuate_s": 3.0, "recovery_s": 12.0}
+BOUNDS = {"drain_s": 3.0, "config_s": 3.0, "touch_s": 4.0, "evacuate_s": 3.0, "recovery_s": 12.0, "give_up_s": 3.0}
 LOG_BYTES_PER_SECOND = 400_000  # a node's log budget: about ten event names at 200 lines of 200 bytes
 MEMORY_MB = 56  # the smallest instance
 MOST_FILES = 200
--- a/scripts/lib/edgeworld.py
+++ b/scripts/lib/edgeworld.py
@@ -49,6 +49,7 @@
         self.evacuated_at = {}  # data centre -> when the store accepted its evacuation
         self.data_centres = set()  # those that have targets
         self.disturbed_until = 0.0  # rules with a time bound don't hold before
+        self.planned_only = False  # all faults are planned work, which has to keep the rules for flows at any time
         self.outcomes = []  # (start, seconds or None)
 
     def fail(self, rule, text):
@@ -87,6 +88,12 @@
             return None
         return max(self.evacuated_at[zone] for zone in self.data_centres)
 
+    def astray(self, flow, home, packets, lives):
+        """The caller gives a flow up after these packets, (when, target), since the last one that reached its own target."""
+        last = [when for when, _ in packets if when > time.monotonic() - self.bounds["give_up_s"]]
+        if len(last) >= 3 and lives and (self.bounded() or self.planned_only):
+            self.fail("FLOW", f"{len(last)} packets of flow {flow} reached {sorted({target for _, target in packets})} and none its target {home}")
+
     def unanswered(self, route, began):
         """A flow's opening packets got no answer, and no refusal either."""
         if route not in self.added_at or route in self.dropped_at:
@@ -270,6 +277,7 @@
         self.busy = 0
         self.queue = []
         self.born = int(time.time() * 1000)
+        self.opening_delay = 0.0  # seconds until an opening packet is answered
 
     async def start(self):
         self.transport = await open_port(self.ip, 8080, self.receive)
@@ -309,11 +317,12 @@
                 self.world.judge.opening(self.name, self.service, (dst, dport))
                 flow = self.flows[key] = {"first": seq, "seq": random.getrandbits(31), "open": False, "echo": echo, "next": (seq + 1) & MASK,
                                           "early": {}, "buffer": b"", "taken": 0, "answered": 0, "sent": 0, "answer": None}
-            self.reply(key, SYN | ACK, echo, flow["seq"], seq + 1)
+            self.answer_opening(key, echo, flow["seq"], seq + 1)
             return
         if flow is None:
             self.reply(key, RST, echo, 0, seq, own=True)
             return
+        self.world.took(key, self.name)
         flow["echo"] = echo
         if not flow["open"] and ack != flow["seq"] + 1:
             return
@@ -323,6 +332,12 @@
         if body:
             self.take_data(key, flow, seq, body)
 
+    def answer_opening(self, key, echo, seq, ack):
+        if self.opening_delay:
+            asyncio.get_running_loop().call_later(self.opening_delay, self.reply, key, SYN | ACK, echo, seq, ack)
+        else:
+            self.reply(key, SYN | ACK, echo, seq, ack)
+
     def take_data(self, key, flow, seq, body):
         """Adds a piece of a request; runs the request when all of it is there, or repeats the answer that the caller missed."""
         if (seq - flow["next"]) & MASK >= HALF:
@@ -471,6 +486,7 @@
         self.sockets = {}  # caller's ip number -> transport
         self.nodes = {}  # name -> object with ip, ready
         self.homes = {}  # flow -> (target, opened at)
+        self.astray = {}  # flow -> [(when, target)] of its packets since the last one that reached its own target
         self.loss = 0.0
         self.double = 0.0
         self.runs = {}
@@ -504,6 +520,14 @@
     def opened(self, key, target):
         self.homes[key] = (target, time.monotonic())
 
+    def took(self, key, target):
+        """A target has got a packet after the opening one."""
+        home = self.homes.get(key)
+        if home and home[0] == target:
+            self.astray.pop(key, None)
+        elif home:
+            self.astray.setdefault(key, []).append((time.monotonic(), target))
+
     def ran(self, request, target):
         """request: key of the flow and number of the request on it"""
         self.runs[request] = self.runs.get(request, 0) + 1
@@ -526,7 +550,11 @@
         caller = Caller(self, ip, port, route, sizes, pause)
         self.callers[(number(ip), port)] = caller
         self.judge.counts["flows"] += 1
-        for start, seconds in await caller.run():
+        outcomes = await caller.run()
+        if home := self.homes.get(caller.key):
+            target = self.targets.get(home[0])
+            self.judge.astray(caller.key, home[0], self.astray.pop(caller.key, []), target is not None and target.alive)
+        for start, seconds in outcomes:
             self.judge.counts["failed" if seconds is None else "served"] += 1
             self.judge.outcomes.append((start, seconds))
         await asyncio.sleep(0.5)
@@ -535,7 +563,7 @@
         for i in range(len(sizes)):
             self.runs.pop((caller.key, i), None)
 
-    def write_config(self, version, routes):
+    def write_config(self, version, routes, idle_timeout_ms=15000):
         """routes: {(dst, dport): service}"""
         listed = [{"name": f"r{i}", "host": ".".join(str(b) for b in struct.pack(">I", dst)), "path_prefix": f"/{dport}/", "type": "safe",
                    "aim_ms": 500, "priority": 1, "service": service} for i, ((dst, dport), service) in enumerate(sorted(routes.items()))]
@@ -547,5 +575,5 @@
         for route in self.judge.allowed:
             if route not in routes:
                 self.judge.dropped_at.setdefault(route, time.monotonic())
-        spec = {"version": version, "routes": listed, "services": [], "limits": {"idle_timeout_ms": 15000}}
+        spec = {"version": version, "routes": listed, "services": [], "limits": {"idle_timeout_ms": idle_timeout_ms}}
         self.store.put("config", "main", spec)
--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -132,7 +132,7 @@
   4: bool healthy = true          // Beat: the sender's calls to the store are answered
   5: i64 configKnown = 0          // revision of the store up to which the sender knows the configuration
   6: i64 targetsKnown = 0         // the same for targets
-  7: i64 age = 0                  // microseconds since the sender's knowledge was confirmed by the store
+  7: i64 age = 0                  // microseconds since the sender's knowledge was confirmed by the store; Located: since the flow opened
   12: i64 configRevision = 0      // Beat, Fetch: revision of the configuration that the sender has in force
   13: bool large = false          // Beat, Changes: so many changes that the receiver had better read the store itself;
                                   // Fetch: the sender can't reach the store, so it needs all changes from here
@@ -148,4 +148,6 @@
   19: optional list<EdgeDispatchLoad> loads  // DispatchLoad
   20: i64 evacuationsKnown = 0    // Beat, Fetch: revision of the store up to which the sender knows the evacuations
   21: optional i8 refusalReason   // Refused: why, as numbered in RefusalReason
+  22: optional bool report        // Located: true: a report to be kept, false: the answer to a Locate; unset: from a previous version
+  23: optional i32 sequence       // Locate, Located: sequence number of a packet of the flow, unset: from a previous version
 }
--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <pimentofold/balancing/dispatchload.h>
+#include <pimentofold/flowlocation/flowlocation.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/placement.h>
 #include <pimentofold/queueing/admissionqueue.h>
@@ -168,12 +169,20 @@
     std::uint64_t target = 0; ///< id; 0 when the sender doesn't know the flow's target
 };
 
-/// A question for a flow's location, an answer to one, or a report; see flowlocation.h.
+/// What a LocationMessage is.
+enum class LocationMessageKind {
+    Question, ///< its location is what the packet's token names
+    Answer, ///< to a question; its target is 0 if the flow isn't known
+    Report, ///< to be kept; its target is 0 if the flow has ended
+};
+
+/// A message about the location of a flow, see flowlocation.h.
 struct LocationMessage {
-    bool asks = false;
+    LocationMessageKind kind = LocationMessageKind::Question;
     Id to = 0;
     FlowKey flow;
-    std::uint64_t target = 0; ///< id. Question: named by the packet's token. Answer or report: where the flow is; 0: not known, or the flow has ended
+    FlowLocation location;
+    Time age = 0; ///< Report: time since the flow opened
 };
 
 /// Packets, notices and events that the functions below and those of edgeforward.h produce. The functions append to the
--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <pimentofold/dispatch.h>
+#include <pimentofold/flowlocation/locationreplicas.h>
 #include <pimentofold/replication/storereplication.h>
 #include <pimentofold/targetloss/lossevidence.h>
 
@@ -67,6 +68,19 @@
 /// Converts a flow's key from a message.
 FlowKey fromWire(const wire::EdgeFlowEnds &ends);
 
+/// Writes the location of a flow into a message about it.
+void setLocation(wire::EdgeMessage &message, const LocationMessage &location);
+
+/// @return the location that a Locate or Located names
+FlowLocation locationFromWire(const wire::EdgeMessage &message);
+
+/// @return the location that a Located reports
+LocationReport reportFromWire(const wire::EdgeMessage &message);
+
+/// @param isAsked whether this node has asked for the flow's location. Only this tells an answer from a report of a previous version.
+/// @return whether a Located is a report, not an answer
+bool isLocationReport(const wire::EdgeMessage &message, bool isAsked);
+
 /// Converts evidence against a target for a message.
 wire::EdgeTargetEvidence toWire(const TargetEvidence &evidence);
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -15,6 +15,7 @@
 #include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowactivity.h>
 #include <pimentofold/flowlocation/flowlocation.h>
+#include <pimentofold/flowlocation/locationreplicas.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
 #include <pimentofold/targetchoice.h>
@@ -82,6 +83,7 @@
     bool leftDispatcher = false; ///< this node places the flow itself, after an earlier attempt was relayed to a dispatcher
     int attempts = 0; ///< placement attempts so far
     Time startedAt = 0; ///< time of the flow's first packet at this node
+    std::uint32_t sequence = 0; ///< sequence number of that packet
     Time lastOfferAt = 0; ///< time of the last placement attempt
     Time lastPacketAt = 0; ///< time of the caller's last packet
     Time openingAge = 0; ///< openingAge of the last opening packet, see FlowPacket
@@ -150,6 +152,7 @@
     std::unordered_map<FlowKey, RelayElsewhere> relayedElsewhere; ///< first attempts that this node has relayed to other data centres
     std::multimap<Time, FlowKey> answerChecks; ///< flows by the time at which their answer is due
     FlowLocations locations;
+    bool leaving = false; ///< this node is about to stop
     std::vector<EarlyPacket> earlyPackets;
     double meanAnswerTime = 0; ///< moving average of the time from an offer to the caller's next packet, in microseconds
     double answerTimeDeviation = 0; ///< moving average of the deviation from meanAnswerTime, in microseconds
@@ -184,12 +187,19 @@
 
 /// Answers another node's question for the target of a flow. A flow that isn't known here is recorded with the target that the
 /// asking node uses then.
-/// @param named id of the target that the packet's token names; 0: none
-void handleLocate(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t named, Time now, ForwardOutput &out);
+/// @param named target that the packet's token names, and the packet's sequence number
+void handleLocate(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, const FlowLocation &named, Time now, ForwardOutput &out);
 
-/// Handles the answer to a question of this node, or stores the location of a flow that another node reports.
-/// @param target id; 0: not known, or the flow has ended
-void handleLocated(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out);
+/// Handles the answer to a question of this node. Answers after the one that has ended the question are ignored.
+/// @param target id; 0: not known
+void handleLocationAnswer(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out);
+
+/// Stores the location of a flow that another node reports, or forgets it if the flow has ended. Packets that are held for it are
+/// forwarded.
+void handleLocationReport(EdgeForwarder &forwarder, const LocationReport &report, Time now, ForwardOutput &out);
+
+/// Starts the planned stop of this node: the locations that it keeps are passed on to other nodes.
+void leaveForwarding(EdgeForwarder &forwarder, Time now);
 
 /// Updates the dispatchers of all services and the targets that this node owns for what has changed since the last call. Has to
 /// be called after each change of members, targets, evacuations or the configuration.
--- a/src/include/pimentofold/flowlocation/flowlocation.h
+++ b/src/include/pimentofold/flowlocation/flowlocation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -28,8 +29,9 @@
 /// Limits of flow locations at one node.
 struct FlowLocationSettings {
     Time answerTimeout = 30 * millisecond; ///< packets are held for this long at most
-    Time retention = 20 * second; ///< a reported location is kept for this long; longer than callers pause between requests
+    Time retention = 20 * second; ///< a location is kept for this long after its flow has opened; longer than callers pause between requests
     std::size_t maxLocations = 20'000; ///< further reports are ignored
+    std::size_t maxNamedLocations = 10'000; ///< of those recorded from questions
     std::size_t maxQuestions = 500; ///< open questions; packets of further flows are not held
     std::size_t maxHeldPackets = 2'000; ///< of all flows; further packets are not held
     std::size_t maxPacketsPerFlow = 16; ///< as many packets as a caller has in flight
@@ -50,16 +52,27 @@
     Time askedAt = 0;
 };
 
-/// A location that another node has reported.
-struct ReportedLocation {
-    std::uint64_t target = 0; ///< id
-    Time reportedAt = 0;
+/// Where a flow is.
+struct FlowLocation {
+    std::uint64_t target = 0; ///< id; 0: not known, or the flow has ended
+    std::optional<std::uint32_t> sequence; ///< of a packet of the flow, which tells it from others with the same addresses; nothing: not known
+};
+
+/// A location that this node keeps.
+struct StoredLocation {
+    FlowLocation location;
+    Time openedAt = 0; ///< when the flow opened, as far as known
+    bool replicated = false; ///< the location was reported, and is passed on when the members change; see locationreplicas.h
+    std::array<InstanceKey, locationHolderCount> holders{}; ///< only if replicated: nodes that keep it as far as this node knows
 };
 
 /// Flow locations and open questions of one node.
 struct FlowLocations {
     FlowLocationSettings settings;
-    std::unordered_map<FlowKey, ReportedLocation> reported;
+    std::unordered_map<FlowKey, StoredLocation> stored;
+    std::vector<FlowKey> unchecked; ///< replicated locations whose holders have to be compared with the members
+    std::int64_t passedOn = 0; ///< locations sent to new holders since the start
+    Time replicationDueAt = never; ///< when nextReplicas() has to be called; never: nothing to compare
     std::unordered_map<FlowKey, LocationQuestion> questions;
     std::multimap<Time, FlowKey> deadlines; ///< of the questions; entries of answered questions stay until their time
     std::size_t heldPackets = 0; ///< of all questions
@@ -80,12 +93,24 @@
 /// @return up to @p count nodes, the first ones in the order of rendezvous hashing for the flow
 std::vector<Id> locationHolders(const std::vector<Id> &members, Id self, const FlowKey &flow, std::size_t count);
 
-/// Records the report of another node.
-/// @param target id; 0: the flow has ended
-void recordLocation(FlowLocations &locations, const FlowKey &flow, std::uint64_t target, Time now);
+/// @return whether a packet with the second sequence number may belong to the flow with the first one, as far as they are known
+bool mayBeSameFlow(std::optional<std::uint32_t> known, std::optional<std::uint32_t> sequence);
+
+/// Records the location that another node's question has named. It is not replicated.
+void recordNamedLocation(FlowLocations &locations, const FlowKey &flow, const FlowLocation &location, Time now);
+
+/// Records a reported location, which is replicated.
+/// @param holders other nodes that keep it, as far as known
+/// @param openedAt when the flow opened
+void storeLocation(
+    FlowLocations &locations, const FlowKey &flow, const FlowLocation &location, const std::array<InstanceKey, locationHolderCount> &holders, Time openedAt);
+
+/// Forgets the location of a flow that has ended. That of a later flow with the same addresses stays.
+void forgetLocation(FlowLocations &locations, const FlowKey &flow, std::optional<std::uint32_t> sequence);
 
-/// @return id of the reported target; 0 when none is known
-std::uint64_t findLocation(const FlowLocations &locations, const FlowKey &flow, Time now);
+/// @param sequence of a packet of the flow
+/// @return the location of the flow; its target is 0 when none is known
+FlowLocation findLocation(const FlowLocations &locations, const FlowKey &flow, std::optional<std::uint32_t> sequence, Time now);
 
 /// Starts a question and holds the packet.
 /// @param holders nodes that will be asked
@@ -110,7 +135,7 @@
 /// Ends the questions whose time limit has passed.
 std::vector<EndedQuestion> expireQuestions(FlowLocations &locations, Time now);
 
-/// Removes reported locations after their retention. To be called about every second.
+/// Removes locations after their retention. To be called about every second.
 void removeExpiredLocations(FlowLocations &locations, Time now);
 
 /// @return when expireQuestions() has to be called next
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -348,6 +348,39 @@
     return {toAddress(ends.callerIp, ends.callerPort), toAddress(ends.serviceIp, ends.servicePort)};
 }
 
+void setLocation(wire::EdgeMessage &message, const LocationMessage &location)
+{
+    message.__set_flow(toWire(location.flow));
+    message.__set_target(static_cast<std::int64_t>(location.location.target));
+    if (location.location.sequence) {
+        message.__set_sequence(static_cast<std::int32_t>(*location.location.sequence));
+    }
+    if (location.kind != LocationMessageKind::Question) {
+        message.__set_report(location.kind == LocationMessageKind::Report);
+        message.__set_age(location.age);
+    }
+}
+
+FlowLocation locationFromWire(const wire::EdgeMessage &message)
+{
+    FlowLocation location;
+    location.target = static_cast<std::uint64_t>(message.target);
+    if (message.__isset.sequence) {
+        location.sequence = static_cast<std::uint32_t>(message.sequence);
+    }
+    return location;
+}
+
+LocationReport reportFromWire(const wire::EdgeMessage &message)
+{
+    return {0, fromWire(message.flow), locationFromWire(message), std::max<Time>(message.age, 0)};
+}
+
+bool isLocationReport(const wire::EdgeMessage &message, bool isAsked)
+{
+    return message.__isset.report ? message.report : !isAsked;
+}
+
 wire::EdgeTargetEvidence toWire(const TargetEvidence &evidence)
 {
     wire::EdgeTargetEvidence result;
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -10,6 +10,8 @@
 #include <pimentofold/reachability/reachability.h>
 #include <pimentofold/targetloss/targetloss.h>
 
+#include <libpimentofold/flowlocation/locationreports.h>
+
 namespace pimentofold {
 
 namespace {
@@ -219,27 +221,6 @@
     }
 }
 
-std::vector<Id> holdersOf(const EdgeForwarder &forwarder, const FlowKey &key, std::size_t count)
-{
-    std::vector<Id> ids;
-    ids.reserve(forwarder.members.size());
-    for (const InstanceKey &it : forwarder.members) {
-        ids.push_back(it.instance);
-    }
-    return locationHolders(ids, forwarder.self.instance, key, count);
-}
-
-/// Reports the flow's target to other nodes, so that its packets get there even if this node restarts.
-/// @param target id; 0: the flow has ended
-/// @param count number of nodes
-void reportLocation(const EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, std::uint64_t target, std::size_t count, ForwardOutput &out)
-{
-    flow.locationReported = target != 0;
-    for (const Id it : holdersOf(forwarder, key, count)) {
-        out.locationMessages.push_back({false, it, key, target});
-    }
-}
-
 void endFlow(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
     if (flow.stage == FlowStage::Ended) {
@@ -247,7 +228,7 @@
     }
     flow.stage = FlowStage::Ended;
     if (flow.locationReported) {
-        reportLocation(forwarder, key, flow, 0, locationQuestionCount, out);
+        reportFlowEnd(forwarder, key, flow, out);
     }
     const EdgeTarget *target = findTarget(forwarder.table, flow.target);
     appendEvent(out, ForwardEvent::Ended, key, target, flow.attempts, now - flow.startedAt);
@@ -274,12 +255,13 @@
         forwarder.flows.erase(existing);
     }
     dropQuestion(forwarder.locations, packet.flow);
-    recordLocation(forwarder.locations, packet.flow, 0, now);
+    forgetLocation(forwarder.locations, packet.flow, std::nullopt);
     recordRouteOpening(forwarder.table.reachability, packet.flow.service, now);
     EdgeFlow flow;
     flow.startedElsewhere = packet.openingAge > 0;
     flow.startedAt = now;
     flow.lastPacketAt = now;
+    flow.sequence = packet.sequence;
     flow.openingAge = packet.openingAge;
     flow.openingPacket = packet.bytes;
     flow.dispatcher = dispatcherOf(forwarder, packet.flow);
@@ -318,7 +300,7 @@
     recordAnswer(target, now);
     target.lastProgressAt = now;
     if (flow.attempts > 1 || flow.leftDispatcher || flow.startedElsewhere) {
-        reportLocation(forwarder, key, flow, flow.target, locationHolderCount, out);
+        reportLocation(forwarder, key, flow, locationHolderCount, now, out);
     }
     recordHeard(forwarder.table.reachability, target.record.dataCentre, now);
     if (flow.dispatcher != 0) {
@@ -340,18 +322,26 @@
     return packet.token == 0 ? nullptr : findTargetByToken(forwarder.table, packet.token, findRoute(forwarder.table, packet.flow.service));
 }
 
+/// @return the flow of a packet; nullptr when this node doesn't know it, or knows only an earlier flow with the same addresses
+EdgeFlow *findFlow(EdgeForwarder &forwarder, const FlowPacket &packet)
+{
+    const auto it = forwarder.flows.find(packet.flow);
+    return it == forwarder.flows.end() || !mayBeSameFlow(it->second.sequence, packet.sequence) ? nullptr : &it->second;
+}
+
 /// Stores a flow that was opened through another node, and reports to its dispatcher that the flow is open.
 /// @param packet the first packet of the flow that this node has received
-/// @return nullptr when too many flows are stored
+/// @return nullptr when too many flows are stored, or an earlier one with the same addresses
 EdgeFlow *storeOpenFlow(EdgeForwarder &forwarder, const FlowPacket &packet, const EdgeTarget &target, Time now, ForwardOutput &out)
 {
     const FlowKey &key = packet.flow;
-    if (forwarder.flows.size() >= forwarder.settings.maxFlows) {
+    if (forwarder.flows.size() >= forwarder.settings.maxFlows || forwarder.flows.contains(key)) {
         return nullptr;
     }
     EdgeFlow flow;
     flow.stage = FlowStage::Open;
     flow.startedAt = now;
+    flow.sequence = packet.sequence;
     flow.target = target.record.id;
     // With local dispatch, the flow may have been placed in another data centre, by the dispatcher of its target.
     flow.dispatcher = forwarder.settings.localDispatch ? target.owner : dispatcherOf(forwarder, key);
@@ -382,8 +372,7 @@
 /// @param located id of the target that other nodes have named; 0: the token decides if this node doesn't know the flow
 void forwardLaterPacket(EdgeForwarder &forwarder, const FlowPacket &packet, std::uint64_t located, Time now, ForwardOutput &out)
 {
-    const auto existing = forwarder.flows.find(packet.flow);
-    EdgeFlow *flow = existing == forwarder.flows.end() ? nullptr : &existing->second;
+    EdgeFlow *flow = findFlow(forwarder, packet);
     EdgeTarget *target = flow == nullptr ? findTarget(forwarder.table, located) : nullptr;
     const bool isLocated = target != nullptr;
     if (!isLocated) {
@@ -398,10 +387,13 @@
     if (flow == nullptr) {
         flow = storeOpenFlow(forwarder, packet, *target, now, out);
     }
-    if (flow != nullptr && isLocated && packet.token != target->token) {
-        // The caller has the wrong token until the target's next answer. Nodes that didn't know the flow have recorded that token's
-        // target from the question.
-        reportLocation(forwarder, packet.flow, *flow, flow->target, locationQuestionCount, out);
+    if (flow != nullptr && isLocated) {
+        flow->locationReported = true;
+        if (packet.token != target->token) {
+            // The caller has the wrong token until the target's next answer. Nodes that didn't know the flow have recorded that token's
+            // target from the question.
+            reportLocation(forwarder, packet.flow, *flow, locationQuestionCount, now, out);
+        }
     }
     if (flow != nullptr) {
         flow->lastPacketAt = now;
@@ -426,13 +418,13 @@
 /// @return false when the packet has to be forwarded at once
 bool askForLocation(EdgeForwarder &forwarder, const FlowPacket &packet, Time now, ForwardOutput &out)
 {
-    std::vector<Id> holders = holdersOf(forwarder, packet.flow, locationQuestionCount);
+    std::vector<Id> holders = otherHolders(forwarder, packet.flow, locationQuestionCount);
     if (!startQuestion(forwarder.locations, packet, holders, now)) {
         return false;
     }
     const EdgeTarget *named = targetOf(forwarder, packet, nullptr);
     for (const Id it : holders) {
-        out.locationMessages.push_back({true, it, packet.flow, named == nullptr ? 0 : named->record.id});
+        out.locationMessages.push_back({LocationMessageKind::Question, it, packet.flow, {named == nullptr ? 0 : named->record.id, packet.sequence}, 0});
     }
     appendEvent(out, ForwardEvent::LocationAsked, packet.flow, nullptr, 0, 0);
     return true;
@@ -458,7 +450,7 @@
     }
     // Beyond the limit flows aren't stored, and each of their packets would cause a question.
     const bool isUnknown = !forwarder.flows.contains(packet.flow) && forwarder.flows.size() < forwarder.settings.maxFlows;
-    const std::uint64_t located = isUnknown ? findLocation(forwarder.locations, packet.flow, now) : 0;
+    const std::uint64_t located = isUnknown ? findLocation(forwarder.locations, packet.flow, packet.sequence, now).target : 0;
     if (isUnknown && located == 0 && mayHaveSeveralOffers(forwarder.table, packet.flow) && askForLocation(forwarder, packet, now, out)) {
         return;
     }
@@ -629,24 +621,25 @@
     }
 }
 
-void handleLocate(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t named, Time now, ForwardOutput &out)
+void handleLocationAnswer(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out)
 {
-    std::uint64_t target = findLocation(forwarder.locations, flow, now);
-    const auto known = forwarder.flows.find(flow);
-    if (known != forwarder.flows.end() && known->second.stage == FlowStage::Open) {
-        target = known->second.target;
-    }
-    if (target == 0) {
-        recordLocation(forwarder.locations, flow, named, now);
+    if (std::optional<EndedQuestion> ended = answerQuestion(forwarder.locations, flow, sender, target)) {
+        forwardHeldPackets(forwarder, *ended, now, out);
     }
-    out.locationMessages.push_back({false, sender, flow, target});
 }
 
-void handleLocated(EdgeForwarder &forwarder, Id sender, const FlowKey &flow, std::uint64_t target, Time now, ForwardOutput &out)
+void handleLocationReport(EdgeForwarder &forwarder, const LocationReport &report, Time now, ForwardOutput &out)
 {
-    if (!isAsked(forwarder.locations, flow)) {
-        recordLocation(forwarder.locations, flow, target, now);
-    } else if (std::optional<EndedQuestion> ended = answerQuestion(forwarder.locations, flow, sender, target)) {
+    if (report.location.target == 0) {
+        forgetLocation(forwarder.locations, report.flow, report.location.sequence);
+        return;
+    }
+    const LocationMembers members{forwarder.members, forwarder.self.instance, forwarder.leaving};
+    storeLocation(forwarder.locations, report.flow, report.location, replicaHolders(members, report.flow), now - report.age);
+    if (forwarder.leaving) {
+        scheduleReplication(forwarder.locations, now);
+    }
+    if (std::optional<EndedQuestion> ended = answerQuestion(forwarder.locations, report.flow, 0, report.location.target)) {
         forwardHeldPackets(forwarder, *ended, now, out);
     }
 }
@@ -663,6 +656,7 @@
     tickDispatcher(forwarder.dispatcher, forwarder.table, now, out);
     tickOutlierDetection(forwarder.table, now, out.outlierEvents);
     tickTargetLoss(forwarder, now, out);
+    replicateLocations(forwarder, now, out);
     tickBalancing(forwarder.balancing, forwarder.dispatcher, forwarder.table, now, out);
     if (now >= forwarder.dispatcherRetryAt) {
         updateDispatchers(forwarder, now);
@@ -679,6 +673,7 @@
     const Time check = forwarder.answerChecks.empty() ? never : forwarder.answerChecks.begin()->first;
     return std::min({check,
                      nextQuestionDeadline(forwarder.locations),
+                     forwarder.locations.replicationDueAt,
                      forwarder.nextSweepAt,
                      nextDispatcherTick(forwarder.dispatcher),
                      nextOutlierTick(forwarder.table),
--- a/src/libpimentofold/edgemutation_test.cpp
+++ b/src/libpimentofold/edgemutation_test.cpp
@@ -198,9 +198,10 @@
         if (message.kind == wire::EdgeKind::Refused) {
             handleRefusedNotice(forwarder, message.sender, flow, now, out);
         } else if (message.kind == wire::EdgeKind::Locate) {
-            handleLocate(forwarder, message.sender, flow, target, now, out);
+            handleLocate(forwarder, message.sender, flow, locationFromWire(message), now, out);
         } else if (message.kind == wire::EdgeKind::Located) {
-            handleLocated(forwarder, message.sender, flow, target, now, out);
+            handleLocationReport(forwarder, reportFromWire(message), now, out);
+            handleLocationAnswer(forwarder, message.sender, flow, target, now, out);
         }
     }
 
--- a/src/libpimentofold/flowlocation/flowlocation.cpp
+++ b/src/libpimentofold/flowlocation/flowlocation.cpp
@@ -54,19 +54,51 @@
     return holders;
 }
 
-void recordLocation(FlowLocations &locations, const FlowKey &flow, std::uint64_t target, Time now)
+bool mayBeSameFlow(std::optional<std::uint32_t> known, std::optional<std::uint32_t> sequence)
 {
-    if (target == 0) {
-        locations.reported.erase(flow);
-    } else if (locations.reported.size() < locations.settings.maxLocations || locations.reported.contains(flow)) {
-        locations.reported[flow] = {target, now};
+    if (!known || !sequence) {
+        return true;
     }
+    // Callers choose the first sequence number of each flow at random.
+    constexpr std::int32_t maxBytesSent = 1 << 26;
+    constexpr std::int32_t maxBytesRepeated = 1 << 16;
+    const auto ahead = static_cast<std::int32_t>(*sequence - *known);
+    return ahead > -maxBytesRepeated && ahead < maxBytesSent;
 }
 
-std::uint64_t findLocation(const FlowLocations &locations, const FlowKey &flow, Time now)
+void recordNamedLocation(FlowLocations &locations, const FlowKey &flow, const FlowLocation &location, Time now)
 {
-    const auto it = locations.reported.find(flow);
-    return it == locations.reported.end() || now - it->second.reportedAt >= locations.settings.retention ? 0 : it->second.target;
+    const auto known = locations.stored.find(flow);
+    const bool isKnown = known != locations.stored.end();
+    const bool isKept = isKnown && known->second.replicated && mayBeSameFlow(known->second.location.sequence, location.sequence)
+        && now - known->second.openedAt < locations.settings.retention;
+    if (location.target != 0 && !isKept && (isKnown || locations.stored.size() < locations.settings.maxNamedLocations)) {
+        locations.stored[flow] = {location, now};
+    }
+}
+
+void storeLocation(
+    FlowLocations &locations, const FlowKey &flow, const FlowLocation &location, const std::array<InstanceKey, locationHolderCount> &holders, Time openedAt)
+{
+    if (locations.stored.size() < locations.settings.maxLocations || locations.stored.contains(flow)) {
+        locations.stored[flow] = {location, openedAt, true, holders};
+    }
+}
+
+void forgetLocation(FlowLocations &locations, const FlowKey &flow, std::optional<std::uint32_t> sequence)
+{
+    const auto it = locations.stored.find(flow);
+    if (it != locations.stored.end() && mayBeSameFlow(it->second.location.sequence, sequence)) {
+        locations.stored.erase(it);
+    }
+}
+
+FlowLocation findLocation(const FlowLocations &locations, const FlowKey &flow, std::optional<std::uint32_t> sequence, Time now)
+{
+    const auto it = locations.stored.find(flow);
+    const bool isKnown =
+        it != locations.stored.end() && now - it->second.openedAt < locations.settings.retention && mayBeSameFlow(it->second.location.sequence, sequence);
+    return isKnown ? it->second.location : FlowLocation{};
 }
 
 bool startQuestion(FlowLocations &locations, const FlowPacket &packet, std::vector<Id> holders, Time now)
@@ -138,7 +170,7 @@
 
 void removeExpiredLocations(FlowLocations &locations, Time now)
 {
-    std::erase_if(locations.reported, [&](const auto &it) { return now - it.second.reportedAt >= locations.settings.retention; });
+    std::erase_if(locations.stored, [&](const auto &it) { return now - it.second.openedAt >= locations.settings.retention; });
 }
 
 Time nextQuestionDeadline(const FlowLocations &locations)
--- a/src/libpimentofold/flowlocation/flowlocation_test.cpp
+++ b/src/libpimentofold/flowlocation/flowlocation_test.cpp
@@ -2,98 +2,14 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
-#include <libpimentofold/edgetestdata.h>
-#include <pimentofold/flowlocation/flowlocation.h>
+#include <libpimentofold/flowlocation/locationfleet.h>
 
 using namespace pimentofold;
 using namespace pimentofold::testdata;
 
 namespace {
 
-constexpr Id nodeCount = 6;
-
-/// Several nodes that exchange messages about flow locations without delay.
-struct Fleet {
-    std::map<Id, EdgeForwarder> nodes;
-    std::set<Id> silent; ///< nodes that receive no messages
-    std::vector<ForwardedPacket> packets; ///< packets to targets
-    int messages = 0;
-
-    Fleet()
-    {
-        for (Id id = 1; id <= nodeCount; ++id) {
-            restart(id);
-        }
-    }
-
-    /// Replaces a node by one without memory.
-    void restart(Id id)
-    {
-        EdgeForwarder node = makeForwarder(4, 0);
-        node.self = {id, 1};
-        node.members.clear();
-        for (Id it = 1; it <= nodeCount; ++it) {
-            node.members.push_back({it, 1});
-        }
-        nodes[id] = std::move(node);
-    }
-
-    void deliver(Id from, ForwardOutput out, Time now)
-    {
-        packets.insert(packets.end(), out.packets.begin(), out.packets.end());
-        for (const LocationMessage &it : out.locationMessages) {
-            ++messages;
-            if (silent.contains(it.to)) {
-                continue;
-            }
-            ForwardOutput next;
-            if (it.asks) {
-                handleLocate(nodes[it.to], from, it.flow, it.target, now, next);
-            } else {
-                handleLocated(nodes[it.to], from, it.flow, it.target, now, next);
-            }
-            deliver(it.to, std::move(next), now);
-        }
-    }
-
-    void receive(Id id, const FlowPacket &packet, Time now)
-    {
-        ForwardOutput out;
-        handlePacket(nodes[id], packet, now, out);
-        deliver(id, std::move(out), now);
-    }
-
-    void tick(Id id, Time now)
-    {
-        ForwardOutput out;
-        tickForwarder(nodes[id], now, out);
-        deliver(id, std::move(out), now);
-    }
-
-    /// @return id of the target of the last packet that was forwarded
-    std::uint64_t lastTarget() const
-    {
-        return packets.empty() ? 0 : packets.back().target;
-    }
-};
-
-/// Opens a flow through a node at the second target to which it was offered.
-/// @return ids of both targets
-std::pair<std::uint64_t, std::uint64_t> openAtSecondTarget(Fleet &fleet, Id node, std::uint16_t port, Time now)
-{
-    EdgeForwarder &forwarder = fleet.nodes[node];
-    fleet.receive(node, makeOpening(port), now);
-    const std::uint64_t first = fleet.lastTarget();
-    fleet.tick(node, now + answerTimeout(forwarder));
-    const std::uint64_t other = fleet.lastTarget();
-    REQUIRE(first != other);
-    fleet.receive(node, makeData(port, tokenOf(other)), now + answerTimeout(forwarder) + millisecond);
-    CHECK(fleet.lastTarget() == other);
-    return {first, other};
-}
-
 Id holderOf(Id node, std::uint16_t port, std::size_t index)
 {
     std::vector<Id> ids;
@@ -243,20 +159,20 @@
     Fleet fleet;
     const auto [wrong, right] = openAtSecondTarget(fleet, 1, 7, 0);
     const FlowLocations &holder = fleet.nodes[holderOf(1, 7, 0)].locations;
-    CHECK(findLocation(holder, makeKey(7), second) == right);
-    CHECK(findLocation(holder, makeKey(7), holder.settings.retention + second) == 0);
+    CHECK(findLocation(holder, makeKey(7), 0, second).target == right);
+    CHECK(findLocation(holder, makeKey(7), 0, holder.settings.retention + second).target == 0);
     FlowPacket end = makeData(7, tokenOf(right));
     end.finishes = true;
     fleet.receive(1, end, second);
     for (const auto &[id, node] : fleet.nodes) {
-        CHECK(node.locations.reported.empty());
+        CHECK(node.locations.stored.empty());
     }
 
     openAtSecondTarget(fleet, 1, 8, second);
     const Id holderId = holderOf(1, 8, 0);
-    CHECK_FALSE(fleet.nodes[holderId].locations.reported.empty());
+    CHECK_FALSE(fleet.nodes[holderId].locations.stored.empty());
     fleet.receive(holderId, makeOpening(8), 2 * second);
-    CHECK(fleet.nodes[holderId].locations.reported.empty());
+    CHECK(fleet.nodes[holderId].locations.stored.empty());
 }
 
 // Guards against questions that only a node with an unusual member list is asked, and against overloading single nodes.
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -20,6 +20,8 @@
 constexpr Time minStopTime = 1200 * millisecond;
 // After this time without a packet the fabric is assumed to send no more.
 constexpr Time idleTime = 400 * millisecond;
+// Members often change together, and each comparison of the flow locations takes all changes so far into account.
+constexpr Time replicationDelay = 50 * millisecond;
 constexpr Time stopCheckInterval = 100 * millisecond;
 // The process ends this long before the platform's stop limit, so that the platform doesn't kill it.
 constexpr Time stopReserve = second;
@@ -135,7 +137,8 @@
     setGauge(m_metrics, "store_following", m_replication.leading ? 1 : 0);
     setGauge(m_metrics, "members", static_cast<double>(m_forwarder.members.size()));
     setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
-    setGauge(m_metrics, "flow_locations", static_cast<double>(m_forwarder.locations.reported.size()));
+    setGauge(m_metrics, "flow_locations", static_cast<double>(m_forwarder.locations.stored.size()));
+    counter(m_metrics, "flow_locations_passed_on_total") = m_forwarder.locations.passedOn;
     setGauge(m_metrics, "packets_held", static_cast<double>(m_forwarder.locations.heldPackets));
     setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.queue.flows.size()));
     const FlowCounts counts = countFlows(table);
@@ -249,7 +252,7 @@
         sendFlowNotice(toWire(it.kind), it.dispatcher, it.flow, it.target);
     }
     for (const LocationMessage &it : out.locationMessages) {
-        sendFlowNotice(it.asks ? wire::EdgeKind::Locate : wire::EdgeKind::Located, it.to, it.flow, it.target);
+        sendLocation(it);
     }
     sendLoadReports(out);
     for (const Id it : out.pings) {
@@ -357,6 +360,14 @@
     send(out, now);
 }
 
+void Edge::sendLocation(const LocationMessage &location)
+{
+    const bool asks = location.kind == LocationMessageKind::Question;
+    wire::EdgeMessage message = newMessage(asks ? wire::EdgeKind::Locate : wire::EdgeKind::Located);
+    setLocation(message, location);
+    m_peers.send(message, location.to);
+}
+
 void Edge::sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target)
 {
     if (to == 0) {
@@ -576,11 +587,14 @@
     if (!message.__isset.flow) {
         return;
     }
+    const FlowKey flow = fromWire(message.flow);
     ForwardOutput out;
     if (message.kind == wire::EdgeKind::Locate) {
-        handleLocate(m_forwarder, message.sender, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+        handleLocate(m_forwarder, message.sender, flow, locationFromWire(message), now, out);
+    } else if (isLocationReport(message, isAsked(m_forwarder.locations, flow))) {
+        handleLocationReport(m_forwarder, reportFromWire(message), now, out);
     } else {
-        handleLocated(m_forwarder, message.sender, fromWire(message.flow), static_cast<std::uint64_t>(message.target), now, out);
+        handleLocationAnswer(m_forwarder, message.sender, flow, static_cast<std::uint64_t>(message.target), now, out);
     }
     send(out, now);
 }
@@ -608,7 +622,9 @@
     m_forwarder.memberDataCentres = m_peers.memberDataCentres();
     m_forwarder.memberDataCentresChanged = true;
     setNodes(m_forwarder.table.reachability, m_peers.otherNodes());
+    scheduleReplication(m_forwarder.locations, monotonicNow() + replicationDelay);
     updateDispatchers(m_forwarder, monotonicNow());
+    scheduleForwardTick();
 }
 
 void Edge::reload(const EdgeSettings &settings)
@@ -650,13 +666,16 @@
     m_stopStartedAt = monotonicNow();
     logEvent(m_log, "stopping", {{"flows", m_forwarder.flows.size()}});
     m_peers.announceLeave(m_stopStartedAt);
+    leaveForwarding(m_forwarder, m_stopStartedAt);
+    scheduleForwardTick();
     m_stopTimer.start(stopCheckInterval, stopCheckInterval);
 }
 
 void Edge::onStopTick()
 {
     const Time now = monotonicNow();
-    const bool idle = now - m_stopStartedAt >= minStopTime && now - m_lastPacketAt >= idleTime;
+    const bool hasPassedOn = m_forwarder.locations.replicationDueAt == never;
+    const bool idle = now - m_stopStartedAt >= minStopTime && now - m_lastPacketAt >= idleTime && hasPassedOn;
     if (idle || now - m_stopStartedAt >= m_settings.stopGracePeriod - stopReserve) {
         logEvent(m_log, "stopped", {{"flows", m_forwarder.flows.size()}, {"quiet", static_cast<int>(idle)}});
         stopLoop();
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -95,6 +95,7 @@
     void onDispatchLoads(const wire::EdgeMessage &message, Time now);
     /// Sends the load reports, and logs the changes of the share of flows that leaves the data centre.
     void sendLoadReports(const ForwardOutput &out);
+    void sendLocation(const LocationMessage &location);
     void sendFlowNotice(wire::EdgeKind::type kind, Id to, const FlowKey &flow, std::uint64_t target);
     void sendRefusedNotice(const RefusedNotice &notice);
     wire::EdgeMessage newMessage(wire::EdgeKind::type kind) const;
