Remember flows for as long as their callers may use them

Change: both times follow the idle timeout of the configuration, up to the greatest age of a flow, which the platform's settings name. A location is kept for the flow's whole life, since the second target may answer at any time. The gauges flow_retention_seconds and flow_location_retention_seconds show both, and flows_forgotten_total by which rule flows were forgotten.

--- a/scripts/lib/idleflows.py
+++ b/scripts/lib/idleflows.py
@@ -132,7 +132,9 @@
 
 # name, what disturbs the flows, pause of the callers in seconds, idle timeout of the configuration in ms, rolling restart
 CASES = (
+    ("a second target answers late, long idle", late_second_answers, 22.0, 30_000, False),
     ("a second target answers late, rolling restart", late_second_answers, 10.0, 15_000, True),
+    ("the dispatcher freezes, long idle", frozen_dispatcher, 22.0, 30_000, False),
     ("the dispatcher freezes, rolling restart", frozen_dispatcher, 10.0, 15_000, True),
 )
 
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -15,6 +15,7 @@
 #include <pimentofold/evacuation/evacuationstate.h>
 #include <pimentofold/flowactivity.h>
 #include <pimentofold/flowlocation/flowlocation.h>
+#include <pimentofold/flowlocation/flowretention.h>
 #include <pimentofold/flowlocation/locationreplicas.h>
 #include <pimentofold/flowpacket.h>
 #include <pimentofold/random.h>
@@ -51,7 +52,7 @@
     /// other nodes or given up.
     Time pauseThreshold = 400 * millisecond;
     Time backlogDropTime = 20 * millisecond;
-    Time idleTimeout = 15 * second; ///< a flow without packets for this long is removed from memory
+    FlowRetentionSettings retention;
     Time endedFlowRetention = 3 * second; ///< a flow that the caller has ended is removed from memory after this time
     Time earlyPacketRetention = 1200 * millisecond; ///< packets that arrive before their flows can be placed are stored for this long
     std::size_t maxEarlyPackets = 2'000; ///< further early packets are dropped
@@ -130,6 +131,12 @@
     std::unordered_set<std::uint64_t> expiring; ///< ids of targets without an entry that may still accept flows
 };
 
+/// Number of flows that were removed from memory since the start, by reason.
+struct ForgottenFlows {
+    std::int64_t idle = 0; ///< no packet for EdgeForwarder::flowRetention
+    std::int64_t ended = 0;
+};
+
 /// State of forwarding at one node.
 struct EdgeForwarder {
     ForwardSettings settings;
@@ -152,6 +159,8 @@
     std::unordered_map<FlowKey, RelayElsewhere> relayedElsewhere; ///< first attempts that this node has relayed to other data centres
     std::multimap<Time, FlowKey> answerChecks; ///< flows by the time at which their answer is due
     FlowLocations locations;
+    Time flowRetention = 15 * second; ///< flows without packets are forgotten after this time, see flowretention.h
+    ForgottenFlows forgotten;
     bool leaving = false; ///< this node is about to stop
     std::vector<EarlyPacket> earlyPackets;
     double meanAnswerTime = 0; ///< moving average of the time from an offer to the caller's next packet, in microseconds
--- a/src/include/pimentofold/flowlocation/flowlocation.h
+++ b/src/include/pimentofold/flowlocation/flowlocation.h
@@ -29,7 +29,7 @@
 /// Limits of flow locations at one node.
 struct FlowLocationSettings {
     Time answerTimeout = 30 * millisecond; ///< packets are held for this long at most
-    Time retention = 20 * second; ///< a location is kept for this long after its flow has opened; longer than callers pause between requests
+    Time retention = minute; ///< a location is kept for this long after its flow has opened, see flowretention.h
     std::size_t maxLocations = 20'000; ///< further reports are ignored
     std::size_t maxNamedLocations = 10'000; ///< of those recorded from questions
     std::size_t maxQuestions = 500; ///< open questions; packets of further flows are not held
--- a/src/libpimentofold/balancing/dispatcherupdate.cpp
+++ b/src/libpimentofold/balancing/dispatcherupdate.cpp
@@ -214,6 +214,8 @@
 
 void updateDispatchers(EdgeForwarder &forwarder, Time now)
 {
+    forwarder.flowRetention = flowRetention(forwarder.settings.retention, forwarder.table.idleTimeout);
+    forwarder.locations.settings.retention = locationRetention(forwarder.settings.retention, forwarder.table.idleTimeout);
     resetAfterSettings(forwarder);
     const bool changesTargets = !forwarder.table.changedTargets.empty();
     const bool changesNodes = updateNodes(forwarder, now);
--- a/src/libpimentofold/edgeforward.cpp
+++ b/src/libpimentofold/edgeforward.cpp
@@ -476,7 +476,12 @@
         const EdgeFlow &flow = it->second;
         const Time idle = now - flow.lastPacketAt;
         const bool endedExpired = flow.stage == FlowStage::Ended && idle >= forwarder.settings.endedFlowRetention;
-        it = endedExpired || idle >= forwarder.settings.idleTimeout ? forwarder.flows.erase(it) : std::next(it);
+        if (!endedExpired && idle < forwarder.flowRetention) {
+            ++it;
+            continue;
+        }
+        ++(endedExpired ? forwarder.forgotten.ended : forwarder.forgotten.idle);
+        it = forwarder.flows.erase(it);
     }
     purgeRemovedTargets(forwarder.table, now);
 }
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -86,6 +86,7 @@
     m_logBudget.perSecond = options.logEventsPerSecond;
     m_logBudget.burst = options.logBurst;
     m_forwarder.settings = options.forward;
+    m_forwarder.settings.retention.maxFlowAge = settings.maxFlowAge;
     m_forwarder.dispatcher.settings = options.dispatch;
     m_forwarder.dispatcher.queue.fair = options.fairQueueing;
     m_forwarder.balancing.settings = options.balancing;
@@ -138,6 +139,10 @@
     setGauge(m_metrics, "members", static_cast<double>(m_forwarder.members.size()));
     setGauge(m_metrics, "flows", static_cast<double>(m_forwarder.flows.size()));
     setGauge(m_metrics, "flow_locations", static_cast<double>(m_forwarder.locations.stored.size()));
+    setGauge(m_metrics, "flow_retention_seconds", toSeconds(m_forwarder.flowRetention));
+    setGauge(m_metrics, "flow_location_retention_seconds", toSeconds(m_forwarder.locations.settings.retention));
+    counter(m_metrics, "flows_forgotten_total{reason=\"idle\"}") = m_forwarder.forgotten.idle;
+    counter(m_metrics, "flows_forgotten_total{reason=\"ended\"}") = m_forwarder.forgotten.ended;
     counter(m_metrics, "flow_locations_passed_on_total") = m_forwarder.locations.passedOn;
     setGauge(m_metrics, "packets_held", static_cast<double>(m_forwarder.locations.heldPackets));
     setGauge(m_metrics, "flows_waiting", static_cast<double>(m_forwarder.dispatcher.queue.flows.size()));
@@ -643,6 +648,8 @@
     configureEvacuations();
     configureReachability();
     m_forwarder.table.slowStart.settings = slowStartSettings(settings);
+    m_forwarder.settings.retention.maxFlowAge = settings.maxFlowAge;
+    updateDispatchers(m_forwarder, monotonicNow());
     if (storeMoved) {
         m_store.setAddress(settings.storeAddress);
         m_roster.setAddress(settings.storeAddress);
--- a/src/pimentofold-edge/edgeoptions.cpp
+++ b/src/pimentofold-edge/edgeoptions.cpp
@@ -33,7 +33,7 @@
     readMilliseconds(top, "leastAnswerWaitMs", options.forward.minAnswerTimeout);
     readMilliseconds(top, "mostAnswerWaitMs", options.forward.maxAnswerTimeout);
     readMilliseconds(top, "dispatcherAvoidMs", options.forward.dispatcherAvoidTime);
-    readMilliseconds(top, "flowIdleMs", options.forward.idleTimeout);
+    readMilliseconds(top, "flowIdleMs", options.forward.retention.minIdleTime);
     readCount(top, "mostFlows", maxEntries, options.forward.maxFlows);
     options.dispatch.maxFlows = options.forward.maxFlows;
     constexpr std::int64_t maxSlots = 1'000'000;
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -492,6 +492,8 @@
     CHECK(toString(settings.seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.stopGracePeriod == 6 * second);
     CHECK(settings.dataCentreCount == 2);
+    CHECK(settings.maxFlowAge == 0);
+    CHECK(parseSettingsLines(settingsText + "bounds.flow_max_s=60\n", "f").maxFlowAge == minute);
     CHECK(settings.evacuationBound == 0);
     CHECK(parseSettingsLines(settingsText + "bounds.evacuate_ms=5000\n", "f").evacuationBound == 5 * second);
     CHECK_FALSE(settings.firstStart);
@@ -523,6 +525,7 @@
         {"bounds.grace_s=6", "bounds.cold_overshoot=x", "bounds.cold_overshoot"},
         {"bounds.grace_s=6", "bounds.cold_slack=-5", "bounds.cold_slack"},
         {"bounds.grace_s=6", "heartbeat_ms=1e9", "heartbeat_ms"},
+        {"bounds.grace_s=6", "bounds.flow_max_s=-60", "bounds.flow_max_s"},
     };
     for (const Row &row : rows) {
         std::string text = settingsText;
