Bound the memory that an odd entry of the store takes

Cause: a target's entry was parsed as a whole. One entry of 1 MB that another writer has nested 500,000 levels deep took 35 MB while it was read; the smallest instances have 56 MB, and a node that runs out of memory reads the same list again when it starts. Change: only the fields that are used are parsed, each up to 4 KB; the rest is checked without being stored. The roster is read in the same way.

--- a/src/platform/jsonsplit.cpp
+++ b/src/platform/jsonsplit.cpp
@@ -50,8 +50,12 @@
     return std::string_view::npos;
 }
 
+// More than any object has that is split. It bounds the memory that the members of an odd object take.
+constexpr std::size_t maxMembers = 10'000;
+
 /// Splits the text between a pair of brackets at its commas.
-std::optional<std::vector<std::string_view>> splitBetween(std::string_view text, char open, char close)
+/// @param maxParts a text with more parts isn't split
+std::optional<std::vector<std::string_view>> splitBetween(std::string_view text, char open, char close, std::size_t maxParts)
 {
     text = trim(text);
     if (text.size() < 2 || text.front() != open || text.back() != close) {
@@ -64,7 +68,7 @@
     std::size_t begin = 1;
     while (true) {
         const std::size_t end = endOfValue(text, begin);
-        if (end == std::string_view::npos) {
+        if (end == std::string_view::npos || parts.size() == maxParts) {
             return std::nullopt;
         }
         parts.push_back(trim(text.substr(begin, end - begin)));
@@ -91,12 +95,12 @@
 
 std::optional<std::vector<std::string_view>> splitArray(std::string_view text)
 {
-    return splitBetween(text, '[', ']');
+    return splitBetween(text, '[', ']', text.size());
 }
 
 std::optional<std::vector<JsonMember>> splitObject(std::string_view text)
 {
-    const std::optional<std::vector<std::string_view>> parts = splitBetween(text, '{', '}');
+    const std::optional<std::vector<std::string_view>> parts = splitBetween(text, '{', '}', maxMembers);
     if (!parts) {
         return std::nullopt;
     }
--- a/src/platform/jsonsplit.h
+++ b/src/platform/jsonsplit.h
@@ -20,7 +20,7 @@
 std::size_t endOfString(std::string_view text, std::size_t begin);
 
 /// @param text JSON text of one object; the result refers to its characters
-/// @return the members in order; nothing when @p text isn't one object with balanced brackets and quotes
+/// @return the members in order; nothing when @p text isn't one object with balanced brackets and quotes, or has more than 10,000 members
 std::optional<std::vector<JsonMember>> splitObject(std::string_view text);
 
 /// @param text JSON text of one array; the result refers to its characters
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -1,3 +1,6 @@
+#include <fstream>
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include <pimentofold/random.h>
@@ -34,6 +37,30 @@
                            R"("backends":[{"service":"x","weight":90},{"service":"y","weight":10},{"service":"z","weight":0}],"max_attempts":2},)"
                            R"({"name":"b","host":"198.18.0.2","path_prefix":"/80/","type":"unsafe","service":"x"}],"limits":{"idle_timeout_ms":15000}}})";
 
+// The smallest instances have 56 MB, of which a node with a large configuration uses most.
+constexpr std::size_t maxDecodingBytes = 10 << 20;
+
+/// @param field of the process's memory, as the kernel names it
+std::size_t memoryBytes(const std::string &field)
+{
+    std::ifstream status("/proc/self/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with(field + ":")) {
+            return std::stoul(line.substr(field.size() + 1)) * 1024;
+        }
+    }
+    FAIL("no field " << field);
+    return 0;
+}
+
+/// @return the memory that the process uses now, from which memoryBytes("VmHWM") counts its peak
+std::size_t restartPeak()
+{
+    std::ofstream("/proc/self/clear_refs") << 5;
+    return memoryBytes("VmRSS");
+}
+
 std::string list(const std::string &items)
 {
     return R"({"items":[)" + items + R"(],"has_more":false,"store_revision":50})";
@@ -207,6 +234,54 @@
     }
 }
 
+// Guards against processes that exceed the memory of a small instance, or that end, when another writer has left an entry that is nested
+// very deeply or has numbers that are too large, and against nodes that then follow the list no longer.
+TEST_CASE("an odd entry of any shape costs little memory and doesn't affect the other entries")
+{
+    // The store takes values of up to 1 MB.
+    constexpr std::size_t depth = 500'000;
+    const std::string arrays = std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (std::size_t n = 0; n < depth / 3; ++n) {
+        objects += R"({"a":)";
+    }
+    objects += "1" + std::string(depth / 3, '}');
+    std::string wide = "[0";
+    for (std::size_t n = 0; n < depth; ++n) {
+        wide += ",0";
+    }
+    wide += "]";
+    const std::string digits(depth, '9');
+    std::string members = R"({"a":0)";
+    for (std::size_t n = 0; n < depth / 3; ++n) {
+        members += R"(,"a":0)";
+    }
+    members += "}";
+    const std::string values[] = {arrays, objects, wide, members, "[" + digits + "]", digits, "-" + digits, "1e" + digits, "1e999", "\"" + digits + "\""};
+    std::string valid = target;
+    valid.replace(valid.find("i-7f3a91c2"), 10, "i-00000001");
+    for (const std::string &value : values) {
+        for (const std::string field :
+             {"service", "address", "zone", "slots", "state", "cold_remaining_ms", "born", "seq", "version", "spec", "name", "revision"}) {
+            CAPTURE(value.substr(0, 10));
+            CAPTURE(field);
+            std::string text = target;
+            const std::size_t begin = text.find("\"" + field + "\":") + field.size() + 3;
+            REQUIRE(begin > field.size() + 3);
+            const std::size_t end = field == "spec" ? text.rfind("}}") + 1 : text.find_first_of(",}", begin);
+            text.replace(begin, end - begin, value);
+            const std::string body = list(std::string(text).append(",").append(valid));
+            const std::size_t before = restartPeak();
+            const std::optional<StoreResponse> response = decodeStoreResponse(StoreKind::Targets, body);
+            CHECK(memoryBytes("VmHWM") < before + maxDecodingBytes);
+            REQUIRE(response);
+            REQUIRE(response->objects.size() == 2);
+            CHECK(std::holds_alternative<UnreadableObject>(response->objects[0]));
+            CHECK(std::get<TargetRecord>(response->objects[1]).id == 1);
+        }
+    }
+}
+
 // Guards against the refusal of valid entries by a limit that is too low.
 TEST_CASE("entries with the longest allowed texts are decoded")
 {
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -309,6 +309,9 @@
     return record;
 }
 
+// Longer than any field that is decoded by itself, also with each character as an escape sequence.
+constexpr std::size_t maxFieldBytes = 4096;
+
 /// Parses one member of an object.
 json parseMember(const std::vector<JsonMember> &members, const char *field)
 {
@@ -316,6 +319,9 @@
     if (!text) {
         throw FieldError{std::string("missing field ") + field};
     }
+    if (text->size() > maxFieldBytes) {
+        throw FieldError{std::string(field) + " is longer than " + std::to_string(maxFieldBytes) + " bytes"};
+    }
     json value = json::parse(*text, nullptr, false);
     if (value.is_discarded()) {
         throw FieldError{std::string(field) + " can't be read"};
@@ -337,6 +343,33 @@
     return std::move(*parts);
 }
 
+/// Parses the fields of a target's entry that are used. A parsed value takes up to 40 times the memory of its text, and the store takes
+/// entries of any shape up to a megabyte, so the rest is only checked.
+json parseTargetFields(std::string_view spec)
+{
+    const std::optional<std::vector<JsonMember>> members = splitObject(spec);
+    if (!members || !json::accept(spec)) {
+        throw FieldError{"spec is not an object or can't be read"};
+    }
+    json fields = json::object();
+    for (const char *field : {"service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "born", "seq"}) {
+        if (findMember(*members, field)) {
+            fields[field] = parseMember(*members, field);
+        }
+    }
+    return fields;
+}
+
+/// Parses the specification of the configuration, which only the operators write.
+json parseConfigSpec(std::string_view text)
+{
+    json spec = json::parse(text, nullptr, false);
+    if (!spec.is_object()) {
+        throw FieldError{"spec is not an object or can't be read"};
+    }
+    return spec;
+}
+
 /// An object with its name, which the request for the next page of a list needs.
 struct NamedObject {
     StoreObject object;
@@ -364,14 +397,14 @@
         if (kind == StoreKind::Evacuations) {
             return {EvacuationRecord{objectName, revision}, objectName};
         }
-        const json spec = parseMember(*object, "spec");
-        if (!spec.is_object()) {
-            throw FieldError{"spec is not an object"};
+        const std::optional<std::string_view> spec = findMember(*object, "spec");
+        if (!spec) {
+            throw FieldError{"missing field spec"};
         }
         if (kind == StoreKind::Config) {
-            return {decodeConfig(spec, revision), objectName};
+            return {decodeConfig(parseConfigSpec(*spec), revision), objectName};
         }
-        return {decodeTarget(spec, objectName, revision), objectName};
+        return {decodeTarget(parseTargetFields(*spec), objectName, revision), objectName};
     } catch (const FieldError &error) {
         return {UnreadableObject{id(), objectName, revision, error.problem}, objectName};
     }
@@ -446,17 +479,22 @@
 
 std::optional<Roster> decodeRoster(const std::string &body)
 {
-    const json object = json::parse(body, nullptr, false);
+    const std::optional<std::vector<JsonMember>> object = splitObject(body);
+    if (!object) {
+        return std::nullopt;
+    }
     try {
         Roster roster;
-        roster.revision = integerField(requiredField(object, "meta"), "revision", 1, INT64_MAX);
-        const json &nodes = requiredField(requiredField(object, "spec"), "nodes");
-        if (!nodes.is_array()) {
+        roster.revision = integerField({{"revision", parseMember(splitMember(*object, "meta"), "revision")}}, "revision", 1, INT64_MAX);
+        const std::vector<JsonMember> spec = splitMember(*object, "spec");
+        const std::optional<std::vector<std::string_view>> nodes = splitArray(findMember(spec, "nodes").value_or(""));
+        if (!nodes) {
             return std::nullopt;
         }
-        for (const json &it : nodes) {
-            if (it.is_string() && isAddress(it.get<std::string>())) {
-                roster.nodes.push_back(parseAddress(it.get<std::string>()));
+        for (const std::string_view it : *nodes) {
+            const json node = it.size() <= maxFieldBytes ? json::parse(it, nullptr, false) : json();
+            if (node.is_string() && isAddress(node.get<std::string>())) {
+                roster.nodes.push_back(parseAddress(node.get<std::string>()));
             }
         }
         return roster;
