Follow the list of instances past an odd entry

Cause: the agent parsed the platform's list of instances as one text. One entry with a missing or wrongly typed field, or with a number that is too large, made the whole list unreadable, so the agent no longer followed it (a report of other operators). Change: the list is split, and each entry up to 64 KB is parsed by itself; unreadable ones are counted and logged. The splitter moves from the platform's folder into the library.

--- a/src/include/pimentofold/agent/agentobjects.h
+++ b/src/include/pimentofold/agent/agentobjects.h
@@ -50,9 +50,15 @@
 /// @return the entry instances in the entries objects of @p team of the data centres other than @p dataCentre
 std::vector<Member> remoteEntries(const ConfigStore &store, const std::string &team, const std::string &dataCentre);
 
-/// Parses the platform's instance list. Instances without a valid address are left out.
+/// The platform's instance list.
+struct InstanceList {
+    std::vector<PlatformInstance> instances;
+    std::size_t unreadable = 0; ///< entries that were left out: invalid, without a usable address, or too large
+};
+
+/// Parses the platform's instance list. Other writers may have left entries of any shape in it, so each is parsed by itself.
 /// @param text JSON object with the array "instances"
-/// @throws nlohmann::json::exception when the text isn't such a list
-std::vector<PlatformInstance> parseInstanceList(const std::string &text);
+/// @throws DecodeError when the text isn't such a list
+InstanceList parseInstanceList(const std::string &text);
 
 } // namespace pimentofold
--- a/src/platform/jsonsplit.h
+++ b/src/include/pimentofold/json/jsonsplit.h
@@ -7,7 +7,7 @@
 
 /// Splits the text of a JSON object or array into its direct members without decoding them. A JSON parser rejects a whole text
 /// if one string in it can't be decoded; after the split the members can be parsed one by one.
-namespace pimentofold::platform {
+namespace pimentofold {
 
 /// A member of a JSON object.
 struct JsonMember {
@@ -31,4 +31,4 @@
 /// @return text of the last member with this key, as JSON parsers do; nothing when there is none
 std::optional<std::string_view> findMember(const std::vector<JsonMember> &members, std::string_view key);
 
-} // namespace pimentofold::platform
+} // namespace pimentofold
--- a/src/libpimentofold/agent/agentobjects.cpp
+++ b/src/libpimentofold/agent/agentobjects.cpp
@@ -1,10 +1,14 @@
 #include <pimentofold/agent/agentobjects.h>
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include <pimentofold/codec.h>
+#include <pimentofold/json/jsonsplit.h>
 #include <pimentofold/settings.h>
 
 namespace pimentofold {
@@ -31,6 +35,30 @@
     return instance;
 }
 
+/// @param text one entry of the platform's list
+/// @return nothing when the entry can't be used
+std::optional<PlatformInstance> parseInstance(std::string_view text)
+{
+    // A parsed value takes up to 40 times the memory of its text.
+    constexpr std::size_t maxEntryBytes = 64 << 10;
+    constexpr int maxSlots = 1'000'000;
+    if (text.size() > maxEntryBytes) {
+        return std::nullopt;
+    }
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        PlatformInstance instance = instanceFromJson(value);
+        const json slots = value.value("slots", json(0));
+        const bool hasValidSlots = slots.is_number_integer() && instance.slots >= 0 && slots <= maxSlots;
+        return hasValidSlots && isAddress(instance.address) ? std::optional(std::move(instance)) : std::nullopt;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
 json toJson(const PlatformInstance &instance)
 {
     return {{"name", instance.name},
@@ -135,17 +163,23 @@
     return members;
 }
 
-std::vector<PlatformInstance> parseInstanceList(const std::string &text)
+InstanceList parseInstanceList(const std::string &text)
 {
-    std::vector<PlatformInstance> instances;
-    const json list = json::parse(text);
-    for (const json &it : list.at("instances")) {
-        PlatformInstance instance = instanceFromJson(it);
-        if (isAddress(instance.address)) {
-            instances.push_back(std::move(instance));
+    const std::optional<std::vector<JsonMember>> list = splitObject(text);
+    const std::optional<std::vector<std::string_view>> entries = splitArray(list ? findMember(*list, "instances").value_or("") : "");
+    if (!entries) {
+        throw DecodeError("the list of instances has no array 'instances'");
+    }
+    InstanceList result;
+    for (const std::string_view it : *entries) {
+        std::optional<PlatformInstance> instance = parseInstance(it);
+        if (instance) {
+            result.instances.push_back(std::move(*instance));
+        } else {
+            ++result.unreadable;
         }
     }
-    return instances;
+    return result;
 }
 
 } // namespace pimentofold
--- a/src/platform/jsonsplit.cpp
+++ b/src/libpimentofold/json/jsonsplit.cpp
@@ -1,8 +1,8 @@
-#include <platform/jsonsplit.h>
+#include <pimentofold/json/jsonsplit.h>
 
 #include <algorithm>
 
-namespace pimentofold::platform {
+namespace pimentofold {
 
 namespace {
 
@@ -126,4 +126,4 @@
     return found == members.rend() ? std::nullopt : std::optional(found->value);
 }
 
-} // namespace pimentofold::platform
+} // namespace pimentofold
--- a/src/pimentofold-agent/agent.cpp
+++ b/src/pimentofold-agent/agent.cpp
@@ -178,9 +178,13 @@
 void Agent::listInstances()
 {
     count(m_metrics, "platform_calls_total{call=\"instances\"}");
-    m_platform.listInstances(m_settings.dataCentre, [this](const std::optional<std::vector<PlatformInstance>> &instances) {
+    m_platform.listInstances(m_settings.dataCentre, [this](const std::optional<InstanceList> &list) {
+        if (list && list->unreadable > 0) {
+            logEvent(m_log, "instances_unreadable", {{"unreadable", list->unreadable}, {"readable", list->instances.size()}});
+            counter(m_metrics, "instances_unreadable_total") += static_cast<std::int64_t>(list->unreadable);
+        }
         AgentOutput out;
-        handleInstanceList(m_state, instances, monotonicNow(), wallNow(), out);
+        handleInstanceList(m_state, list ? std::optional(list->instances) : std::nullopt, monotonicNow(), wallNow(), out);
         perform(out);
     });
 }
--- a/src/pimentofold-agent/platformclient.cpp
+++ b/src/pimentofold-agent/platformclient.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <pimentofold/codec.h>
+
 #include <pimentofold/agent/agentobjects.h>
 
 namespace pimentofold {
@@ -73,18 +75,18 @@
         call, [onDone = std::move(onDone)](const HttpResult &result) { onDone(result.status == httpOk ? parseWatchResponse(result.body) : WatchResponse{}); });
 }
 
-void PlatformClient::listInstances(const std::string &dataCentre, std::function<void(const std::optional<std::vector<PlatformInstance>> &)> onDone)
+void PlatformClient::listInstances(const std::string &dataCentre, std::function<void(const std::optional<InstanceList> &)> onDone)
 {
     HttpCall call;
     call.url = m_baseUrl + "/v1/instances?dc=" + dataCentre;
     call.timeout = callTimeout;
     m_client.start(call, [onDone = std::move(onDone)](const HttpResult &result) {
-        std::optional<std::vector<PlatformInstance>> instances;
+        std::optional<InstanceList> instances;
         try {
             if (result.status == httpOk) {
                 instances = parseInstanceList(result.body);
             }
-        } catch (const json::exception &) {
+        } catch (const DecodeError &) {
             instances.reset();
         }
         onDone(instances);
--- a/src/pimentofold-agent/platformclient.h
+++ b/src/pimentofold-agent/platformclient.h
@@ -7,7 +7,7 @@
 
 #include <libnet/httpclient.h>
 
-#include <pimentofold/nodeview.h>
+#include <pimentofold/agent/agentobjects.h>
 #include <pimentofold/platformwatch.h>
 #include <pimentofold/statusobject.h>
 
@@ -27,7 +27,7 @@
 
     /// Requests the instance list of a data centre.
     /// @param onDone called once from the event loop, with std::nullopt when the call failed or its body is invalid
-    void listInstances(const std::string &dataCentre, std::function<void(const std::optional<std::vector<PlatformInstance>> &)> onDone);
+    void listInstances(const std::string &dataCentre, std::function<void(const std::optional<InstanceList> &)> onDone);
 
     /// Writes a status object if the platform still holds the expected version.
     /// @param name "DATACENTRE.TEAM"
--- a/src/platform/configstream.cpp
+++ b/src/platform/configstream.cpp
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include <platform/jsonsplit.h>
+#include <pimentofold/json/jsonsplit.h>
 #include <platform/storecalls.h>
 
 namespace pimentofold::platform {
--- a/src/platform/jsonposition.cpp
+++ b/src/platform/jsonposition.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <platform/jsonsplit.h>
+#include <pimentofold/json/jsonsplit.h>
 
 namespace pimentofold::platform {
 
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -3,10 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <pimentofold/json/jsonsplit.h>
 #include <pimentofold/random.h>
 #include <pimentofold/settings.h>
 #include <platform/configstream.h>
-#include <platform/jsonsplit.h>
 #include <platform/packetcodec.h>
 #include <platform/settingslines.h>
 #include <platform/storecalls.h>
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -5,9 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <pimentofold/json/jsonsplit.h>
 #include <pimentofold/settings.h>
 #include <platform/configlimits.h>
-#include <platform/jsonsplit.h>
 
 namespace pimentofold::platform {
 
