Use draining targets only shortly after the store may have taken their entries

Cause: when a service had no other target, a draining one was used for a second after the node had learned of the drain. Change: the node that reads the store notes how long ago it was last known not to have the entry, and this age goes with the changes to the other nodes. A draining target is the last resort until half of the drain time of the settings has passed since then, and not at all when the age isn't known. In evacuation_test the draining targets get an age of 0: without one they are no longer a last resort, and the test would not reach what it checks.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -54,6 +54,7 @@
   9: i64 warmup           // microseconds left when sent
   10: i64 startedAt
   11: i64 revision
+  12: optional i64 drainingFor  // microseconds since the store took the entry, at most, when sent; unset: not draining, or not known
 }
 
 struct EdgeRemoval {
--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -116,6 +116,8 @@
     Time warmup = 0; ///< warm-up time that was left when the entry was written
     std::int64_t startedAt = 0; ///< start of the target's process, in milliseconds of wall time; identifies the incarnation
     std::int64_t revision = 0; ///< store revision of the entry's last change
+    /// Draining: most time that may have passed since the store took the entry, when this record was made; nothing: not known.
+    std::optional<Time> drainingFor;
     std::int64_t sequence = 0; ///< a target's process counts its entries; 0: not known, since the entry comes from another node
 
     friend bool operator==(const TargetRecord &, const TargetRecord &) = default;
--- a/src/include/pimentofold/edgesettings.h
+++ b/src/include/pimentofold/edgesettings.h
@@ -26,6 +26,7 @@
     std::optional<double> coldOvershoot; ///< factor on the openings per second that a cold target can take; nothing: not set
     std::optional<double> coldSlack; ///< further openings in each second, added to coldOvershoot times the cold rate; nothing: not set
     Time targetHeartbeat = 1200 * millisecond; ///< interval at which targets renew their entries in the store
+    Time drainBound = 0; ///< a draining target must get no flow later than this after the store took its entry; 0: not set
     Time maxFlowAge = 0; ///< a flow that has been open for longer may be discarded; 0: not set
     Time stopGracePeriod = 6 * second; ///< the platform kills a process that is still running this long after the request to stop
 };
--- a/src/include/pimentofold/placement.h
+++ b/src/include/pimentofold/placement.h
@@ -19,6 +19,9 @@
     Time minProbeInterval = 200 * millisecond; ///< wait before the first probe; doubles with each further opening packet without an answer
     Time maxProbeInterval = 2 * second;
     double unansweredCost = 1.5; ///< load, in flows, that each opening packet without an answer adds
+    /// A draining target may be used as a last resort for this long after the store may have taken its entry. The rest of its drain time
+    /// is left for the flows to end.
+    Time drainingUseTime = second;
     double warmupSlowdown = 0.6; ///< relative increase of the time that requests take during a target's warm-up
     double otherDataCentreCost = 0.1; ///< load, in flows, that a target in another data centre gets added
     /// After this many attempts, a target in the own data centre gets otherDataCentreCost added instead, whoever owns the
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -41,6 +41,7 @@
     std::int64_t removedRevision = 0; ///< store revision at which the entry was removed
     Time removedAt = 0; ///< when this node learned of the removal; only valid when the target is not registered
     Time drainingSince = never; ///< when this node learned that the target is draining
+    Time drainBeganAfter = never; ///< the store took the entry that says so after this time; never: the target isn't draining, or the time isn't known
     Time warmupEndsAt = 0;
     Time incarnationSeenAt = 0; ///< when this node learned of this incarnation; earlier flows belong to an earlier one
     bool serviceConfirmed = false; ///< two entries of this incarnation have named record.service
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -76,6 +76,9 @@
     result.warmup = target.warmup;
     result.startedAt = target.startedAt;
     result.revision = target.revision;
+    if (target.drainingFor) {
+        result.__set_drainingFor(*target.drainingFor);
+    }
     return result;
 }
 
@@ -92,6 +95,9 @@
     result.warmup = std::clamp<Time>(target.warmup, 0, maxColdTime);
     result.startedAt = target.startedAt;
     result.revision = target.revision;
+    if (target.__isset.drainingFor) {
+        result.drainingFor = std::max<Time>(target.drainingFor, 0);
+    }
     return result;
 }
 
@@ -154,7 +160,7 @@
     return fixedBytes + limits.name.size();
 }
 
-constexpr std::size_t targetFixedBytes = 64;
+constexpr std::size_t targetFixedBytes = 72;
 static_assert(targetFixedBytes + 3 * maxTargetTextBytes <= changesDatagramBytes);
 
 std::size_t estimatedSize(const TargetRecord &target)
--- a/src/libpimentofold/evacuation/evacuation_test.cpp
+++ b/src/libpimentofold/evacuation/evacuation_test.cpp
@@ -102,6 +102,7 @@
         TargetRecord record = findTarget(forwarder.table, id)->record;
         record.revision += 100;
         record.state = TargetState::Draining;
+        record.drainingFor = 0;
         applyTarget(forwarder.table, record, 0);
     }
     evacuate(forwarder, 200, {"dc1"});
--- a/src/libpimentofold/placement.cpp
+++ b/src/libpimentofold/placement.cpp
@@ -18,14 +18,10 @@
     OwnedElsewhere, ///< another dispatcher places the target's flows, so this node doesn't know its load
     Suspected,
     Tried,
-    Draining, ///< a draining target still accepts flows for a short time after its entry changed
+    Draining, ///< a draining target still accepts flows for a short time after the store took its entry
     Excluded,
 };
 
-/// A draining target may be used as a last resort for this long after this node learned that the target is draining. This
-/// is well below the drain time of every installation.
-constexpr Time drainingUseLimit = second;
-
 /// @return whether the flow has been tried so often that a target in another data centre is preferred
 bool prefersOtherDataCentre(const PlacementSettings &settings, const PlacementQuery &query)
 {
@@ -35,7 +31,7 @@
 Preference preferenceOf(const EdgeTarget &target, const PlacementSettings &settings, const PlacementQuery &query, Time now)
 {
     if (!acceptsNewFlows(target, now)) {
-        const bool mayUse = target.registered && target.drainingSince != never && now - target.drainingSince < drainingUseLimit;
+        const bool mayUse = target.registered && target.drainBeganAfter != never && now - target.drainBeganAfter < settings.drainingUseTime;
         return mayUse ? Preference::Draining : Preference::Excluded;
     }
     if (std::ranges::find(query.triedTargets, target.record.id) != query.triedTargets.end()) {
--- a/src/libpimentofold/placement_test.cpp
+++ b/src/libpimentofold/placement_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <libpimentofold/edgetestdata.h>
+#include <pimentofold/edgecodec.h>
 #include <pimentofold/placement.h>
 
 using namespace pimentofold;
@@ -19,6 +20,7 @@
         target.record.dataCentre = below(random, 3) == 0 ? "dc2" : "dc1";
         target.record.state = below(random, 6) == 0 ? TargetState::Draining : TargetState::Ready;
         target.drainingSince = target.record.state == TargetState::Draining ? now - static_cast<Time>(below(random, 2 * second)) : never;
+        target.drainBeganAfter = target.drainingSince;
         target.workingFlows = static_cast<int>(below(random, 7));
         target.lastFlowAt = static_cast<Time>(below(random, 3));
         target.unansweredOpenings = below(random, 4) == 0 ? 3 : 0;
@@ -61,3 +63,44 @@
     }
     CHECK(chosen > 3'000);
 }
+
+// Guards against flows on draining targets after their drain time: a node that learns late of a drain, since the leader was cut off from
+// the store, used them as a last resort for a second more (review case 8).
+TEST_CASE("placement: a draining target is a last resort only shortly after the store may have taken its entry")
+{
+    struct Row {
+        std::optional<Time> drainingFor; ///< as told by the node that has read the store
+        Time age; ///< since this node has learned of it
+        bool used;
+    };
+    const Row rows[] = {
+        {100 * millisecond, 0, true},
+        {100 * millisecond, 800 * millisecond, true},
+        {100 * millisecond, second, false},
+        {2400 * millisecond, 0, false},
+        {second, 0, false},
+        {std::nullopt, 0, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.age);
+        EdgeForwarder leader = makeForwarder(1, 0);
+        TargetRecord record = makeTarget(1, 50);
+        record.state = TargetState::Draining;
+        record.drainingFor = row.drainingFor;
+        applyTarget(leader.table, record, now);
+        // The leader's changes tell the other nodes how old the entry may be.
+        const StoreChanges changes = changesSince(leader.table, {10, 10}, 10, {50, 50}, now + 30 * millisecond);
+        REQUIRE(changes.targets.size() == 1);
+        EdgeForwarder follower = makeForwarder(1, 0);
+        ChangesAssembler assembler;
+        const std::optional<StoreChanges> received = addPart(assembler, 1, toWire(changes).front());
+        REQUIRE(received);
+        applyTarget(follower.table, received->targets.front(), now + 30 * millisecond);
+        for (EdgeForwarder *it : {&leader, &follower}) {
+            PlacementSettings settings;
+            const PlacementQuery query{*findRoute(it->table, shopAddress), {}, "dc1"};
+            Random random{1};
+            CHECK((choosePlacementTarget(it->table, settings, query, now + row.age, random) != nullptr) == row.used);
+        }
+    }
+}
--- a/src/libpimentofold/replication/storereplication.cpp
+++ b/src/libpimentofold/replication/storereplication.cpp
@@ -209,6 +209,7 @@
         if (target.registered && target.record.revision > changes.base.targets) {
             changes.targets.push_back(target.record);
             changes.targets.back().warmup = coldTimeLeft(table, target, now);
+            changes.targets.back().drainingFor = target.drainBeganAfter == never ? std::nullopt : std::optional(now - target.drainBeganAfter);
         } else if (!target.registered && target.removedRevision > changes.base.targets && changes.base.targets > 0) {
             changes.removedTargets.push_back({id, target.removedRevision});
         }
--- a/src/libpimentofold/targettable.cpp
+++ b/src/libpimentofold/targettable.cpp
@@ -86,9 +86,12 @@
     target.registered = true;
     target.warmupEndsAt = now + record.warmup;
     if (record.state == TargetState::Draining) {
+        const bool isNew = target.drainingSince == never;
         target.drainingSince = std::min(target.drainingSince, now);
+        target.drainBeganAfter = isNew && record.drainingFor ? now - *record.drainingFor : target.drainBeganAfter;
     } else {
         target.drainingSince = never;
+        target.drainBeganAfter = never;
     }
 }
 
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -86,8 +86,8 @@
     m_logBudget.perSecond = options.logEventsPerSecond;
     m_logBudget.burst = options.logBurst;
     m_forwarder.settings = options.forward;
-    m_forwarder.settings.retention.maxFlowAge = settings.maxFlowAge;
     m_forwarder.dispatcher.settings = options.dispatch;
+    applyBounds(settings);
     m_forwarder.dispatcher.queue.fair = options.fairQueueing;
     m_forwarder.balancing.settings = options.balancing;
     m_replication.settings = options.replication;
@@ -117,6 +117,14 @@
     scheduleForwardTick();
 }
 
+void Edge::applyBounds(const EdgeSettings &settings)
+{
+    m_forwarder.settings.retention.maxFlowAge = settings.maxFlowAge;
+    if (settings.drainBound > 0) {
+        m_forwarder.dispatcher.settings.placement.drainingUseTime = settings.drainBound / 2;
+    }
+}
+
 HttpResponse Edge::readinessResponse() const
 {
     HttpResponse response;
@@ -648,7 +656,7 @@
     configureEvacuations();
     configureReachability();
     m_forwarder.table.slowStart.settings = slowStartSettings(settings);
-    m_forwarder.settings.retention.maxFlowAge = settings.maxFlowAge;
+    applyBounds(settings);
     updateDispatchers(m_forwarder, monotonicNow());
     if (storeMoved) {
         m_store.setAddress(settings.storeAddress);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -45,6 +45,8 @@
     void stop();
 
 private:
+    /// Takes over the platform's bounds of flows and drains.
+    void applyBounds(const EdgeSettings &settings);
     void onPacket(std::string_view bytes);
     /// Decodes and forwards a caller's packet.
     void handlePacketBytes(std::string_view bytes, Time now);
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -262,7 +262,12 @@
             logConfigProblems(config->problems);
         }
     } else if (const auto *record = std::get_if<TargetRecord>(&object)) {
-        applyTargetRecord(reader, *record, now);
+        TargetRecord dated = *record;
+        if (record->state == TargetState::Draining && reader.listWatch.confirmedAt > 0) {
+            // The entry wasn't there when the store last answered.
+            dated.drainingFor = now - reader.listWatch.confirmedAt;
+        }
+        applyTargetRecord(reader, dated, now);
     } else if (const auto *deleted = std::get_if<platform::DeletedObject>(&object)) {
         removeEntry(reader, deleted->id, deleted->name, deleted->revision, now);
     } else if (const auto *unreadable = std::get_if<platform::UnreadableObject>(&object)) {
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -567,6 +567,7 @@
     CHECK(toString(settings.seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.stopGracePeriod == 6 * second);
     CHECK(settings.dataCentreCount == 2);
+    CHECK(settings.drainBound == 2500 * millisecond);
     CHECK(settings.maxFlowAge == 0);
     CHECK(parseSettingsLines(settingsText + "bounds.flow_max_s=60\n", "f").maxFlowAge == minute);
     CHECK(settings.evacuationBound == 0);
--- a/src/platform/settingslines.cpp
+++ b/src/platform/settingslines.cpp
@@ -144,6 +144,7 @@
     settings.coldOvershoot = optionalNumber(lines, "bounds.cold_overshoot");
     settings.coldSlack = optionalNumber(lines, "bounds.cold_slack");
     settings.targetHeartbeat = optionalDuration(lines, "heartbeat_ms", millisecond, settings.targetHeartbeat);
+    settings.drainBound = optionalDuration(lines, "bounds.drain_ms", millisecond, settings.drainBound);
     settings.maxFlowAge = optionalDuration(lines, "bounds.flow_max_s", second, settings.maxFlowAge);
     settings.stopGracePeriod = optionalDuration(lines, "bounds.grace_s", second, settings.stopGracePeriod);
     return settings;
