Send verdicts on targets to nodes that remember flows for longer

Cause: an owner took the other nodes for holders of a target's flows by constants that were equal to the former idle time of flows. With a longer idle timeout in the configuration, a node could still remember flows and get no verdict. Change: both times follow the time for which nodes remember flows. Result: the new test fails with the constants (30 s and 10 min of idle timeout) and passes with this change.

--- a/src/include/pimentofold/targetloss/lossholders.h
+++ b/src/include/pimentofold/targetloss/lossholders.h
@@ -15,13 +15,13 @@
 
 /// Settings that determine who gets a verdict.
 struct HolderSettings {
-    /// A node that has reported nothing on a target for this long isn't a holder. Longer than ForwardSettings::idleTimeout, after
-    /// which nodes drop idle flows.
+    /// A node that has reported nothing on a target for this long isn't a holder. Longer than EdgeForwarder::flowRetention, after
+    /// which nodes forget idle flows.
     Time memory = minute;
     /// Limit of the holders that are recorded for one target, which bounds memory. With more of them, a verdict goes to all nodes.
     std::size_t maxNodes = 64;
     /// A node that has owned a target for a shorter time may not know all holders, so its verdicts go to all nodes. Equal to
-    /// ForwardSettings::idleTimeout: by then each flow has been reported again or dropped.
+    /// EdgeForwarder::flowRetention: by then each flow has been reported again or forgotten.
     Time minOwnership = 15 * second;
     /// A node that reports stalls on a lost target within this time gets the verdict again. Later, the target may have recovered
     /// without the owner knowing of it.
--- a/src/libpimentofold/balancing/dispatcherupdate.cpp
+++ b/src/libpimentofold/balancing/dispatcherupdate.cpp
@@ -210,12 +210,21 @@
     return view;
 }
 
+/// Applies the idle timeout of the configuration to everything that depends on how long nodes remember flows.
+void updateRetention(EdgeForwarder &forwarder)
+{
+    forwarder.flowRetention = flowRetention(forwarder.settings.retention, forwarder.table.idleTimeout);
+    forwarder.locations.settings.retention = locationRetention(forwarder.settings.retention, forwarder.table.idleTimeout);
+    HolderSettings &holders = forwarder.targetLoss.holders.settings;
+    holders.minOwnership = forwarder.flowRetention;
+    holders.memory = std::max<Time>(minute, 2 * forwarder.flowRetention);
+}
+
 } // namespace
 
 void updateDispatchers(EdgeForwarder &forwarder, Time now)
 {
-    forwarder.flowRetention = flowRetention(forwarder.settings.retention, forwarder.table.idleTimeout);
-    forwarder.locations.settings.retention = locationRetention(forwarder.settings.retention, forwarder.table.idleTimeout);
+    updateRetention(forwarder);
     resetAfterSettings(forwarder);
     const bool changesTargets = !forwarder.table.changedTargets.empty();
     const bool changesNodes = updateNodes(forwarder, now);
--- a/src/libpimentofold/flowlocation/flowretention_test.cpp
+++ b/src/libpimentofold/flowlocation/flowretention_test.cpp
@@ -62,3 +62,17 @@
         }
     }
 }
+
+// Guards against verdicts on lost targets that don't reach nodes which still remember flows of the target.
+TEST_CASE("an owner takes nodes for holders of flows for as long as they remember flows")
+{
+    for (const Time idleTimeout : {Time(0), 30 * second, 10 * minute}) {
+        CAPTURE(idleTimeout);
+        EdgeForwarder forwarder = makeForwarder(2, 0);
+        forwarder.table.idleTimeout = idleTimeout;
+        updateDispatchers(forwarder, second);
+        const HolderSettings &holders = forwarder.targetLoss.holders.settings;
+        CHECK(holders.minOwnership >= forwarder.flowRetention);
+        CHECK(holders.memory > forwarder.flowRetention);
+    }
+}
