Let the soak disturb idle flows, and check where their packets go

Nodes freeze for 0.03 to 0.39 s, targets answer opening packets late, and all nodes are restarted in turn. The other writer leaves entries that are nested 400,000 levels deep, with ports out of range or with numbers that are too large.

--- a/scripts/lib/edgesoak.py
+++ b/scripts/lib/edgesoak.py
@@ -12,7 +12,7 @@
 import tempfile
 import time
 
-from edgeworld import ACK, SYN, Proxy, Target, World, number, packet
+from edgeworld import ACK, SYN, Proxy, RawJson, Target, World, number, packet
 
 PACKETS, READINESS, PEERS, METRICS = 8172, 8167, 7720, 9464
 BOUNDS = {"drain_s": 3.0, "config_s": 3.0, "touch_s": 4.0, "evacuate_s": 3.0, "recovery_s": 12.0, "give_up_s": 3.0}
@@ -68,6 +68,8 @@
         if not self.process:
             return
         process, self.expected_end = self.process, True
+        if number_ == signal.SIGKILL:
+            self.world.judge.kills.append((time.monotonic(), self.name))
         process.send_signal(number_)
         try:
             await asyncio.wait_for(process.wait(), limit)
@@ -139,6 +141,8 @@
         if not self.evacuations:
             for node in self.nodes:
                 node.evacuate = ""
+        self.flow_random = random.Random(f"flows {seed}")  # of what disturbs idle flows
+        self.idle_timeout = self.flow_random.choice((4.0, 9.0, 15.0))
         self.next_target = 1
         self.routes = {(number("198.18.0.1"), 443): "shop", (number("198.18.0.2"), 443): "list"}
         self.version = 1
@@ -168,7 +172,10 @@
             del self.routes[extra]
         else:
             self.routes[extra] = self.random.choice(("shop", "list"))
-        self.world.write_config(self.version, self.routes)
+        self.write_config()
+
+    def write_config(self):
+        self.world.write_config(self.version, self.routes, round(self.idle_timeout * 1000))
 
     # Faults: each takes its time and ends by itself.
 
@@ -195,6 +202,61 @@
         for node in chosen:
             await node.cycle(signal.SIGTERM)
 
+    async def short_freeze(self):
+        """One node or several don't run for a moment, which is too short for the nodes to take it for a pause."""
+        draw = self.flow_random
+        chosen = draw.sample(self.nodes, draw.choice((1, 1, 2)))
+        length = draw.uniform(0.03, 0.39)
+        self.note(f"freeze {' '.join(node.name for node in chosen)} for {length:.2f} s")
+        self.world.judge.disturb(length)
+        for node in chosen:
+            node.signal(signal.SIGSTOP)
+        await asyncio.sleep(length)
+        for node in chosen:
+            node.signal(signal.SIGCONT)
+
+    async def late_answers(self):
+        """Some targets answer opening packets late for a while, so that flows are offered to two of them."""
+        chosen = [target for target in self.live_targets() if self.flow_random.random() < 0.4]
+        self.note(f"{len(chosen)} targets answer opening packets late")
+        for target in chosen:
+            target.opening_delay = self.flow_random.uniform(0.1, 0.8)
+        await asyncio.sleep(self.flow_random.uniform(0.5, 2))
+        for target in chosen:
+            target.opening_delay = 0.0
+
+    async def rolling_restart(self):
+        """All nodes are restarted in turn, within the pause of some callers."""
+        gap = self.flow_random.uniform(0.3, 1.2)
+        self.note(f"rolling restart, {gap:.2f} s apart")
+        cycles = []
+        for node in self.flow_random.sample(self.nodes, len(self.nodes)):
+            cycles.append(asyncio.create_task(node.cycle(signal.SIGTERM)))
+            await asyncio.sleep(gap)
+        await asyncio.gather(*cycles)
+
+    async def flow_schedule(self):
+        """What disturbs idle flows, beside the other faults."""
+        kinds = (self.short_freeze, self.short_freeze, self.late_answers, self.late_answers, self.rolling_restart)
+        end = self.start_at + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.flow_random.uniform(0.2, 3))
+            await self.flow_random.choice(kinds)()
+
+    async def idle_flows(self):
+        """Callers that use their flows again shortly before the idle timeout."""
+        tasks = set()
+        port = 60_000
+        while not self.stopping:
+            port += 1
+            pause = self.idle_timeout * self.flow_random.uniform(0.5, 0.95)
+            route = self.flow_random.choice(sorted(self.routes)[:2])
+            task = asyncio.create_task(self.world.request(self.flow_random.choice(self.ips), port, route, (7, 7), pause))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*tasks)
+
     async def reload(self):
         node = self.random.choice(self.nodes)
         self.note(f"reload {node.name}")
@@ -260,6 +322,9 @@
     async def other_writer(self):
         self.note("an entry by another writer")
         self.world.store.put("servers", "i-0badc0de", self.random.choice(({"service": 7}, {"state": "odd"}, "text")))
+        odd = {"service": "shop", "address": f"127.{self.net + 1}.0.1:{self.flow_random.choice((0, 65_536, 10 ** 30))}", "zone": "a", "version": "v1",
+               "slots": 10 ** self.flow_random.choice((0, 30)), "state": "ready", "cold_remaining_ms": 0, "seq": 0, "born": 1}
+        self.world.store.put("servers", "i-0badc0d0", self.flow_random.choice((odd, RawJson("[" * 400_000 + "]" * 400_000))))
 
     async def config(self):
         self.note("configurations change")
@@ -307,6 +372,8 @@
         if self.calm:
             kinds = (self.target_release, self.other_writer, self.config)
         tasks = [asyncio.create_task(self.evacuation_schedule())]
+        if not self.calm:
+            tasks.append(asyncio.create_task(self.flow_schedule()))
         end = self.start_at + self.seconds
         while time.monotonic() < end:
             tasks.append(asyncio.create_task(self.random.choice(kinds)()))
@@ -397,7 +464,7 @@
     async def run(self):
         self.start_at = time.monotonic()
         servers = [await asyncio.start_server(self.world.store.serve, self.world.store_ip, 8169)]
-        self.world.write_config(self.version, self.routes)
+        self.write_config()
         for node in self.nodes:
             servers.append(await asyncio.start_server(node.proxy.serve, node.ip, 8169))
             node.write_settings([n.ip for n in self.nodes[::max(len(self.nodes) // 3, 1)][:3]])
@@ -413,7 +480,7 @@
         await asyncio.sleep(1.5)
         if self.plant:
             helpers.append(asyncio.create_task(self.defect()))
-        traffic = asyncio.create_task(self.traffic())
+        traffic = asyncio.gather(self.traffic(), self.idle_flows())
         try:
             await self.faults()
             await self.recover()
