Ignore notices of a dispatcher that a flow has left

Cause: a dispatcher that runs again after a pause answers earlier attempts with Held or Settled. The node that had begun to place the flow itself then waited for 200 ms more, or offered it no more. Change: such notices are ignored once the node has told the dispatcher that it places the flow itself. Result: the new test fails without the check and passes with it.

--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -183,10 +183,12 @@
 
 /// Handles a dispatcher's notice that it holds a flow until a target has room. The answer timeout of the flow is extended to
 /// heldRetryInterval.
-void handleHeldNotice(EdgeForwarder &forwarder, const FlowKey &flow, Time now);
+/// @param dispatcher that sent the notice; 0: this node. A notice from another node is ignored once this node places the flow itself.
+void handleHeldNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now);
 
 /// Handles a dispatcher's notice that a flow must not be offered again.
-void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow);
+/// @param dispatcher as for handleHeldNotice()
+void handleSettledNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow);
 
 /// Handles a dispatcher's notice that no target may get a flow, or that none has room in time: resets the flow if it hasn't opened.
 /// @param dispatcher that sent the notice; 0: this node. A notice from a dispatcher that the flow no longer waits for is ignored.
--- a/src/libpimentofold/balancing/region_test.cpp
+++ b/src/libpimentofold/balancing/region_test.cpp
@@ -212,8 +212,8 @@
     }
     for (const HeldNotice &it : out.heldNotices) {
         const Id to = it.originNode == 0 ? node : it.originNode;
-        transfer(region, from, dataCentreOf(to), [&region, it, to] {
-            handleAt(region, to, [&](EdgeForwarder &forwarder, ForwardOutput &) { handleHeldNotice(forwarder, it.flow, region.now); });
+        transfer(region, from, dataCentreOf(to), [&region, it, to, node] {
+            handleAt(region, to, [&](EdgeForwarder &forwarder, ForwardOutput &) { handleHeldNotice(forwarder, to == node ? 0 : node, it.flow, region.now); });
         });
     }
     for (const FlowNotice &it : out.flowNotices) {
--- a/src/libpimentofold/forwarding/edgeforward.cpp
+++ b/src/libpimentofold/forwarding/edgeforward.cpp
@@ -80,6 +80,13 @@
     updateDispatchers(forwarder, now);
 }
 
+/// @param dispatcher that has sent a notice; 0: this node
+/// @return whether this node has begun to place the flow itself since, so that the notice no longer holds
+bool isFromFormerDispatcher(const EdgeFlow &flow, Id dispatcher)
+{
+    return dispatcher != 0 && flow.leftDispatcher;
+}
+
 } // namespace
 
 bool knowsTargets(const EdgeForwarder &forwarder)
@@ -147,10 +154,10 @@
     }
 }
 
-void handleHeldNotice(EdgeForwarder &forwarder, const FlowKey &flow, Time now)
+void handleHeldNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow, Time now)
 {
     const auto it = forwarder.flows.find(flow);
-    if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
+    if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening || isFromFormerDispatcher(it->second, dispatcher)) {
         return;
     }
     // The dispatcher hasn't offered the flow to a target yet, so this attempt isn't counted.
@@ -159,10 +166,10 @@
     forwarder.answerChecks.emplace(now + forwarder.settings.heldRetryInterval, flow);
 }
 
-void handleSettledNotice(EdgeForwarder &forwarder, const FlowKey &flow)
+void handleSettledNotice(EdgeForwarder &forwarder, Id dispatcher, const FlowKey &flow)
 {
     const auto it = forwarder.flows.find(flow);
-    if (it != forwarder.flows.end() && it->second.stage == FlowStage::Opening) {
+    if (it != forwarder.flows.end() && it->second.stage == FlowStage::Opening && !isFromFormerDispatcher(it->second, dispatcher)) {
         it->second.attempts = forwarder.settings.maxAttempts;
     }
 }
--- a/src/libpimentofold/forwarding/edgeforward_test.cpp
+++ b/src/libpimentofold/forwarding/edgeforward_test.cpp
@@ -391,3 +391,35 @@
     CHECK(out.flowNotices.front().kind == Ended);
     CHECK(findTarget(forwarder.table, 1)->workingFlows == 1);
 }
+
+// Guards against flows that wait although their node places them itself: the dispatcher answers an earlier attempt late, after a pause.
+TEST_CASE("a late notice of the dispatcher doesn't delay a flow that its node places by itself")
+{
+    constexpr Id dispatcher = 99;
+    for (const bool settled : {false, true}) {
+        CAPTURE(settled);
+        EdgeForwarder forwarder = makeForwarder(4, 0);
+        forwarder.members.push_back({dispatcher, -60 * second});
+        updateDispatchers(forwarder, 0);
+        ForwardOutput out;
+        handlePacket(forwarder, makeOpening(1), 0, out);
+        REQUIRE(out.relayedOpenings.size() == 1);
+        const FlowKey key = makeKey(1);
+        const EdgeFlow &flow = forwarder.flows.at(key);
+        Time now = 0;
+        while (flow.dispatcher != 0) {
+            now = nextForwarderTick(forwarder);
+            REQUIRE(now < second);
+            tickForwarder(forwarder, now, out);
+        }
+        const int attempts = flow.attempts;
+        const Time offeredAt = flow.lastOfferAt;
+        if (settled) {
+            handleSettledNotice(forwarder, dispatcher, key);
+        } else {
+            handleHeldNotice(forwarder, dispatcher, key, now);
+        }
+        CHECK(flow.attempts == attempts);
+        CHECK(flow.lastOfferAt == offeredAt);
+    }
+}
--- a/src/libpimentofold/forwarding/openingpackets.cpp
+++ b/src/libpimentofold/forwarding/openingpackets.cpp
@@ -93,7 +93,7 @@
     } else if (mustRefuse(result, reachability, now)) {
         refuseUnplaceableFlow(key, flow, refusalReason(forwarder.dispatcher, result, key, now), out);
     } else if (result == PlaceResult::Waiting) {
-        handleHeldNotice(forwarder, key, now);
+        handleHeldNotice(forwarder, 0, key, now);
     } else if (result == PlaceResult::Settled) {
         flow.attempts = forwarder.settings.maxAttempts;
     }
--- a/src/libpimentofold/slowstart/slowstartfleet_test.cpp
+++ b/src/libpimentofold/slowstart/slowstartfleet_test.cpp
@@ -210,11 +210,12 @@
             flow.attempt = it.attempt;
             toPeer(it.dispatcher, [flow](EdgeForwarder &node, Time now, ForwardOutput &answer) { placeForPeer(node, flow, now, answer); });
         }
+        const Id sender = nodeKeys.at(from).instance;
         for (const HeldNotice &it : out.heldNotices) {
-            toPeer(it.originNode, [it](EdgeForwarder &node, Time now, ForwardOutput &) { handleHeldNotice(node, it.flow, now); });
+            toPeer(it.originNode, [it, sender](EdgeForwarder &node, Time now, ForwardOutput &) { handleHeldNotice(node, sender, it.flow, now); });
         }
         for (const SettledNotice &it : out.settledNotices) {
-            toPeer(it.originNode, [it](EdgeForwarder &node, Time, ForwardOutput &) { handleSettledNotice(node, it.flow); });
+            toPeer(it.originNode, [it, sender](EdgeForwarder &node, Time, ForwardOutput &) { handleSettledNotice(node, sender, it.flow); });
         }
         for (const FlowNotice &it : out.flowNotices) {
             toPeer(it.dispatcher,
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -577,9 +577,9 @@
     }
     const FlowKey flow = fromWire(message.flow);
     if (message.kind == wire::EdgeKind::Held) {
-        handleHeldNotice(m_forwarder, flow, now);
+        handleHeldNotice(m_forwarder, message.sender, flow, now);
     } else if (message.kind == wire::EdgeKind::Settled) {
-        handleSettledNotice(m_forwarder, flow);
+        handleSettledNotice(m_forwarder, message.sender, flow);
     } else if (message.kind == wire::EdgeKind::Refused) {
         ForwardOutput out;
         handleRefusedNotice(m_forwarder, message.sender, flow, now, out, refusalReasonFromNumber(message.refusalReason));
