Use one relayed opening packet in the tests

Change: three tests had the same function for it, which moves to the shared test data. The messages Locate and Located are described as they are used.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -15,8 +15,8 @@
   WorkEnded = 10, // the answer to the flow's last request has started
   TargetSuspected = 11, // targets that give no sign of life on flows at the sender, for their owner
   TargetLost = 12, // targets that their owner has declared lost
-  Locate = 13,   // asks the flow's dispatcher which target has the flow
-  Located = 14,  // answers a Locate
+  Locate = 13,   // asks a node which target has the flow
+  Located = 14,  // answers a Locate, or reports where a flow is
   DispatchLoad = 15, // load of the sender's data centre, for the dispatchers of other data centres
   Refused = 16   // no target may or can get the flow in time: the node that asked for its placement refuses it
 }
--- a/src/libpimentofold/backlog/relayedopenings_test.cpp
+++ b/src/libpimentofold/backlog/relayedopenings_test.cpp
@@ -12,16 +12,6 @@
 
 constexpr Id origin = 2;
 
-OpeningFlow makeRelayed(std::uint16_t port, int attempt)
-{
-    OpeningFlow flow;
-    flow.key = makeKey(port);
-    flow.openingPacket = "opening";
-    flow.originNode = origin;
-    flow.attempt = attempt;
-    return flow;
-}
-
 FlowNotice makeNotice(FlowNoticeKind kind, std::uint16_t port, std::uint64_t target)
 {
     return {kind, 0, makeKey(port), target};
@@ -57,7 +47,7 @@
         EdgeForwarder forwarder = makeForwarder(4, 0);
         ForwardOutput out;
         for (const int attempt : row.attempts) {
-            receiveRelayedOpening(forwarder, makeRelayed(7, attempt), second, out);
+            receiveRelayedOpening(forwarder, makeOpeningFlow(7, origin, attempt), second, out);
         }
         CHECK(out.packets.empty());
         if (row.notice) {
@@ -76,7 +66,7 @@
     EdgeForwarder forwarder = makeForwarder(4, 0);
     ForwardOutput out;
     receiveFlowNotice(forwarder, makeNotice(FlowNoticeKind::Ended, 7, 3), second, out);
-    receiveRelayedOpening(forwarder, makeRelayed(7, 1), second, out);
+    receiveRelayedOpening(forwarder, makeOpeningFlow(7, origin, 1), second, out);
     placeBacklog(forwarder, second, out);
     CHECK(out.packets.size() == 1);
 }
@@ -89,7 +79,7 @@
     std::uint16_t port = 0;
     while (forwarder.dispatcher.queue.flows.empty()) {
         ForwardOutput out;
-        receiveRelayedOpening(forwarder, makeRelayed(++port, 1), second, out);
+        receiveRelayedOpening(forwarder, makeOpeningFlow(++port, origin, 1), second, out);
         placeBacklog(forwarder, second, out);
         REQUIRE(port < 100);
     }
@@ -99,8 +89,8 @@
     placeBacklog(forwarder, second + millisecond, out);
     CHECK(out.packets.empty());
 
-    receiveRelayedOpening(forwarder, makeRelayed(200, 1), second + 2 * millisecond, out);
-    receiveRelayedOpening(forwarder, makeRelayed(201, 1), second + 2 * millisecond, out);
+    receiveRelayedOpening(forwarder, makeOpeningFlow(200, origin, 1), second + 2 * millisecond, out);
+    receiveRelayedOpening(forwarder, makeOpeningFlow(201, origin, 1), second + 2 * millisecond, out);
     placeBacklog(forwarder, second + 2 * millisecond, out);
     CHECK(out.packets.size() == 1);
     receiveFlowNotice(forwarder, makeNotice(FlowNoticeKind::Ended, 2, 1), second + 3 * millisecond, out);
@@ -115,7 +105,7 @@
     EdgeForwarder forwarder = makeForwarder(4, 0);
     ForwardOutput out;
     CHECK_FALSE(isBacklogOverdue(forwarder, second));
-    receiveRelayedOpening(forwarder, makeRelayed(7, 1), second, out);
+    receiveRelayedOpening(forwarder, makeOpeningFlow(7, origin, 1), second, out);
     CHECK_FALSE(isBacklogOverdue(forwarder, second + maxBacklogTime - 1));
     CHECK(isBacklogOverdue(forwarder, second + maxBacklogTime));
     placeBacklog(forwarder, second + maxBacklogTime, out);
@@ -135,7 +125,7 @@
     EdgeForwarder forwarder = makeForwarder(4, 0);
     leave(forwarder);
     ForwardOutput retried;
-    receiveRelayedOpening(forwarder, makeRelayed(7, 2), second, retried);
+    receiveRelayedOpening(forwarder, makeOpeningFlow(7, origin, 2), second, retried);
     placeBacklog(forwarder, second, retried);
     CHECK(withdrawals(retried) == 1);
     CHECK(retried.packets.size() == 1);
--- a/src/libpimentofold/balancing/balancing_test.cpp
+++ b/src/libpimentofold/balancing/balancing_test.cpp
@@ -96,16 +96,6 @@
     return std::ranges::find_if(region.nodes, [&](const auto &it) { return dataCentreOf(it.first) == dataCentre; })->second;
 }
 
-OpeningFlow makeOpeningFlow(std::uint16_t port, Id origin, int attempt = 1)
-{
-    OpeningFlow flow;
-    flow.key = makeKey(port);
-    flow.openingPacket = "opening";
-    flow.originNode = origin;
-    flow.attempt = attempt;
-    return flow;
-}
-
 /// @return number of openings, of 200, that a dispatcher relays to another data centre
 int relayed(const EdgeForwarder &forwarder, Id origin, int attempt, Time now)
 {
--- a/src/libpimentofold/edgetestdata.h
+++ b/src/libpimentofold/edgetestdata.h
@@ -68,6 +68,17 @@
     return packet;
 }
 
+/// @return an opening packet that another node relays
+inline OpeningFlow makeOpeningFlow(std::uint16_t port, Id originNode, int attempt = 1)
+{
+    OpeningFlow flow;
+    flow.key = makeKey(port);
+    flow.openingPacket = "opening";
+    flow.originNode = originNode;
+    flow.attempt = attempt;
+    return flow;
+}
+
 /// @return a forwarder with a route to the service "shop" and targets with the ids 1 to @p targets
 inline EdgeForwarder makeForwarder(int targets, Time now)
 {
--- a/src/libpimentofold/evacuation/evacuation_test.cpp
+++ b/src/libpimentofold/evacuation/evacuation_test.cpp
@@ -52,16 +52,6 @@
     }
 }
 
-OpeningFlow makeRelayedOpening(std::uint16_t port, int attempt)
-{
-    OpeningFlow flow;
-    flow.key = makeKey(port);
-    flow.openingPacket = "opening";
-    flow.originNode = dispatcherId;
-    flow.attempt = attempt;
-    return flow;
-}
-
 } // namespace
 
 // Guards against opening packets to an evacuated data centre, and against refusing flows that other targets can take.
@@ -173,7 +163,7 @@
         EdgeForwarder dispatcher = makeRegion(0);
         evacuate(dispatcher, 50, {"dc1", "dc2", "dc3"});
         ForwardOutput out;
-        placeForPeer(dispatcher, makeRelayedOpening(1, attempt), 0, out);
+        placeForPeer(dispatcher, makeOpeningFlow(1, dispatcherId, attempt), 0, out);
         CHECK(out.packets.empty());
         REQUIRE(out.refusedNotices.size() == 1);
         CHECK(out.refusedNotices.front().originNode == dispatcherId);
@@ -187,7 +177,7 @@
     fillTargets(forwarder);
     ForwardOutput waiting;
     handlePacket(forwarder, makeOpening(1), 0, waiting);
-    placeForPeer(forwarder, makeRelayedOpening(2, 1), 0, waiting);
+    placeForPeer(forwarder, makeOpeningFlow(2, dispatcherId, 1), 0, waiting);
     REQUIRE(forwarder.dispatcher.queue.flows.size() == 2);
     evacuate(forwarder, 50, {"dc1", "dc2", "dc3"});
     ForwardOutput out;
