--- a/src/libpimentofold/flowlocation/locationreplicas_test.cpp
+++ b/src/libpimentofold/flowlocation/locationreplicas_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr Time idle = 10 * second;
 
-/// @return the node that stores the flow's location, of those that run
+/// @return number of running nodes that store the location of the flow
 std::size_t countCopies(Fleet &fleet, std::uint16_t port)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -29,7 +29,7 @@
         bool planned;
         Id atOnce; ///< nodes that are down at the same time
     };
-    // With two nodes at a time, all three nodes that know a location never stop together before the others know.
+    // Three nodes know a location, so fewer may be killed before the others know. Planned stops pass it on, whatever their number.
     const Row rows[] = {{"planned stops", true, 1}, {"planned stops of three nodes", true, 3}, {"kills", false, 1}, {"kills of two nodes", false, 2}};
     for (const Row &row : rows) {
         for (std::uint16_t port = 1; port <= 20; ++port) {
--- a/src/libpimentofold/forwarding/laterpackets.cpp
+++ b/src/libpimentofold/forwarding/laterpackets.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+/// Adds a measurement of the time from an offer to the caller's next packet.
 void updateAnswerTime(EdgeForwarder &forwarder, Time sample)
 {
     const auto value = static_cast<double>(sample);
@@ -36,6 +37,7 @@
     }
 }
 
+/// Records that the caller has gone on, and reports the location of a flow that may have been offered more than once.
 void markFlowOpen(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, EdgeTarget &target, Time now, ForwardOutput &out)
 {
     if (flow.attempts == 1) {
