--- a/review/lib-3/reviewfleet.py
+++ b/review/lib-3/reviewfleet.py
@@ -176,6 +176,13 @@
         self.store = RestorableStore()
         self.record = record
         self.run_by = {}  # (flow, number of the request on it) -> [(when, target)]
+        self.direct = {}  # flow -> node that gets its packets, whatever the routers' hash says
+
+    def to_node(self, key, data):
+        if node := self.direct.get(key):
+            self.sockets[key[0]].sendto(data, (node.ip, PACKETS))
+        else:
+            super().to_node(key, data)
 
     def ran(self, request, target):
         self.run_by.setdefault(request, []).append((time.monotonic(), target))
@@ -271,20 +278,23 @@
                          + " ".join(f"{host >> 24 & 255}.{host >> 16 & 255}.{host >> 8 & 255}.{host & 255}:{port}" for host, port in sorted(self.routes)))
         return time.monotonic()
 
-    async def request(self, route, sizes=(7,), pause=0.0, budget=2.0):
-        """Sends one request (or several on one flow) and records it.
+    async def request(self, route, sizes=(7,), pause=0.0, budget=2.0, node=None):
+        """Sends one request (or several on one flow) and records it. With a node, the flow's packets are sent directly to it.
         Returns (when the flow's first packet was sent, when a target began to run its first request or None, seconds until its answer or None)."""
         self.port = self.port + 1 if self.port < 60_000 else 20_001
         ip = random.choice(self.client_ips)
         caller = Caller(self.world, ip, self.port, route, sizes, pause)
         self.world.callers[(number(ip), self.port)] = caller
+        if node:
+            self.world.direct[caller.key] = node
         sent = time.monotonic()
-        self.record.line(f"sent     {caller.port} to {route[0] & 255}:{route[1]}")
+        self.record.line(f"sent     {caller.port} to {route[0] & 255}:{route[1]}" + (f" directly to {node.name}" if node else ""))
         outcomes = await caller.run(budget)
         runs = self.world.run_by.get((caller.key, 0), [])
         self.record.line(f"{'answered' if outcomes[0][1] is not None else 'no answer'} {caller.port} {caller.stage}")
         await asyncio.sleep(0.3)
         self.world.callers.pop((number(ip), caller.port), None)
+        self.world.direct.pop(caller.key, None)
         return sent, (runs[0][0] if runs else None), outcomes[0][1]
 
     async def close(self):
