--- a/review/lib-3/reviewfleet.py
+++ b/review/lib-3/reviewfleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import copy
+import hashlib
 import os
 import random
 import signal
@@ -124,7 +125,9 @@
                  "bounds.loss_slack_ms=200", "bounds.config_apply_ms=3000", "bounds.rollback_slack_ms=250", "bounds.max_stretch_ms=12000",
                  "bounds.recovery_s=12", "bounds.flow_ms=2000", "bounds.flow_max_s=60", "hash=steady", "forwarding_mode=echo",
                  f"platform.address={store_address}", "platform.forwarding_mode=objects", "platform.writes_per_s=400", "platform.reads_per_s=2000",
-                 "platform.history_s=20", "platform.value_bytes=1048576", "platform.min_ttl_ms=1000", *self.extra]
+                 "platform.history_s=20", "platform.value_bytes=1048576", "platform.min_ttl_ms=1000"]
+        changed = [line.split("=")[0] for line in self.extra]
+        lines = [line for line in lines if line.split("=")[0] not in changed] + list(self.extra)
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
 
@@ -176,13 +179,29 @@
         self.store = RestorableStore()
         self.record = record
         self.run_by = {}  # (flow, number of the request on it) -> [(when, target)]
+        self.latency = 0.0  # seconds, one way, between clients and everything else
         self.direct = {}  # flow -> node that gets its packets, whatever the routers' hash says
 
     def to_node(self, key, data):
-        if node := self.direct.get(key):
-            self.sockets[key[0]].sendto(data, (node.ip, PACKETS))
-        else:
-            super().to_node(key, data)
+        asyncio.get_running_loop().call_later(self.latency, self.route, key, data)
+
+    def route(self, key, data):
+        node = self.direct.get(key) or self.node_of(key)
+        self.sockets[key[0]].sendto(data, (node.ip, PACKETS))
+
+    def deliver(self, data, sender):
+        asyncio.get_running_loop().call_later(self.latency, super().deliver, data, sender)
+
+    def node_of(self, key):
+        """The node that the routers select: one of the client's zone in rotation, by a hash of the four addresses and ports."""
+        zones = sorted({node.zone for node in self.nodes.values()})
+        own = [node for node in self.nodes.values() if node.zone == zones[key[0] % len(zones)]]
+        ready = [node for node in own if node.ready]
+        if ready and 2 * len(ready) < len(own):
+            ready = own
+        elsewhere = [node for node in self.nodes.values() if node.ready]
+        digest = lambda node: hashlib.blake2b(repr((key, node.name)).encode(), digest_size=8).digest()
+        return max(ready or elsewhere or own, key=digest)
 
     def ran(self, request, target):
         self.run_by.setdefault(request, []).append((time.monotonic(), target))
@@ -297,6 +316,18 @@
         self.world.direct.pop(caller.key, None)
         return sent, (runs[0][0] if runs else None), outcomes[0][1]
 
+    async def flow(self, route, sizes, pause, budget):
+        """Sends requests on one flow and records it. Returns the flow's key and its outcomes, which Caller.run() describes."""
+        self.port = self.port + 1 if self.port < 60_000 else 20_001
+        caller = Caller(self.world, random.choice(self.client_ips), self.port, route, sizes, pause)
+        self.world.callers[caller.key[:2]] = caller
+        self.record.line(f"sent     {caller.port} to {route[0] & 255}:{route[1]}")
+        outcomes = await caller.run(budget)
+        self.record.line(f"ended    {caller.port} {caller.stage}, {sum(it[1] is not None for it in outcomes)} of {len(sizes)} requests answered")
+        await asyncio.sleep(0.3)
+        self.world.callers.pop(caller.key[:2], None)
+        return caller.key, outcomes
+
     async def close(self):
         for task in self.tasks:
             task.cancel()
