--- a/review/11/case.py
+++ b/review/11/case.py
@@ -27,7 +27,8 @@
 
         await play_drill(deployment, "lookup", TROUBLE)
 
-        leaving = list(world.targets.values())[0]
+        zone = deployment.follower_zone()
+        leaving = next(target for target in world.targets.values() if target.zone == zone)
         leaving.state = "draining"
         write_entry(leaving)
         acknowledged = time.monotonic()
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,8 @@
-"""Two nodes of a zone freeze and wake while configurations come in quick succession; no node may keep a route that was dropped."""
+"""All nodes are killed at the same moment and start again; a flow that was opened then may not move to another target."""
 
 import asyncio
 import os
+import random
 import signal
 import sys
 import time
@@ -9,96 +10,73 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
 
-from reviewfleet import BOUNDS, BROKEN, HELD, CannotRun, Deployment, number, play  # noqa: E402
+from reviewfleet import BOUNDS, BROKEN, HELD, Deployment, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STORM_S, GAP_S = 4.0, 0.33  # config_storm
-STORM_AFTER_S = 1.5  # from the first freeze on
-FREEZE_S = 4.0  # node_freeze
-SECOND_FREEZE_AFTER_S = 3.3  # while the first node is still frozen
-ROUNDS = 6
-LIVES = 2  # versions for which a route of the storm is there
-
-
-def seems_to_lead(node):
-    with open(node.log, encoding="utf-8") as file:
-        changes = [line for line in file if "event=store_follow_" in line]
-    return bool(changes) and "event=store_follow_started" in changes[-1]
-
-
-def follower_zone(deployment):
-    """The nodes of a zone in which no node seems to lead."""
-    for zone in ("zone-a", "zone-b", "zone-c"):
-        nodes = [node for node in deployment.nodes if node.zone == zone]
-        if not any(seems_to_lead(node) for node in nodes):
-            return nodes
-    raise CannotRun("a node of each zone seems to lead")
-
-
-async def storm(deployment, first_port, dropped):
-    """Each version adds a route and drops the one that was added two versions before. At the end all are dropped."""
-    await asyncio.sleep(STORM_AFTER_S)
-    ports = []
-    for i in range(int(STORM_S / GAP_S)):
-        ports.append(first_port + i)
-        deployment.routes[(number("198.18.0.7"), ports[-1])] = "lookup"
-        old = (number("198.18.0.7"), ports[-1 - LIVES]) if i >= LIVES else None
-        if old:
-            del deployment.routes[old]
-        acknowledged = deployment.write_config()
-        if old:
-            dropped[old] = acknowledged
-        await asyncio.sleep(GAP_S)
-    for port in ports[-LIVES:]:
-        del deployment.routes[(number("198.18.0.7"), port)]
-    acknowledged = deployment.write_config()
-    for port in ports[-LIVES:]:
-        dropped[(number("198.18.0.7"), port)] = acknowledged
-
-
-async def freeze(deployment, node, after):
-    await asyncio.sleep(after)
-    deployment.record.line(f"freeze   {node.name}")
-    node.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(FREEZE_S)
-    node.send_signal(signal.SIGCONT)
-    deployment.record.line(f"wake     {node.name}")
+FLOW_S = 2.0  # flow_ms
+DARK_S = 2.0  # herd_kill, how = "power"
+SLOW_S, ANSWER_S = 3.0, 0.24  # platform_slow, 60 times as long as 4 ms
+LATENCY_S = 0.003  # one way to clients
+PAUSE_S = 7.5  # between the two requests of a flow, which may be idle for 15 s
+START_GAP_S = 0.1  # the machines do not start all at once
+CALM_RATE, RATE = 20, 150  # new flows a second, the second one while the nodes come back
+ROUNDS = 4
+
+
+async def herd_kill(deployment):
+    deployment.record.line("all nodes are killed")
+    await asyncio.gather(*(node.end(signal.SIGKILL) for node in deployment.nodes))
+    await asyncio.sleep(DARK_S)
+    for node in random.sample(deployment.nodes, len(deployment.nodes)):
+        await node.start()
+        await asyncio.sleep(START_GAP_S)
+    deployment.record.line("all nodes are started")
+
+
+async def slow_store(deployment):
+    """The store is slow while the nodes start."""
+    await asyncio.sleep(DARK_S - 0.2)
+    deployment.world.store.delay = ANSWER_S
+    await asyncio.sleep(SLOW_S)
+    deployment.world.store.delay = 0.004
 
 
 async def case():
-    deployment = Deployment(HERE, nodes_per_zone=3)
-    record = deployment.record
-    try:
-        await deployment.start(["lookup"], 6)
-        await asyncio.sleep(BOUNDS["touch_s"])
-        dropped = {}
-        ran = []
-        for n in range(ROUNDS):
-            first, second, _ = follower_zone(deployment)
-            tasks = [storm(deployment, 1000 + 100 * n, dropped)]
-            if TROUBLE:
-                tasks += [freeze(deployment, first, 0), freeze(deployment, second, SECOND_FREEZE_AFTER_S)]
-            await asyncio.gather(*tasks)
-            await asyncio.sleep(BOUNDS["touch_s"] + 0.5)
-            probes = [(route, node) for route in dropped for node in deployment.nodes]
-            results = []
+    deployment = Deployment(HERE)
+    world, record = deployment.world, deployment.record
+    world.latency = LATENCY_S
+    broken = []
+
+    async def flow(route):
+        """Two requests on one flow. Notes when the flow's packets go to other targets for flow_ms, three at least."""
+        key, _ = await deployment.flow(route, (7, 7), PAUSE_S, 4.0)
+        home = world.homes.get(key)
+        if home is None:
+            return
+        astray = [(when, target) for when, target in world.astray.pop(key, []) if when > home[1] + BOUNDS["touch_s"] + 2]
+        if sum(when <= astray[0][0] + FLOW_S for when, _ in astray) >= 3 and astray[-1][0] >= astray[0][0] + FLOW_S:
+            broken.append(key)
+            record.line(f"astray   {key[1]} opened at {home[0]}, then " + " ".join(f"{when - astray[0][0]:.2f}:{target}" for when, target in astray))
 
-            async def probe(route, node):
-                results.append((route, node, await deployment.request(route, node=node, budget=1.5)))
-
-            await asyncio.gather(*(probe(*it) for it in probes))
-            ran = [it for it in results if it[2][1] is not None]
-            text = f"round {n + 1}: {len(ran)} of {len(results)} requests on dropped routes ran" + "".join(
-                f"; at {node.name}, {sent - dropped[route]:.1f} s after its route {route[1]} was dropped" for route, node, (sent, _, _) in ran)
-            record.line(text)
-            print(text, flush=True)
-            late = [it for it in ran if it[2][0] > dropped[it[0]] + BOUNDS["config_s"]]
-            if late:
-                return BROKEN
-        return HELD
+    try:
+        await deployment.start(["lookup"], 24)
+        route = next(iter(deployment.routes))
+        await asyncio.sleep(1.0)
+        flows = []
+        for _ in range(ROUNDS):
+            troubles = [asyncio.create_task(it(deployment)) for it in (herd_kill, slow_store)] if TROUBLE else []
+            start = time.monotonic()
+            while time.monotonic() < start + DARK_S + 1.0:
+                flows.append(asyncio.create_task(flow(route)))
+                await asyncio.sleep(1 / (RATE if time.monotonic() > start + DARK_S - 0.6 else CALM_RATE))
+            await asyncio.gather(*troubles)
+            await asyncio.sleep(PAUSE_S + 2.0)
+        await asyncio.gather(*flows)
+        text = f"{len(broken)} of {len(flows)} flows sent their packets to other targets than their own"
+        record.line(text)
+        print(text)
+        return BROKEN if broken else HELD
     finally:
-        for node in deployment.nodes:
-            node.send_signal(signal.SIGCONT)
         await deployment.close()
 
 
--- a/review/lib-3/reviewfleet.py
+++ b/review/lib-3/reviewfleet.py
@@ -155,6 +155,12 @@
             self.process.kill()
             await self.process.wait()
 
+    def seems_to_lead(self):
+        """Whether this node reads the store for the others, as its log says."""
+        with open(self.log, encoding="utf-8") as file:
+            changes = [line for line in file if "event=store_follow_" in line]
+        return bool(changes) and "event=store_follow_started" in changes[-1]
+
     async def check_readiness(self):
         """Asks twice a second, as the platform does; two misses take the node out of rotation."""
         while True:
@@ -275,6 +281,13 @@
             node.write_settings(f"{node.ip}:{STORE}", self.seeds, False)
         self.record.line("all nodes are ready")
 
+    def follower_zone(self):
+        """A zone in which no node seems to lead."""
+        for zone in sorted({node.zone for node in self.nodes}):
+            if not any(node.seems_to_lead() for node in self.nodes if node.zone == zone):
+                return zone
+        raise CannotRun("a node of each zone seems to lead")
+
     async def copy_store(self):
         while True:
             self.world.store.keep_copy()
