--- a/review/12/case.py
+++ b/review/12/case.py
@@ -18,7 +18,7 @@
     try:
         await deployment.start(["lookup"], 6)
         main = next(iter(deployment.routes))
-        dropped, added = (number("198.18.0.8"), 443), (number("198.18.0.9"), 443)
+        dropped, added = (number("127.90.0.8"), 443), (number("127.90.0.9"), 443)
         deployment.routes[dropped] = "lookup"
         deployment.write_config()
         await asyncio.sleep(BOUNDS["touch_s"] + COPY_AGE_S)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -26,8 +26,8 @@
     ports = []
     for i in range(int(STORM_S / GAP_S)):
         ports.append(first_port + i)
-        deployment.routes[(number("198.18.0.7"), ports[-1])] = "lookup"
-        old = (number("198.18.0.7"), ports[-1 - LIVES]) if i >= LIVES else None
+        deployment.routes[(number("127.90.0.7"), ports[-1])] = "lookup"
+        old = (number("127.90.0.7"), ports[-1 - LIVES]) if i >= LIVES else None
         if old:
             del deployment.routes[old]
         acknowledged = deployment.write_config()
@@ -35,10 +35,10 @@
             dropped[old] = acknowledged
         await asyncio.sleep(GAP_S)
     for port in ports[-LIVES:]:
-        del deployment.routes[(number("198.18.0.7"), port)]
+        del deployment.routes[(number("127.90.0.7"), port)]
     acknowledged = deployment.write_config()
     for port in ports[-LIVES:]:
-        dropped[(number("198.18.0.7"), port)] = acknowledged
+        dropped[(number("127.90.0.7"), port)] = acknowledged
 
 
 async def freeze(deployment, node, after):
--- a/review/lib-3/reviewfleet.py
+++ b/review/lib-3/reviewfleet.py
@@ -263,7 +263,7 @@
         for ip in self.client_ips:
             await self.world.add_caller_ip(ip)
         for i, service in enumerate(services):
-            self.routes[(number(f"198.18.0.{i + 1}"), 443)] = service
+            self.routes[(number(f"127.90.0.{i + 1}"), 443)] = service
         self.write_config()
         zones = ("zone-a", "zone-b", "zone-c")
         for service in services:
--- a/review/lib-3/storecopy.py
+++ b/review/lib-3/storecopy.py
@@ -41,7 +41,7 @@
         record.line(f"target   {target.name} started")
         deployment.tasks.append(asyncio.create_task(warm_up(target)))
     await asyncio.sleep(1.0)
-    deployment.routes[(number("198.18.0.7"), 1000)] = service
+    deployment.routes[(number("127.90.0.7"), 1000)] = service
     deployment.write_config()
     await asyncio.sleep(COPY_AGE_S - 1.2)
 
