--- a/scripts/lib/edgeworld.py
+++ b/scripts/lib/edgeworld.py
@@ -144,8 +144,28 @@
         self.lose = 0.0
         self.calls = 0
         self.calls_by_kind = collections.Counter()
+        self.era = 1
+        self.undo = []  # (when, key, object before, revision before) of each change, oldest first
+
+    def keep_undo(self, key):
+        """Has to be called before each change."""
+        self.undo.append((time.monotonic(), key, self.objects.get(key), self.revision))
+
+    def restore(self, age):
+        """Comes back from a copy that is this old, in seconds, in the next era: later changes are gone, their revisions are given out again."""
+        while self.undo and self.undo[-1][0] > time.monotonic() - age:
+            _, key, before, self.revision = self.undo.pop()
+            if before:
+                self.objects[key] = before
+            else:
+                self.objects.pop(key, None)
+        self.history = [it for it in self.history if it[0] <= self.revision]
+        self.first = min(self.first, self.revision)
+        self.era += 1
+        self.wake_watches()
 
     def put(self, kind, name, spec):
+        self.keep_undo((kind, name))
         self.revision += 1
         old = self.objects.get((kind, name))
         created = old["meta"]["created"] if old else self.revision
@@ -155,13 +175,18 @@
         return self.objects[(kind, name)]
 
     def delete(self, kind, name):
-        old = self.objects.pop((kind, name), None)
+        old = self.objects.get((kind, name))
         if old:
+            self.keep_undo((kind, name))
+            del self.objects[(kind, name)]
             self.revision += 1
             self.note(kind, {**old, "meta": {**old["meta"], "revision": self.revision}}, True)
 
     def note(self, kind, item, deleted):
         self.history.append((self.revision, kind, item, deleted))
+        self.wake_watches()
+
+    def wake_watches(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -199,8 +224,11 @@
 
     async def watch(self, kind, since, wait):
         end = time.monotonic() + wait
+        era = self.era
         while True:
-            if since < self.first:
+            if era != self.era:
+                raise ConnectionError("the store has come back from an older copy")
+            if since < self.first or since > self.revision:
                 return 410, {"error": "history is gone"}
             events = [{"object": item, "deleted": gone} for (rev, k, item, gone) in self.history if k == kind and rev > since]
             left = end - time.monotonic()
@@ -229,7 +257,7 @@
                 if method != "GET" and random.random() < self.lose:
                     await asyncio.sleep(3600)
                 text = dump_json(value).encode()
-                writer.write(f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+                writer.write(f"HTTP/1.1 {status} x\r\nStore-Era: {self.era}\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
@@ -303,6 +331,7 @@
         self.busy = 0
         self.queue = []
         self.born = int(time.time() * 1000)
+        self.cold_remaining_ms = 0
         self.opening_delay = 0.0  # seconds until an opening packet is answered
 
     async def start(self):
@@ -312,7 +341,7 @@
 
     def register(self):
         spec = {"service": self.service, "address": f"{self.ip}:8080", "zone": self.zone, "version": "v1", "slots": self.slots,
-                "state": self.state, "cold_remaining_ms": 0, "seq": 0, "born": self.born}
+                "state": self.state, "cold_remaining_ms": self.cold_remaining_ms, "seq": 0, "born": self.born}
         self.world.store.put("servers", self.name, spec)
 
     def drain(self):
@@ -516,6 +545,7 @@
         self.loss = 0.0
         self.double = 0.0
         self.runs = {}
+        self.config_spec = {}  # of the last configuration that was written
 
     def to_node(self, key, data):
         ready = sorted(name for name, node in self.nodes.items() if node.ready) or sorted(self.nodes)
@@ -602,4 +632,5 @@
             if route not in routes:
                 self.judge.dropped_at.setdefault(route, time.monotonic())
         spec = {"version": version, "routes": listed, "services": [], "limits": {"idle_timeout_ms": idle_timeout_ms}}
+        self.config_spec = spec
         self.store.put("config", "main", spec)
--- a/scripts/lib/idleflows.py
+++ b/scripts/lib/idleflows.py
@@ -32,7 +32,7 @@
                       for z, zone in enumerate("abc") for i in range(2)]
         self.servers, self.probes = [], []
 
-    async def start(self, idle_timeout_ms):
+    async def start(self, idle_timeout_ms, evacuations=False):
         world = self.world
         self.servers.append(await asyncio.start_server(world.store.serve, world.store_ip, 8169))
         world.write_config(1, {ROUTE: "shop"}, idle_timeout_ms)
@@ -41,9 +41,10 @@
         for n in range(8):
             target = Target(world, f"i-{(n + 1) * 0x9E3779B1 & 0xFFFFFFFF:08x}", "shop", "abc"[n % 3], f"127.{self.net + 1}.0.{n + 1}")
             world.targets[target.name] = target
+            world.judge.data_centres.add(target.zone)
             await target.start()
         for node in self.nodes:
-            node.evacuate = ""
+            node.evacuate = node.evacuate if evacuations else ""
             self.servers.append(await asyncio.start_server(node.proxy.serve, node.ip, 8169))
             node.write_settings([it.ip for it in self.nodes[:3]])
             world.nodes[node.name] = node
--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -55,17 +55,21 @@
   10: i64 startedAt
   11: i64 revision
   12: optional i64 drainingFor  // microseconds since the store took the entry, at most, when sent; unset: not draining, or not known
+  13: optional i64 era          // of the store, for the revision; unset: 0, also in the fields below
+  14: optional i64 sequence     // of the entry, as its target counts them; unset: not known
 }
 
 struct EdgeRemoval {
   1: i64 id
   2: i64 revision
+  3: optional i64 era
 }
 
 // All data centres that the operators have evacuated, as of a revision of the store.
 struct EdgeEvacuations {
   1: i64 revision
   2: list<string> dataCentres
+  3: optional i64 era
 }
 
 // Slow start of a service's targets.
@@ -117,6 +121,11 @@
   12: i32 parts
   13: i64 configKnown     // revision of the store up to which the sender knows the configuration
   14: optional list<EdgeService> services  // all services of the configuration
+  15: optional i64 configBaseEra
+  16: optional i64 configRevisionEra
+  17: optional i64 targetsBaseEra
+  18: optional i64 targetsRevisionEra
+  19: optional i64 configKnownEra
 }
 
 struct EdgeFlowEnds {
@@ -151,4 +160,8 @@
   21: optional i8 refusalReason   // Refused: why, as numbered in RefusalReason
   22: optional bool report        // Located: true: a report to be kept, false: the answer to a Locate; unset: from a previous version
   23: optional i32 sequence       // Locate, Located: sequence number of a packet of the flow, unset: from a previous version
+  24: optional i64 configKnownEra  // Beat, Fetch: eras of the store for the revisions above; unset: 0
+  25: optional i64 targetsKnownEra
+  26: optional i64 configRevisionEra
+  27: optional i64 evacuationsKnownEra
 }
--- a/src/include/pimentofold/edgecodec.h
+++ b/src/include/pimentofold/edgecodec.h
@@ -50,6 +50,21 @@
 /// is invalid or was received before
 std::optional<StoreChanges> addPart(ChangesAssembler &assembler, Id sender, const wire::EdgeChanges &part);
 
+/// Writes the revisions that the sender knows into a heartbeat or a request for changes.
+void setKnown(wire::EdgeMessage &message, const KnownRevisions &known);
+
+/// Writes the revision up to which the sender knows the evacuations into a message.
+void setEvacuationsKnown(wire::EdgeMessage &message, const StoreRevision &revision);
+
+/// Writes the revision of the sender's configuration into a heartbeat or a request for changes.
+void setConfigRevision(wire::EdgeMessage &message, const StoreRevision &revision);
+
+/// @return the revisions that the sender of a heartbeat or of a request for changes knows
+KnownRevisions knownFromWire(const wire::EdgeMessage &message);
+
+/// @return the revision of the sender's configuration
+StoreRevision configRevisionFromWire(const wire::EdgeMessage &message);
+
 /// Converts the evacuated data centres for a message.
 wire::EdgeEvacuations toWire(const EvacuationState &state);
 
--- a/src/include/pimentofold/edgeconfig.h
+++ b/src/include/pimentofold/edgeconfig.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <pimentofold/address.h>
+#include <pimentofold/storerevision.h>
 #include <pimentofold/types.h>
 
 /// Routes and targets of an edge node, independent of the format in which the platform stores them. The adapter in
@@ -77,7 +78,7 @@
 
 /// One version of the whole configuration.
 struct EdgeConfig {
-    std::int64_t revision = 0; ///< store revision of this version; later versions have higher revisions
+    StoreRevision revision = 0; ///< of the store at which it got this version; see isNewerConfig()
     std::int64_t version = 0; ///< version number that the operator assigned
     std::vector<EdgeRoute> routes;
     Time idleTimeout = 0; ///< flows that have been idle for longer may be dropped from memory
@@ -115,10 +116,10 @@
     TargetState state = TargetState::Ready;
     Time warmup = 0; ///< warm-up time that was left when the entry was written
     std::int64_t startedAt = 0; ///< start of the target's process, in milliseconds of wall time; identifies the incarnation
-    std::int64_t revision = 0; ///< store revision of the entry's last change
+    StoreRevision revision = 0; ///< of the store at the entry's last change
     /// Draining: most time that may have passed since the store took the entry, when this record was made; nothing: not known.
     std::optional<Time> drainingFor;
-    std::int64_t sequence = 0; ///< a target's process counts its entries; 0: not known, since the entry comes from another node
+    std::int64_t sequence = 0; ///< a target's process counts its entries; 0: not known
 
     friend bool operator==(const TargetRecord &, const TargetRecord &) = default;
 };
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -125,7 +125,7 @@
     bool leavesOutNodes = false; ///< some members were not used because they didn't answer or are unreachable
     std::set<std::string, std::less<>> evacuated; ///< data centres
     bool slowStart = false; ///< enabled
-    std::int64_t servicesRevision = 0; ///< of SlowStart
+    StoreRevision servicesRevision = 0; ///< of SlowStart
     bool coldDataCentres = false; ///< a data centre was cold because its evacuation had ended
     std::set<std::string> coldServices; ///< services with cold targets
     std::unordered_set<std::uint64_t> expiring; ///< ids of targets without an entry that may still accept flows
--- a/src/include/pimentofold/evacuation/evacuationstate.h
+++ b/src/include/pimentofold/evacuation/evacuationstate.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <pimentofold/storerevision.h>
 #include <pimentofold/types.h>
 
 /// Data centres that the operators have evacuated. Targets there get no new flows; open flows continue.
@@ -18,7 +19,7 @@
 
 /// The evacuated data centres as of one revision of the store.
 struct EvacuationState {
-    std::int64_t revision = 0; ///< 0: not known yet
+    StoreRevision revision = 0; ///< 0: not known yet
     std::set<std::string, std::less<>> dataCentres;
 
     friend bool operator==(const EvacuationState &, const EvacuationState &) = default;
@@ -27,7 +28,7 @@
 /// An evacuation that was requested or withdrawn, as the store reports it.
 struct EvacuationChange {
     std::string dataCentre;
-    std::int64_t revision = 0; ///< of the object; a withdrawal may carry the revision of the object's last change
+    StoreRevision revision = 0; ///< of the object; a withdrawal may carry the revision of the object's last change
     bool withdrawn = false;
 };
 
@@ -46,12 +47,12 @@
 ///        already contains are applied again without effect.
 /// @param revision of the store's answer
 /// @return false when @p revision isn't higher than that of the state; nothing changes then
-bool applyEvacuationChanges(EvacuationState &state, std::span<const EvacuationChange> changes, std::int64_t revision);
+bool applyEvacuationChanges(EvacuationState &state, std::span<const EvacuationChange> changes, const StoreRevision &revision);
 
 /// Adds one page of a list.
 /// @param listed state of the pages before; a default one for the first page. It gets the revision of the first page, since a
 ///        later change may be missing on the pages before; the watch that follows returns it.
-void addListedEvacuations(EvacuationState &listed, std::span<const EvacuationChange> page, std::int64_t revision);
+void addListedEvacuations(EvacuationState &listed, std::span<const EvacuationChange> page, const StoreRevision &revision);
 
 /// @return data centres that are evacuated in only one of two states
 EvacuationDifference differenceOf(const EvacuationState &before, const EvacuationState &after);
--- a/src/include/pimentofold/replication/storereplication.h
+++ b/src/include/pimentofold/replication/storereplication.h
@@ -67,24 +67,27 @@
 
 /// Store revisions up to which a node knows the objects of each kind.
 struct KnownRevisions {
-    std::int64_t config = 0; ///< 0: no configuration is known
-    std::int64_t targets = 0; ///< 0: the targets are not known yet
-    std::int64_t evacuations = 0; ///< 0: the evacuations are not known yet
+    StoreRevision config = 0; ///< 0: no configuration is known
+    StoreRevision targets = 0; ///< 0: the targets are not known yet
+    StoreRevision evacuations = 0; ///< 0: the evacuations are not known yet
 
     friend bool operator==(const KnownRevisions &, const KnownRevisions &) = default;
 };
 
+/// @return the latest era of the store in which one of the revisions was given out
+std::int64_t eraOf(const KnownRevisions &known);
+
 /// Removal of a target's entry from the store.
 struct TargetRemoval {
     std::uint64_t id = 0;
-    std::int64_t revision = 0;
+    StoreRevision revision = 0;
 };
 
 /// Changes in the store after the revisions in base, up to those in known. A base of 0 stands for the complete state.
 struct StoreChanges {
     KnownRevisions base;
     KnownRevisions known;
-    std::int64_t configBase = 0; ///< revision of the configuration to which the changed routes apply; 0: config is complete
+    StoreRevision configBase = 0; ///< revision of the configuration to which the changed routes apply; 0: config is complete
     EdgeConfig config; ///< added and changed routes; revision 0: the sender knows no configuration
     std::vector<Address> removedRoutes;
     std::vector<TargetRecord> targets; ///< added and changed entries
@@ -139,7 +142,8 @@
 /// leaderBackoff.
 void updateStoreHealth(StoreReplication &replication, StoreHealth health, Time now);
 
-/// Records the heartbeat of another node.
+/// Records the heartbeat of another node. One from an earlier era of the store than this node knows is ignored: its sender hasn't
+/// read the store since the store came back.
 /// @return whether the sender knows changes that are missing here; they should be requested from the node that relayed
 /// the heartbeat
 bool handleHeartbeat(StoreReplication &replication, const StoreHeartbeat &heartbeat, Time now);
@@ -164,7 +168,7 @@
 /// @param configBase revision of the peer's configuration
 /// @param known revisions up to which @p table holds the store's state
 /// @return the changes after @p base; the complete state of a kind when this node's history doesn't reach back that far
-StoreChanges changesSince(const TargetTable &table, const KnownRevisions &base, std::int64_t configBase, const KnownRevisions &known, Time now);
+StoreChanges changesSince(const TargetTable &table, const KnownRevisions &base, const StoreRevision &configBase, const KnownRevisions &known, Time now);
 
 /// Applies changes from another node to the table and to the known revisions. Changes that are known already are ignored.
 /// @return false when changes of a kind could not be applied, because earlier ones are missing here
--- a/src/include/pimentofold/slowstart/slowstart.h
+++ b/src/include/pimentofold/slowstart/slowstart.h
@@ -58,7 +58,7 @@
 
 /// The end of an evacuation, from which on a data centre's targets count as cold.
 struct ColdDataCentre {
-    std::int64_t revision = 0; ///< store revision of the end; target entries with a higher revision are not affected
+    StoreRevision revision = 0; ///< of the store at the end; target entries with a higher revision are not affected
     Time since = 0;
 };
 
@@ -66,7 +66,7 @@
 struct SlowStart {
     SlowStartSettings settings;
     std::map<std::string, ServiceLimits, std::less<>> services; ///< of the configuration in force, by name
-    std::int64_t servicesRevision = 0; ///< revision of the configuration that changed `services` last; 0: none did
+    StoreRevision servicesRevision = 0; ///< revision of the configuration that changed `services` last; 0: none did
     std::map<std::string, ColdDataCentre, std::less<>> dataCentres; ///< by name; while they may be cold
     std::unordered_map<std::uint64_t, ColdBudget> budgets; ///< by id; of the targets that this node owns
     std::unordered_map<Id, Time> membersSeen; ///< when each member was last seen, within memberMemory
@@ -95,7 +95,7 @@
 /// Makes all targets of a data centre cold for the cold time of their service, because an evacuation has ended. Target
 /// entries with a higher revision than the end override this.
 /// @param revision store revision of the end of the evacuation
-void markDataCentreCold(TargetTable &table, std::string_view dataCentre, std::int64_t revision, Time now);
+void markDataCentreCold(TargetTable &table, std::string_view dataCentre, const StoreRevision &revision, Time now);
 
 /// @return when the target's cold time ends; 0 for a target that isn't cold or to which no limit applies
 Time coldUntil(const TargetTable &table, const EdgeTarget &target);
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -23,7 +23,9 @@
 ///     const EdgeRoute *route = findRoute(table, packet.flow.service);
 ///     EdgeTarget *target = findTargetByToken(table, packet.token, route);
 ///
-/// Updates are ordered by store revision: an older configuration or an older target entry is ignored.
+/// Updates are ordered by store revision: an older configuration or an older target entry is ignored. When the store has come back
+/// from an older copy, what it holds has a newer era but may be older than what is known here: isNewerConfig() and isOlderCopy()
+/// tell until the operators and the targets have written again.
 namespace pimentofold {
 
 /// A target whose store entry disappears while the target still answers stays in use for this long. Entries that expire
@@ -38,7 +40,7 @@
     TargetRecord record;
     FlowToken token = 0;
     bool registered = true; ///< has an entry in the store
-    std::int64_t removedRevision = 0; ///< store revision at which the entry was removed
+    StoreRevision removedRevision = 0; ///< of the store at which the entry was removed
     Time removedAt = 0; ///< when this node learned of the removal; only valid when the target is not registered
     Time drainingSince = never; ///< when this node learned that the target is draining
     Time drainBeganAfter = never; ///< the store took the entry that says so after this time; never: the target isn't draining, or the time isn't known
@@ -65,20 +67,20 @@
 /// A route with the configuration revision that changed it last.
 struct RouteEntry {
     EdgeRoute route;
-    std::int64_t revision = 0;
+    StoreRevision revision = 0;
     bool removed = false; ///< removed routes stay in the table so that the removal can be sent to peers
 };
 
 /// Routes and targets. Only the functions below change them.
 struct TargetTable {
-    std::int64_t configRevision = 0; ///< store revision of the configuration in force; 0: none yet
+    StoreRevision configRevision = 0; ///< of the store for the configuration in force; 0: none yet
     std::int64_t configVersion = 0; ///< version number that the operator assigned
     Time idleTimeout = 0; ///< of the configuration in force
     std::unordered_map<std::uint64_t, RouteEntry> routes; ///< by address: IP shifted left by 16 bits, then the port
     /// Removals of targets and routes up to these revisions are no longer recorded, so a peer with an older state needs
     /// the full state instead of a delta.
-    std::int64_t targetHistoryStart = 0; ///< 0: not all targets are known yet
-    std::int64_t configHistoryStart = 0;
+    StoreRevision targetHistoryStart = 0; ///< 0: not all targets are known yet
+    StoreRevision configHistoryStart = 0;
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by target id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< target ids by token
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
@@ -98,6 +100,13 @@
 /// Removes the routes that addFirstRoutes() has added. Does nothing once a configuration is known, which has replaced them.
 void dropFirstRoutes(TargetTable &table);
 
+/// Orders two versions of the configuration: by revision within an era of the store, else by version number, which the operators
+/// only raise.
+/// @param revision of a configuration
+/// @param version of the same configuration
+/// @return whether that configuration is newer than the one in force
+bool isNewerConfig(const TargetTable &table, const StoreRevision &revision, std::int64_t version);
+
 /// Replaces the configuration. Routes that are not part of @p config are removed; those that it contains in an unreadable
 /// form stay as they are.
 /// @return false when @p config is not newer than the configuration in force; nothing changes then
@@ -109,7 +118,7 @@
 /// @param removed addresses of routes that were removed
 /// @return false when the newer version is already in force, or when the configuration in force is older than @p base;
 ///         nothing changes then
-bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed);
+bool applyConfigChange(TargetTable &table, const StoreRevision &base, const EdgeConfig &change, const std::vector<Address> &removed);
 
 /// A target keeps its service until it starts again, so an entry with another service and no later start was written by another
 /// process. The exception is a first entry that was itself wrong: the target renews its own entry, so two entries in a row that name
@@ -117,21 +126,27 @@
 /// @return whether @p record names another service than the one that is known for this start of the target
 bool contradictsService(const TargetTable &table, const TargetRecord &record);
 
+/// @return whether @p record, of a later era of the store than the known entry, was written before the known entry: by an earlier
+///         start of the target, or with a lower sequence number. A store that comes back from an older copy holds such entries until
+///         their targets have written again.
+bool isOlderCopy(const TargetTable &table, const TargetRecord &record);
+
 /// Adds a target or updates its entry. An entry that contradictsService() counts as the removal of the target's own entry.
-/// @return false when the entry isn't newer than the known one or than its removal; nothing changes then
+/// @return false when the entry isn't newer than the known one or than its removal, or says the same in a later era of the store;
+///         nothing changes then
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now);
 
 /// Marks a target's entry as removed. The target stays in the table for its open flows until purgeRemovedTargets().
 /// @param revision store revision of the removal
 /// @return false when the target is unknown, has no entry, or has a newer entry
-bool removeTarget(TargetTable &table, std::uint64_t id, std::int64_t revision, Time now);
+bool removeTarget(TargetTable &table, std::uint64_t id, const StoreRevision &revision, Time now);
 
 /// Sets the dispatcher that places the target's flows.
 /// @param owner 0: this node
 void setOwner(TargetTable &table, EdgeTarget &target, Id owner);
 
 /// Records that the table holds all targets up to a store revision. Only the first call has an effect.
-void setTargetHistoryStart(TargetTable &table, std::int64_t revision);
+void setTargetHistoryStart(TargetTable &table, const StoreRevision &revision);
 
 /// Deletes targets without open flows whose entries were removed at least removedTargetRetention ago.
 void purgeRemovedTargets(TargetTable &table, Time now);
--- a/src/libnet/streamhttp.cpp
+++ b/src/libnet/streamhttp.cpp
@@ -1,6 +1,7 @@
 #include <libnet/streamhttp.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <map>
@@ -29,6 +30,13 @@
 constexpr std::size_t mostConnections = 64;
 constexpr Time idleConnectionLimit = minute;
 
+std::string lowerCase(std::string_view text)
+{
+    std::string result(text);
+    std::ranges::transform(result, result.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
 /// Lets the system notice a peer that has vanished without closing the connection.
 void detectLoss(int descriptor)
 {
@@ -204,6 +212,9 @@
             auto message = m_parser->parser.release();
             result.status = static_cast<int>(message.result_int());
             result.body = std::move(message.body());
+            for (const auto &it : message) {
+                result.headers[lowerCase({it.name_string().data(), it.name_string().size()})] = std::string(it.value());
+            }
             // Bytes beyond the answer would be taken for the answer to the next call.
             if (!message.keep_alive() || !m_in.empty()) {
                 disconnect();
--- a/src/libpimentofold/balancing/dispatcherranking_test.cpp
+++ b/src/libpimentofold/balancing/dispatcherranking_test.cpp
@@ -275,7 +275,7 @@
                 forwarder.dispatcherMisses[members[below(random, members.size())].instance] = {2, now + second};
                 break;
             case 3:
-                ++forwarder.table.evacuations.revision;
+                ++forwarder.table.evacuations.revision.number;
                 forwarder.table.evacuations.dataCentres =
                     below(random, 2) == 0 ? std::set<std::string, std::less<>>{} : std::set<std::string, std::less<>>{"dc1"};
                 break;
--- a/src/libpimentofold/balancing/region_test.cpp
+++ b/src/libpimentofold/balancing/region_test.cpp
@@ -345,7 +345,7 @@
             if (it.dataCentre == 0 && draining) {
                 TargetRecord record = findTarget(node.forwarder.table, target)->record;
                 record.state = TargetState::Draining;
-                record.revision += 10'000;
+                record.revision.number += 10'000;
                 applyTarget(node.forwarder.table, record, region.now);
             } else if (it.dataCentre == 0) {
                 removeTarget(node.forwarder.table, target, 30'000, region.now);
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -75,7 +75,13 @@
     result.draining = target.state == TargetState::Draining;
     result.warmup = target.warmup;
     result.startedAt = target.startedAt;
-    result.revision = target.revision;
+    result.revision = target.revision.number;
+    if (target.revision.era > 0) {
+        result.__set_era(target.revision.era);
+    }
+    if (target.sequence > 0) {
+        result.__set_sequence(target.sequence);
+    }
     if (target.drainingFor) {
         result.__set_drainingFor(*target.drainingFor);
     }
@@ -94,7 +100,8 @@
     result.state = target.draining ? TargetState::Draining : TargetState::Ready;
     result.warmup = std::clamp<Time>(target.warmup, 0, maxColdTime);
     result.startedAt = target.startedAt;
-    result.revision = target.revision;
+    result.revision = {target.era, target.revision};
+    result.sequence = std::max<std::int64_t>(target.sequence, 0);
     if (target.__isset.drainingFor) {
         result.drainingFor = std::max<Time>(target.drainingFor, 0);
     }
@@ -108,6 +115,46 @@
     return {service.name, std::clamp<Time>(service.coldTime, 0, maxColdTime), isRate ? service.coldRate : 0};
 }
 
+/// Sets the eras of the revisions in a part. A store without eras needs none of the fields.
+void setEras(wire::EdgeChanges &part, const StoreChanges &changes)
+{
+    if (changes.configBase.era > 0) {
+        part.__set_configBaseEra(changes.configBase.era);
+    }
+    if (changes.config.revision.era > 0) {
+        part.__set_configRevisionEra(changes.config.revision.era);
+    }
+    if (changes.known.config.era > 0) {
+        part.__set_configKnownEra(changes.known.config.era);
+    }
+    if (changes.base.targets.era > 0) {
+        part.__set_targetsBaseEra(changes.base.targets.era);
+    }
+    if (changes.known.targets.era > 0) {
+        part.__set_targetsRevisionEra(changes.known.targets.era);
+    }
+}
+
+StoreRevision configBaseOf(const wire::EdgeChanges &part)
+{
+    return {part.configBaseEra, part.configBase};
+}
+
+StoreRevision targetsBaseOf(const wire::EdgeChanges &part)
+{
+    return {part.targetsBaseEra, part.targetsBase};
+}
+
+StoreRevision configRevisionOf(const wire::EdgeChanges &part)
+{
+    return {part.configRevisionEra, part.configRevision};
+}
+
+KnownRevisions knownOf(const wire::EdgeChanges &part)
+{
+    return {{part.configKnownEra, part.configKnown}, {part.targetsRevisionEra, part.targetsRevision}, {}};
+}
+
 /// Splits changes into parts of limited size. Sizes are estimated, since an entry's encoded size isn't known in advance.
 struct PartWriter {
     const StoreChanges &changes;
@@ -119,13 +166,14 @@
     {
         if (parts.empty() || bytes + bytesNeeded > changesDatagramBytes) {
             wire::EdgeChanges part;
-            part.configBase = changes.configBase;
-            part.configRevision = changes.config.revision;
+            part.configBase = changes.configBase.number;
+            part.configRevision = changes.config.revision.number;
             part.configVersion = changes.config.version;
             part.idleLimit = changes.config.idleTimeout;
-            part.configKnown = changes.known.config;
-            part.targetsBase = changes.base.targets;
-            part.targetsRevision = changes.known.targets;
+            part.configKnown = changes.known.config.number;
+            part.targetsBase = changes.base.targets.number;
+            part.targetsRevision = changes.known.targets.number;
+            setEras(part, changes);
             part.part = static_cast<std::int32_t>(parts.size());
             parts.push_back(std::move(part));
             bytes = 0;
@@ -188,28 +236,28 @@
         changes.targets.push_back(fromWire(it));
     }
     for (const wire::EdgeRemoval &it : part.removedTargets) {
-        changes.removedTargets.push_back({static_cast<std::uint64_t>(it.id), it.revision});
+        changes.removedTargets.push_back({static_cast<std::uint64_t>(it.id), {it.era, it.revision}});
     }
 }
 
 bool belongsTo(const wire::EdgeChanges &part, Id sender, const PartialChanges &pending)
 {
-    const KnownRevisions known{part.configKnown, part.targetsRevision};
-    return sender == pending.sender && known == pending.known && part.parts == pending.parts && pending.changes.configBase == part.configBase
-        && pending.changes.base.targets == part.targetsBase;
+    const StoreChanges &changes = pending.changes;
+    return sender == pending.sender && knownOf(part) == pending.known && part.parts == pending.parts && changes.configBase == configBaseOf(part)
+        && changes.config.revision == configRevisionOf(part) && changes.base.targets == targetsBaseOf(part);
 }
 
 PartialChanges startPartial(const wire::EdgeChanges &part, Id sender)
 {
     PartialChanges partial;
     partial.sender = sender;
-    partial.known = {part.configKnown, part.targetsRevision};
+    partial.known = knownOf(part);
     partial.parts = part.parts;
     StoreChanges &changes = partial.changes;
     changes.known = partial.known;
-    changes.base = {part.configBase, part.targetsBase};
-    changes.configBase = part.configBase;
-    changes.config.revision = part.configRevision;
+    changes.base = {configBaseOf(part), targetsBaseOf(part), {}};
+    changes.configBase = configBaseOf(part);
+    changes.config.revision = configRevisionOf(part);
     changes.config.version = part.configVersion;
     changes.config.idleTimeout = part.idleLimit;
     return partial;
@@ -238,9 +286,9 @@
 {
     changes.config = {};
     changes.removedRoutes.clear();
-    changes.configBase = 0;
-    changes.base.config = 0;
-    changes.known.config = 0;
+    changes.configBase = {};
+    changes.base.config = {};
+    changes.known.config = {};
     return changes;
 }
 
@@ -270,7 +318,10 @@
     for (const TargetRemoval &it : changes.removedTargets) {
         wire::EdgeRemoval removal;
         removal.id = static_cast<std::int64_t>(it.id);
-        removal.revision = it.revision;
+        removal.revision = it.revision.number;
+        if (it.revision.era > 0) {
+            removal.__set_era(it.revision.era);
+        }
         writer.reserve(removalBytes).removedTargets.push_back(removal);
     }
     for (wire::EdgeChanges &it : writer.parts) {
@@ -306,10 +357,54 @@
     return result;
 }
 
+void setKnown(wire::EdgeMessage &message, const KnownRevisions &known)
+{
+    message.__set_configKnown(known.config.number);
+    message.__set_targetsKnown(known.targets.number);
+    if (known.config.era > 0) {
+        message.__set_configKnownEra(known.config.era);
+    }
+    if (known.targets.era > 0) {
+        message.__set_targetsKnownEra(known.targets.era);
+    }
+    setEvacuationsKnown(message, known.evacuations);
+}
+
+void setEvacuationsKnown(wire::EdgeMessage &message, const StoreRevision &revision)
+{
+    message.__set_evacuationsKnown(revision.number);
+    if (revision.era > 0) {
+        message.__set_evacuationsKnownEra(revision.era);
+    }
+}
+
+void setConfigRevision(wire::EdgeMessage &message, const StoreRevision &revision)
+{
+    message.__set_configRevision(revision.number);
+    if (revision.era > 0) {
+        message.__set_configRevisionEra(revision.era);
+    }
+}
+
+KnownRevisions knownFromWire(const wire::EdgeMessage &message)
+{
+    return {{message.configKnownEra, message.configKnown},
+            {message.targetsKnownEra, message.targetsKnown},
+            {message.evacuationsKnownEra, message.evacuationsKnown}};
+}
+
+StoreRevision configRevisionFromWire(const wire::EdgeMessage &message)
+{
+    return {message.configRevisionEra, message.configRevision};
+}
+
 wire::EdgeEvacuations toWire(const EvacuationState &state)
 {
     wire::EdgeEvacuations evacuations;
-    evacuations.revision = state.revision;
+    evacuations.revision = state.revision.number;
+    if (state.revision.era > 0) {
+        evacuations.__set_era(state.revision.era);
+    }
     evacuations.dataCentres.assign(state.dataCentres.begin(), state.dataCentres.end());
     return evacuations;
 }
@@ -317,7 +412,7 @@
 EvacuationState fromWire(const wire::EdgeEvacuations &evacuations)
 {
     EvacuationState state;
-    state.revision = evacuations.revision;
+    state.revision = {evacuations.era, evacuations.revision};
     for (const std::string &it : evacuations.dataCentres) {
         if (it.size() <= maxDataCentreNameBytes) {
             state.dataCentres.insert(it);
--- a/src/libpimentofold/evacuation/evacuation_test.cpp
+++ b/src/libpimentofold/evacuation/evacuation_test.cpp
@@ -90,7 +90,7 @@
     EdgeForwarder forwarder = makeRegion(0);
     for (std::uint64_t id = 1; id <= 6; ++id) {
         TargetRecord record = findTarget(forwarder.table, id)->record;
-        record.revision += 100;
+        record.revision.number += 100;
         record.state = TargetState::Draining;
         record.drainingFor = 0;
         applyTarget(forwarder.table, record, 0);
--- a/src/libpimentofold/evacuation/evacuationstate.cpp
+++ b/src/libpimentofold/evacuation/evacuationstate.cpp
@@ -16,14 +16,14 @@
     return true;
 }
 
-bool applyEvacuationChanges(EvacuationState &state, std::span<const EvacuationChange> changes, std::int64_t revision)
+bool applyEvacuationChanges(EvacuationState &state, std::span<const EvacuationChange> changes, const StoreRevision &revision)
 {
     if (revision <= state.revision) {
         return false;
     }
-    std::map<std::string_view, std::int64_t> applied;
+    std::map<std::string_view, StoreRevision> applied;
     for (const EvacuationChange &it : changes) {
-        std::int64_t &latest = applied[it.dataCentre];
+        StoreRevision &latest = applied[it.dataCentre];
         if (it.revision < latest || it.dataCentre.size() > maxDataCentreNameBytes) {
             continue;
         }
@@ -38,7 +38,7 @@
     return true;
 }
 
-void addListedEvacuations(EvacuationState &listed, std::span<const EvacuationChange> page, std::int64_t revision)
+void addListedEvacuations(EvacuationState &listed, std::span<const EvacuationChange> page, const StoreRevision &revision)
 {
     if (listed.revision == 0) {
         listed.revision = revision;
--- a/src/libpimentofold/replication/listwatch.cpp
+++ b/src/libpimentofold/replication/listwatch.cpp
@@ -12,7 +12,7 @@
 {
     listWatch.listing = true;
     listWatch.startAfter.clear();
-    listWatch.listRevision = 0;
+    listWatch.listRevision = {};
     listWatch.listedIds.clear();
 }
 
@@ -33,13 +33,19 @@
 
 } // namespace
 
+Time nextCallTime(const ListWatch &listWatch)
+{
+    return listWatch.listing ? std::max(listWatch.nextCallAt, listWatch.listNotBefore) : listWatch.nextCallAt;
+}
+
 std::optional<StoreCall> nextCall(ListWatch &listWatch, Time now)
 {
-    if (listWatch.callInFlight || now < listWatch.nextCallAt) {
+    if (listWatch.callInFlight || now < nextCallTime(listWatch)) {
         return std::nullopt;
     }
     listWatch.callInFlight = true;
     listWatch.callStartedAt = now;
+    listWatch.callEra = listWatch.era;
     ++listWatch.callCount;
     StoreCall call;
     call.watch = !listWatch.listing;
@@ -53,6 +59,10 @@
 bool finishCall(ListWatch &listWatch, const StoreCallResult &result, Time now, Random &random)
 {
     listWatch.callInFlight = false;
+    if (result.outcome == StoreCallOutcome::EarlierEra) {
+        listWatch.nextCallAt = now;
+        return false;
+    }
     if (result.outcome == StoreCallOutcome::HistoryGone) {
         restartList(listWatch);
         listWatch.nextCallAt = now;
@@ -82,6 +92,26 @@
     return false;
 }
 
+bool beginEra(ListWatch &listWatch, std::int64_t era, Time listAt)
+{
+    if (era <= listWatch.era) {
+        return false;
+    }
+    listWatch.era = era;
+    if (listWatch.revision == 0 && listWatch.startAfter.empty()) {
+        return false;
+    }
+    restartList(listWatch);
+    listWatch.listNotBefore = listAt;
+    return true;
+}
+
+bool isOfKnownEra(const ListWatch &listWatch, std::int64_t era)
+{
+    const bool isFirstPage = listWatch.revision == 0 && listWatch.startAfter.empty();
+    return era == listWatch.era && (listWatch.callEra == era || isFirstPage);
+}
+
 void restartCalls(ListWatch &listWatch, Time now)
 {
     if (listWatch.listing) {
@@ -93,11 +123,12 @@
     listWatch.nextCallAt = now;
 }
 
-void advanceTo(ListWatch &listWatch, std::int64_t revision, Time confirmedAt)
+void advanceTo(ListWatch &listWatch, const StoreRevision &revision, Time confirmedAt)
 {
     listWatch.confirmedAt = std::max(listWatch.confirmedAt, confirmedAt);
-    if (revision > listWatch.revision) {
+    if (revision > listWatch.revision && revision.era >= listWatch.era) {
         listWatch.revision = revision;
+        listWatch.era = revision.era;
         if (listWatch.listing) {
             listWatch.listing = false;
         }
--- a/src/libpimentofold/replication/listwatch_test.cpp
+++ b/src/libpimentofold/replication/listwatch_test.cpp
@@ -123,3 +123,81 @@
         CHECK(listWatch.nextCallAt == 1 + row.delay);
     }
 }
+
+namespace {
+
+/// A kind that is watched from revision 900 of the store's first era.
+ListWatch makeWatch()
+{
+    ListWatch listWatch;
+    listWatch.era = 1;
+    advanceTo(listWatch, {1, 900}, 0);
+    return listWatch;
+}
+
+} // namespace
+
+// Guards against a watch that goes on after the store has come back from an older copy: it misses what was written again, and
+// waits for revisions that were given out before.
+TEST_CASE("a later era of the store is listed anew")
+{
+    struct Row {
+        std::string name;
+        std::int64_t callEra; ///< known when the call was made
+        std::int64_t responseEra;
+        bool isUsed;
+        bool isListedAnew;
+    };
+    const Row rows[] = {
+        {"a watch of the known era", 1, 1, true, false},
+        {"a watch that still finds its revision", 1, 2, false, true},
+        {"a late response of the era before", 2, 1, false, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        ListWatch listWatch = makeWatch();
+        listWatch.era = row.callEra;
+        listWatch.revision.era = row.callEra;
+        REQUIRE(nextCall(listWatch, 0));
+        CHECK(beginEra(listWatch, row.responseEra, 2 * second) == row.isListedAnew);
+        CHECK(isOfKnownEra(listWatch, row.responseEra) == row.isUsed);
+        CHECK(listWatch.listing == row.isListedAnew);
+    }
+}
+
+// Guards against a list that is read before the targets have written their entries again, so that they count as gone.
+TEST_CASE("the list of a later era is read at the given time, whatever happens to calls before")
+{
+    for (const StoreCallOutcome outcome : {StoreCallOutcome::EarlierEra, StoreCallOutcome::Failed, StoreCallOutcome::HistoryGone}) {
+        ListWatch listWatch = makeWatch();
+        Random random{1};
+        REQUIRE(nextCall(listWatch, 0));
+        REQUIRE(beginEra(listWatch, 2, 3 * second));
+        StoreCallResult result;
+        result.outcome = outcome;
+        CHECK_FALSE(finishCall(listWatch, result, 10, random));
+        CHECK_FALSE(nextCall(listWatch, 3 * second - 1));
+        const std::optional<StoreCall> call = nextCall(listWatch, 3 * second);
+        REQUIRE(call);
+        CHECK_FALSE(call->watch);
+        CHECK(isOfKnownEra(listWatch, 2));
+        CHECK(finishCall(listWatch, {StoreCallOutcome::Answered, {2, 40}, false, "z", 0}, 3 * second, random));
+        CHECK(listWatch.revision == StoreRevision{2, 40});
+    }
+}
+
+// Guards against a node that has just started and reads everything twice, and against one that continues from a peer's state of an
+// earlier era.
+TEST_CASE("the first era and states from peers")
+{
+    ListWatch listWatch;
+    REQUIRE(nextCall(listWatch, 0));
+    CHECK_FALSE(beginEra(listWatch, 4, second));
+    CHECK(isOfKnownEra(listWatch, 4));
+    CHECK(nextCallTime(listWatch) == 0);
+    advanceTo(listWatch, {3, 900}, 0);
+    CHECK(listWatch.listing);
+    advanceTo(listWatch, {4, 40}, 0);
+    CHECK_FALSE(listWatch.listing);
+    CHECK(listWatch.revision == StoreRevision{4, 40});
+}
--- a/src/libpimentofold/replication/storereplication.cpp
+++ b/src/libpimentofold/replication/storereplication.cpp
@@ -37,7 +37,9 @@
         return false;
     }
     for (const TargetRecord &it : changes.targets) {
-        applyTarget(table, it, now);
+        if (!isOlderCopy(table, it)) {
+            applyTarget(table, it, now);
+        }
     }
     for (const TargetRemoval &it : changes.removedTargets) {
         removeTarget(table, it.id, it.revision, now);
@@ -55,7 +57,7 @@
     if (changes.known.config <= replication.known.config) {
         return true;
     }
-    const bool newer = changes.config.revision > table.configRevision;
+    const bool newer = isNewerConfig(table, changes.config.revision, changes.config.version);
     if (newer && changes.configBase == 0) {
         applyConfig(table, changes.config);
     } else if (newer && !applyConfigChange(table, changes.configBase, changes.config, changes.removedRoutes)) {
@@ -78,6 +80,11 @@
     return healthNames.at(static_cast<std::size_t>(health));
 }
 
+std::int64_t eraOf(const KnownRevisions &known)
+{
+    return std::max({known.config.era, known.targets.era, known.evacuations.era});
+}
+
 std::uint64_t leaderOrder(Id node)
 {
     constexpr std::uint64_t salt = 0x666f6c6c6f77; // gives an order that is independent of other rankings of the nodes
@@ -144,6 +151,9 @@
 
 bool handleHeartbeat(StoreReplication &replication, const StoreHeartbeat &heartbeat, Time now)
 {
+    if (eraOf(heartbeat.known) < eraOf(replication.known)) {
+        return false;
+    }
     std::erase_if(replication.otherLeaders, [&](const auto &it) { return now - it.second.heartbeatReceivedAt > replication.settings.leaderExpiry; });
     replication.otherLeaders[heartbeat.sender] = {heartbeat.healthy, now};
     replication.failureReportedAt = heartbeat.healthy ? never : std::min(replication.failureReportedAt, now);
@@ -180,7 +190,7 @@
         && (now - replication.heartbeatSentAt >= replication.settings.heartbeatInterval || replication.known != replication.heartbeatSentKnown);
 }
 
-StoreChanges changesSince(const TargetTable &table, const KnownRevisions &base, std::int64_t configBase, const KnownRevisions &known, Time now)
+StoreChanges changesSince(const TargetTable &table, const KnownRevisions &base, const StoreRevision &configBase, const KnownRevisions &known, Time now)
 {
     StoreChanges changes;
     changes.base = base;
--- a/src/libpimentofold/slowstart/slowstart.cpp
+++ b/src/libpimentofold/slowstart/slowstart.cpp
@@ -119,7 +119,7 @@
     return services;
 }
 
-void markDataCentreCold(TargetTable &table, std::string_view dataCentre, std::int64_t revision, Time now)
+void markDataCentreCold(TargetTable &table, std::string_view dataCentre, const StoreRevision &revision, Time now)
 {
     const auto [it, added] = table.slowStart.dataCentres.try_emplace(std::string(dataCentre));
     if (added || revision > it->second.revision) {
--- a/src/libpimentofold/targets/targettable.cpp
+++ b/src/libpimentofold/targets/targettable.cpp
@@ -110,7 +110,7 @@
 }
 
 /// Adds or replaces a route. An unchanged route keeps its revision, so that it isn't sent to peers again.
-void storeRoute(TargetTable &table, const EdgeRoute &route, std::int64_t revision)
+void storeRoute(TargetTable &table, const EdgeRoute &route, const StoreRevision &revision)
 {
     RouteEntry &entry = table.routes[routeKey(route.address)];
     if (entry.revision != 0 && !entry.removed && entry.route == route) {
@@ -134,6 +134,18 @@
     return !config.unreadableRoutes.empty() && std::ranges::any_of(config.unreadableRoutes, names);
 }
 
+/// @return whether @p record is the known entry, given out again by a later era of the store
+bool isSameEntry(const EdgeTarget &target, const TargetRecord &record)
+{
+    if (!target.registered || target.record.revision.era == record.revision.era) {
+        return false;
+    }
+    TargetRecord known = target.record;
+    known.revision = record.revision;
+    known.drainingFor = record.drainingFor;
+    return known == record;
+}
+
 bool hasService(const EdgeRoute &route, const std::string &service)
 {
     return std::ranges::any_of(route.weightedServices, [&](const WeightedService &it) { return it.service == service; });
@@ -158,9 +170,17 @@
     }
 }
 
+bool isNewerConfig(const TargetTable &table, const StoreRevision &revision, std::int64_t version)
+{
+    if (revision.era == table.configRevision.era || table.configRevision == 0) {
+        return revision > table.configRevision;
+    }
+    return version > table.configVersion || (version == table.configVersion && revision > table.configRevision);
+}
+
 bool applyConfig(TargetTable &table, const EdgeConfig &config)
 {
-    if (config.revision <= table.configRevision) {
+    if (!isNewerConfig(table, config.revision, config.version)) {
         return false;
     }
     if (table.configRevision == 0) {
@@ -181,9 +201,9 @@
     return true;
 }
 
-bool applyConfigChange(TargetTable &table, std::int64_t base, const EdgeConfig &change, const std::vector<Address> &removed)
+bool applyConfigChange(TargetTable &table, const StoreRevision &base, const EdgeConfig &change, const std::vector<Address> &removed)
 {
-    if (change.revision <= table.configRevision || base > table.configRevision) {
+    if (!isNewerConfig(table, change.revision, change.version) || base > table.configRevision) {
         return false;
     }
     for (const EdgeRoute &it : change.routes) {
@@ -207,6 +227,21 @@
         && !renewsOtherService(*target, record);
 }
 
+bool isOlderCopy(const TargetTable &table, const TargetRecord &record)
+{
+    const EdgeTarget *target = findTarget(table, record.id);
+    if (target == nullptr || record.revision.era <= target->record.revision.era) {
+        return false;
+    }
+    const TargetRecord &known = target->record;
+    if (record.startedAt != known.startedAt) {
+        return record.startedAt < known.startedAt;
+    }
+    // A target doesn't become ready again in the same start.
+    const bool wasReady = known.state == TargetState::Draining && record.state == TargetState::Ready;
+    return record.sequence < known.sequence || (record.sequence == known.sequence && wasReady);
+}
+
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now)
 {
     const auto [it, added] = table.targets.try_emplace(record.id);
@@ -221,7 +256,7 @@
         updateRecord(target, record, now);
         return true;
     }
-    if (record.revision <= std::max(target.record.revision, target.removedRevision)) {
+    if (record.revision <= std::max(target.record.revision, target.removedRevision) || isSameEntry(target, record)) {
         return false;
     }
     table.changedTargets.insert(record.id);
@@ -247,7 +282,7 @@
     return true;
 }
 
-bool removeTarget(TargetTable &table, std::uint64_t id, std::int64_t revision, Time now)
+bool removeTarget(TargetTable &table, std::uint64_t id, const StoreRevision &revision, Time now)
 {
     EdgeTarget *target = findTarget(table, id);
     if (target == nullptr || !target->registered || revision < target->record.revision) {
@@ -273,7 +308,7 @@
     }
 }
 
-void setTargetHistoryStart(TargetTable &table, std::int64_t revision)
+void setTargetHistoryStart(TargetTable &table, const StoreRevision &revision)
 {
     if (table.targetHistoryStart == 0) {
         table.targetHistoryStart = revision;
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -152,7 +152,7 @@
     Timer m_stopTimer;
     Time m_stopStartedAt = never; ///< never: no stop was requested
     Time m_lastPacketAt = 0;
-    std::int64_t m_heartbeatConfigRevision = 0; ///< revision of the configuration at this node's last heartbeat
+    StoreRevision m_heartbeatConfigRevision; ///< revision of the configuration at this node's last heartbeat
     EvacuationState m_announcedEvacuations; ///< as of the last announceEvacuations()
     std::size_t m_initialFetches = 0; ///< number of requests for an initial state
     bool m_slowStartPaused = false; ///< as last logged
--- a/src/pimentofold-edge/edgelog.cpp
+++ b/src/pimentofold-edge/edgelog.cpp
@@ -49,7 +49,7 @@
               {"elapsed_us", note.elapsed},
               {"reason", isRefusal ? name(note.reason) : "none"},
               {"config", table.configVersion},
-              {"target_revision", target == nullptr ? 0 : target->record.revision},
+              {"target_revision", target == nullptr ? 0 : target->record.revision.number},
               {"held_back", takeHeldCount(budget, event)}});
 }
 
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -51,7 +51,7 @@
     if (message.__isset.changes) {
         onChanges(message, now);
     }
-    const StoreHeartbeat heartbeat{message.sender, message.healthy, {message.configKnown, message.targetsKnown}, message.age};
+    const StoreHeartbeat heartbeat{message.sender, message.healthy, knownFromWire(message), message.age};
     const bool missing = handleHeartbeat(m_replication, heartbeat, now);
     if (!missing || now < m_replication.nextFetchAt) {
         return;
@@ -69,10 +69,8 @@
 wire::EdgeMessage Edge::fetchMessage(bool acceptLarge) const
 {
     wire::EdgeMessage message = newMessage(wire::EdgeKind::Fetch);
-    message.__set_configRevision(m_forwarder.table.configRevision);
-    message.__set_configKnown(m_replication.known.config);
-    message.__set_targetsKnown(m_replication.known.targets);
-    message.__set_evacuationsKnown(m_replication.known.evacuations);
+    setKnown(message, m_replication.known);
+    setConfigRevision(message, m_forwarder.table.configRevision);
     message.__set_large(acceptLarge);
     return message;
 }
@@ -82,7 +80,7 @@
     if (!canPlaceFlows(m_forwarder)) {
         return;
     }
-    const KnownRevisions base{message.configKnown, message.targetsKnown, message.evacuationsKnown};
+    const KnownRevisions base = knownFromWire(message);
     if (!isAheadOf(m_replication, base)) {
         return;
     }
@@ -98,7 +96,7 @@
         m_peers.send(response, to);
         return;
     }
-    StoreChanges changes = changesSince(m_forwarder.table, base, message.configRevision, m_replication.known, now);
+    StoreChanges changes = changesSince(m_forwarder.table, base, configRevisionFromWire(message), m_replication.known, now);
     const bool routesFit = canSendRoutes(changes);
     if (!routesFit) {
         changes = withoutConfig(std::move(changes));
@@ -140,7 +138,7 @@
     if (!changes) {
         return;
     }
-    const std::int64_t configBefore = m_forwarder.table.configRevision;
+    const StoreRevision configBefore = m_forwarder.table.configRevision;
     const KnownRevisions before = m_replication.known;
     // Changes of one kind are applied even if earlier changes of the other kind are missing.
     applyChanges(m_replication, m_forwarder.table, *changes, now);
@@ -152,15 +150,19 @@
                  "config_applied",
                  {{"source", "peer"},
                   {"version", m_forwarder.table.configVersion},
-                  {"revision", m_forwarder.table.configRevision},
+                  {"era", m_forwarder.table.configRevision.era},
+                  {"revision", m_forwarder.table.configRevision.number},
                   {"changed", changes->config.routes.size()},
                   {"removed", changes->removedRoutes.size()}});
     }
     if (m_replication.known.targets != before.targets && (!changes->targets.empty() || !changes->removedTargets.empty())) {
-        logEvent(
-            m_log,
-            "targets_applied",
-            {{"source", "peer"}, {"changed", changes->targets.size()}, {"removed", changes->removedTargets.size()}, {"revision", m_replication.known.targets}});
+        logEvent(m_log,
+                 "targets_applied",
+                 {{"source", "peer"},
+                  {"changed", changes->targets.size()},
+                  {"removed", changes->removedTargets.size()},
+                  {"era", m_replication.known.targets.era},
+                  {"revision", m_replication.known.targets.number}});
     }
     onStateChanged();
 }
@@ -181,8 +183,9 @@
     const StoreHealth before = m_replication.storeHealth;
     updateStoreHealth(m_replication, m_store.health(), now);
     if (m_replication.storeHealth != before) {
-        logEvent(
-            m_log, "store_contact", {{"state", name(m_replication.storeHealth)}, {"before", name(before)}, {"known_targets", m_replication.known.targets}});
+        logEvent(m_log,
+                 "store_contact",
+                 {{"state", name(m_replication.storeHealth)}, {"before", name(before)}, {"known_targets", m_replication.known.targets.number}});
     }
 }
 
@@ -202,8 +205,9 @@
         m_replication.leading = lead;
         logEvent(m_log,
                  lead ? "store_follow_started" : "store_follow_ended",
-                 {{"known_config", m_replication.known.config},
-                  {"known_targets", m_replication.known.targets},
+                 {{"era", eraOf(m_replication.known)},
+                  {"known_config", m_replication.known.config.number},
+                  {"known_targets", m_replication.known.targets.number},
                   {"confirmed_us", now - m_replication.confirmedAt},
                   {"calls", m_store.callCount()}});
         if (lead) {
@@ -231,6 +235,7 @@
         m_peers.sendToRandomPeer(fetchMessage(false));
     }
     if (lead && m_replication.storeHealth == StoreHealth::Answering && canPlaceFlows(m_forwarder)) {
+        m_roster.beginEra(m_store.era());
         m_roster.update(m_peers.memberAddresses(), now);
     }
     if (isHeartbeatDue(m_replication, now)) {
@@ -267,9 +272,8 @@
     m_replication.heartbeatSentAt = now;
     wire::EdgeMessage message = newMessage(wire::EdgeKind::Beat);
     message.healthy = m_replication.storeHealth == StoreHealth::Answering;
-    message.configKnown = m_replication.known.config;
-    message.targetsKnown = m_replication.known.targets;
-    message.configRevision = m_forwarder.table.configRevision;
+    setKnown(message, m_replication.known);
+    setConfigRevision(message, m_forwarder.table.configRevision);
     addEvacuations(message);
     message.age = m_replication.confirmedAt == 0 ? 0 : now - m_replication.confirmedAt;
     const bool changed =
@@ -325,10 +329,14 @@
     m_announcedEvacuations = state;
     m_replication.known.evacuations = state.revision;
     for (const std::string &it : difference.started) {
-        logEvent(m_log, "evacuation_started", {{"data_centre", it}, {"revision", state.revision}, {"source", source}, {"age_us", age}});
+        logEvent(m_log,
+                 "evacuation_started",
+                 {{"data_centre", it}, {"era", state.revision.era}, {"revision", state.revision.number}, {"source", source}, {"age_us", age}});
     }
     for (const std::string &it : difference.ended) {
-        logEvent(m_log, "evacuation_ended", {{"data_centre", it}, {"revision", state.revision}, {"source", source}, {"age_us", age}});
+        logEvent(m_log,
+                 "evacuation_ended",
+                 {{"data_centre", it}, {"era", state.revision.era}, {"revision", state.revision.number}, {"source", source}, {"age_us", age}});
         markDataCentreCold(m_forwarder.table, it, state.revision, monotonicNow());
     }
     const bool changed = !difference.started.empty() || !difference.ended.empty();
@@ -348,7 +356,7 @@
 {
     if (m_forwarder.table.evacuations.revision > 0) {
         message.__set_evacuations(toWire(evacuationsToSend(m_forwarder.table)));
-        message.__set_evacuationsKnown(m_forwarder.table.evacuations.revision);
+        setEvacuationsKnown(message, m_forwarder.table.evacuations.revision);
     }
 }
 
--- a/src/pimentofold-edge/evacuation_test.cpp
+++ b/src/pimentofold-edge/evacuation_test.cpp
@@ -339,7 +339,7 @@
     store.put("evacuations", "elsewhere", json::object());
     runUntil([&] { return reader.evacuated() == Names{"a", "c", "elsewhere"}; });
     CHECK(store.calls("evacuations", false) == 2);
-    const std::int64_t before = reader.table.evacuations.revision;
+    const StoreRevision before = reader.table.evacuations.revision;
     store.put("other", "x", json::object());
     runUntil([&] { return reader.table.evacuations.revision > before; }); // at the end of a watch without changes
     CHECK(store.calls("evacuations", true) <= 5);
--- a/src/pimentofold-edge/rosterclient.cpp
+++ b/src/pimentofold-edge/rosterclient.cpp
@@ -33,6 +33,24 @@
     m_nextCallAt = 0;
 }
 
+void RosterClient::beginEra(std::int64_t era)
+{
+    if (era <= m_era) {
+        return;
+    }
+    m_era = era;
+    m_isRead = false;
+    m_nextCallAt = 0;
+}
+
+bool RosterClient::isOfKnownEra(const HttpResult &result)
+{
+    const auto header = result.headers.find(platform::eraHeader);
+    const std::int64_t era = header == result.headers.end() ? m_era : platform::decodeEra(header->second).value_or(m_era);
+    beginEra(era);
+    return era == m_era;
+}
+
 void RosterClient::read()
 {
     if (!m_connection.isBusy()) {
@@ -42,6 +60,10 @@
 
 void RosterClient::onRead(const HttpResult &result)
 {
+    if (!isOfKnownEra(result)) {
+        logEvent(m_log, "roster_read_failed", {{"status", result.status}, {"error", "the response is of an earlier era of the store"}});
+        return;
+    }
     if (result.status == platform::statusNotFound) {
         m_isRead = true;
         m_roster = {};
@@ -54,7 +76,7 @@
     }
     m_isRead = true;
     m_roster = *roster;
-    logEvent(m_log, "roster_read", {{"nodes", roster->nodes.size()}, {"revision", roster->revision}});
+    logEvent(m_log, "roster_read", {{"nodes", roster->nodes.size()}, {"revision", roster->revision.number}});
     m_onNodes(roster->nodes);
 }
 
@@ -102,19 +124,23 @@
         m_writtenNodes.push_back(address);
     }
     const platform::StoreWriteRequest write = platform::rosterWriteRequest({m_writtenNodes, m_roster.revision});
+    m_writeEra = m_era;
     m_connection.start(write.method, write.path, write.body, callTimeout, [this](const HttpResult &result) { onWritten(result); });
 }
 
 void RosterClient::onWritten(const HttpResult &result)
 {
-    logEvent(m_log, "roster_written", {{"nodes", m_writtenNodes.size()}, {"status", result.status}, {"error", result.error}, {"revision", m_roster.revision}});
+    logEvent(
+        m_log,
+        "roster_written",
+        {{"nodes", m_writtenNodes.size()}, {"status", result.status}, {"error", result.error}, {"era", m_writeEra}, {"revision", m_roster.revision.number}});
     const bool written = result.status >= statusOk && result.status <= maxSuccessStatus;
     const std::optional<platform::Roster> roster = written || result.status == platform::statusConflict ? platform::decodeRoster(result.body) : std::nullopt;
-    if (roster) {
+    if (roster && isOfKnownEra(result) && m_writeEra == m_era) {
         m_roster = *roster;
     } else {
-        // The outcome is unknown: the write may take effect later. It is conditional on the roster's revision, so it can't
-        // overwrite another node's write.
+        // The outcome is unknown, also of a write that was made before the store came back from a copy: the write may take effect later. It is conditional on
+        // the roster's revision, so it can't overwrite another node's write.
         m_isRead = false;
     }
 }
--- a/src/pimentofold-edge/rosterclient.h
+++ b/src/pimentofold-edge/rosterclient.h
@@ -23,6 +23,10 @@
     /// Closes the connection and abandons a call in flight. The roster is read again before it is next written.
     void setAddress(const Address &store);
 
+    /// Takes over a later era of the store. The roster is read again before it is next written, since its revision may have been
+    /// given out again for another change.
+    void beginEra(std::int64_t era);
+
     /// Reads the roster, unless a call is in flight.
     void read();
     /// Writes the roster if live nodes have been missing from it for some time. The leader calls this periodically.
@@ -30,6 +34,9 @@
     void update(const std::vector<Address> &live, Time now);
 
 private:
+    /// Takes over a later era that a response names.
+    /// @return false when the response is of an earlier era than the known one
+    bool isOfKnownEra(const HttpResult &result);
     void onRead(const HttpResult &result);
     void onWritten(const HttpResult &result);
     void recordLiveNodes(const std::vector<Address> &live, Time now);
@@ -39,6 +46,8 @@
     std::function<void(const std::vector<Address> &)> m_onNodes;
     HttpConnection m_connection;
     platform::Roster m_roster;
+    std::int64_t m_era = 0; ///< latest known era of the store; 0: it has named none
+    std::int64_t m_writeEra = 0; ///< the era when the last write was made
     bool m_isRead = false; ///< m_roster holds the store's roster
     std::map<Address, Time> m_lastLiveAt; ///< when a node was last live; for a node that is only on the roster, when it was first seen there
     std::vector<Address> m_writtenNodes; ///< contents of the last write
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -11,6 +11,10 @@
 // target that is about to stop still serves for longer than this.
 constexpr Time targetBatchDelay = second;
 
+// The targets write their entries again within two seconds after the store has come back from an older copy. The operators' evacuations
+// are read at the same time, so that none is taken back before it is requested again.
+constexpr Time rewriteWait = 2 * second;
+
 constexpr int statusOk = 200;
 
 std::string_view kindName(platform::StoreKind kind)
@@ -89,6 +93,7 @@
     advanceTo(m_configReader.listWatch, known.config, 0);
     advanceTo(m_targetsReader.listWatch, known.targets, 0);
     advanceTo(m_evacuationsReader.listWatch, known.evacuations, 0);
+    beginEra(eraOf(known), "peer", now);
     for (KindReader *it : readers()) {
         it->singleRead = false;
         it->listWatch.consecutiveFailures = 0;
@@ -113,6 +118,7 @@
     }
     advanceTo(m_configReader.listWatch, known.config, 0);
     advanceTo(m_targetsReader.listWatch, known.targets, 0);
+    beginEra(eraOf(known), "peer", monotonicNow());
     for (KindReader *it : {&m_configReader, &m_targetsReader}) {
         if (!it->listWatch.callInFlight) {
             it->singleRead = true;
@@ -154,6 +160,21 @@
     return {m_configReader.listWatch.revision, m_targetsReader.listWatch.revision, m_table.evacuations.revision};
 }
 
+std::int64_t StoreClient::era() const
+{
+    return m_era;
+}
+
+std::int64_t StoreClient::droppedResponseCount() const
+{
+    return m_droppedResponses;
+}
+
+std::int64_t StoreClient::olderCopyCount() const
+{
+    return m_olderCopies;
+}
+
 std::int64_t StoreClient::callCount() const
 {
     return m_configReader.listWatch.callCount + m_targetsReader.listWatch.callCount + m_evacuationsReader.listWatch.callCount;
@@ -169,12 +190,12 @@
     const std::optional<StoreCall> call = nextCall(reader.listWatch, now);
     if (!call) {
         if (!reader.listWatch.callInFlight) {
-            reader.timer.start(std::max<Time>(reader.listWatch.nextCallAt - now, 0));
+            reader.timer.start(std::max<Time>(nextCallTime(reader.listWatch) - now, 0));
         }
         return;
     }
     const std::string target =
-        call->watch ? platform::watchPath(reader.kind, call->revision, call->watchTimeout) : platform::listPath(reader.kind, call->startAfter);
+        call->watch ? platform::watchPath(reader.kind, call->revision.number, call->watchTimeout) : platform::listPath(reader.kind, call->startAfter);
     reader.listCall = !call->watch;
     reader.connection.start("GET", target, "", call->timeout, [this, &reader](const HttpResult &result) { onAnswer(reader, result); });
     if (reader.kind == platform::StoreKind::Config && reader.listCall && m_table.configRevision == 0 && m_earlyRoutes.areNeeded) {
@@ -205,12 +226,17 @@
     }
     StoreCallResult call;
     std::optional<platform::StoreResponse> answer;
-    if (result.status == platform::statusGone) {
+    const std::int64_t era = noteEra(result, now);
+    if (result.status != 0 && !isOfKnownEra(reader.listWatch, era)) {
+        call.outcome = era < m_era ? StoreCallOutcome::Failed : StoreCallOutcome::EarlierEra;
+        ++m_droppedResponses;
+    } else if (result.status == platform::statusGone) {
         call.outcome = StoreCallOutcome::HistoryGone;
     } else if (result.status == statusOk) {
         answer = platform::decodeStoreResponse(reader.kind, result.body);
     }
     if (answer) {
+        platform::setEra(*answer, era);
         call = {StoreCallOutcome::Answered, answer->revision, answer->hasMore, answer->lastName, answer->objects.size()};
         for (const platform::StoreObject &it : answer->objects) {
             applyObject(reader, it, now);
@@ -221,15 +247,15 @@
         if (reader.listCall && !reader.listWatch.listing) {
             // A list that was in flight when this node got the state from a peer doesn't show what was removed since then, so the
             // watch has to start from the peer's revision.
-            call.revision = 0;
+            call.revision = {};
             call.changeCount = 0;
         } else if (!reader.listCall && reader.listWatch.listing) {
             call.outcome = StoreCallOutcome::Failed;
         }
-    } else {
+    } else if (call.outcome != StoreCallOutcome::EarlierEra) {
         if (result.status == platform::statusNotFound && reader.kind == platform::StoreKind::Evacuations && m_evacuationsEnabled) {
             // A store that has never had an object of this kind may not know the kind. Any state that it returns later is newer.
-            replaceEvacuations(m_table.evacuations, {1, {}});
+            replaceEvacuations(m_table.evacuations, {{m_era, 1}, {}});
         }
         logFailure(reader, result);
     }
@@ -241,6 +267,43 @@
     startCall(reader);
 }
 
+std::int64_t StoreClient::noteEra(const HttpResult &result, Time now)
+{
+    if (result.status == 0) {
+        return m_era;
+    }
+    const auto header = result.headers.find(platform::eraHeader);
+    const std::optional<std::int64_t> era = header == result.headers.end() ? std::nullopt : platform::decodeEra(header->second);
+    const bool isMissing = !era && m_era > 0;
+    if (isMissing && !m_isEraMissing) {
+        logEvent(m_log, "store_era_missing", {{"status", result.status}, {"era", m_era}});
+    }
+    m_isEraMissing = isMissing;
+    beginEra(era.value_or(m_era), "store", now);
+    return era.value_or(m_era);
+}
+
+void StoreClient::beginEra(std::int64_t era, std::string_view source, Time now)
+{
+    if (era <= m_era) {
+        return;
+    }
+    logEvent(m_log, "store_era_changed", {{"before", m_era}, {"era", era}, {"source", source}});
+    m_era = era;
+    for (KindReader *it : {&m_configReader, &m_targetsReader, &m_evacuationsReader}) {
+        const Time listAt = it->kind == platform::StoreKind::Config ? now : now + rewriteWait;
+        if (pimentofold::beginEra(it->listWatch, era, listAt)) {
+            startCall(*it);
+        }
+    }
+}
+
+void StoreClient::logOlderCopy(std::string_view kind, const std::string &name, const StoreRevision &revision)
+{
+    ++m_olderCopies;
+    logEvent(m_log, "older_copy_ignored", {{"kind", kind}, {"name", name}, {"era", revision.era}, {"revision", revision.number}});
+}
+
 void StoreClient::logFailure(const KindReader &reader, const HttpResult &result)
 {
     logEvent(m_log,
@@ -249,7 +312,8 @@
               {"status", result.status},
               {"error", result.error},
               {"failures", reader.listWatch.consecutiveFailures + 1},
-              {"revision", reader.listWatch.revision}});
+              {"era", m_era},
+              {"revision", reader.listWatch.revision.number}});
 }
 
 void StoreClient::applyObject(KindReader &reader, const platform::StoreObject &object, Time now)
@@ -258,8 +322,14 @@
         if (applyConfig(m_table, *config)) {
             logEvent(m_log,
                      "config_applied",
-                     {{"source", "store"}, {"version", config->version}, {"revision", config->revision}, {"routes", config->routes.size()}});
+                     {{"source", "store"},
+                      {"version", config->version},
+                      {"era", config->revision.era},
+                      {"revision", config->revision.number},
+                      {"routes", config->routes.size()}});
             logConfigProblems(config->problems);
+        } else if (config->revision > m_table.configRevision) {
+            logOlderCopy("config", std::to_string(config->version), config->revision);
         }
     } else if (const auto *record = std::get_if<TargetRecord>(&object)) {
         TargetRecord dated = *record;
@@ -271,7 +341,7 @@
     } else if (const auto *deleted = std::get_if<platform::DeletedObject>(&object)) {
         removeEntry(reader, deleted->id, deleted->name, deleted->revision, now);
     } else if (const auto *unreadable = std::get_if<platform::UnreadableObject>(&object)) {
-        logEvent(m_log, "object_unreadable", {{"name", unreadable->name}, {"revision", unreadable->revision}, {"problem", unreadable->problem}});
+        logEvent(m_log, "object_unreadable", {{"name", unreadable->name}, {"revision", unreadable->revision.number}, {"problem", unreadable->problem}});
         removeEntry(reader, unreadable->id, unreadable->name, unreadable->revision, now);
     }
 }
@@ -295,11 +365,16 @@
 void StoreClient::applyTargetRecord(KindReader &reader, const TargetRecord &record, Time now)
 {
     reader.listWatch.listedIds.insert(record.id);
+    if (reader.listCall && isOlderCopy(m_table, record)) {
+        logOlderCopy("target", record.name, record.revision);
+        return;
+    }
     if (contradictsService(m_table, record)) {
         if (applyTarget(m_table, record, now)) {
-            logEvent(m_log,
-                     "object_unreadable",
-                     {{"name", record.name}, {"revision", record.revision}, {"problem", "service differs from the one of the same start of the target"}});
+            logEvent(
+                m_log,
+                "object_unreadable",
+                {{"name", record.name}, {"revision", record.revision.number}, {"problem", "service differs from the one of the same start of the target"}});
         }
     } else if (applyTarget(m_table, record, now)) {
         logEvent(m_log,
@@ -309,17 +384,18 @@
                   {"address", toString(record.address)},
                   {"state", name(record.state)},
                   {"warmup_us", record.warmup},
-                  {"revision", record.revision}});
+                  {"revision", record.revision.number}});
     }
 }
 
-void StoreClient::removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, std::int64_t revision, Time now)
+void StoreClient::removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, const StoreRevision &revision, Time now)
 {
     // The store may report a removal with the revision of the object's last change. The removal itself is newer than the
     // revision known before the call.
-    const std::int64_t minRevision = reader.listWatch.listing ? revision : std::max(revision, reader.listWatch.revision + 1);
+    const StoreRevision next{reader.listWatch.revision.era, reader.listWatch.revision.number + 1};
+    const StoreRevision minRevision = reader.listCall ? revision : std::max(revision, next);
     if (id != 0 && removeTarget(m_table, id, minRevision, now)) {
-        logEvent(m_log, "target_removed", {{"target", name}, {"revision", minRevision}});
+        logEvent(m_log, "target_removed", {{"target", name}, {"revision", minRevision.number}});
     }
 }
 
@@ -365,7 +441,9 @@
     for (const std::uint64_t id : missing) {
         removeEntry(reader, id, findTarget(m_table, id)->record.name, reader.listWatch.revision, now);
     }
-    logEvent(m_log, "targets_listed", {{"targets", reader.listWatch.listedIds.size()}, {"missing", missing.size()}, {"revision", reader.listWatch.revision}});
+    logEvent(m_log,
+             "targets_listed",
+             {{"targets", reader.listWatch.listedIds.size()}, {"missing", missing.size()}, {"era", m_era}, {"revision", reader.listWatch.revision.number}});
     reader.listWatch.listedIds.clear();
 }
 
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -57,6 +57,12 @@
     StoreHealth health() const;
     /// @return revisions up to which the store's contents have been read or were reported as known
     KnownRevisions known() const;
+    /// @return latest known era of the store; 0 when it has named none
+    std::int64_t era() const;
+    /// @return number of responses that were dropped because they, or the calls that they answer, were of an earlier era
+    std::int64_t droppedResponseCount() const;
+    /// @return number of configurations and targets' entries that weren't applied because a later era of the store holds older ones
+    std::int64_t olderCopyCount() const;
     /// @return number of calls since the process started
     std::int64_t callCount() const;
     /// @return number of invalid parts of the configuration that this node read last from the store
@@ -81,13 +87,21 @@
     /// Starts the reader's next call, or a timer for it.
     void startCall(KindReader &reader);
     void onAnswer(KindReader &reader, const HttpResult &result);
+    /// Records the era that a response names, and starts to read all kinds anew when it is a later one.
+    /// @return the era of the response; the known one when it names none
+    std::int64_t noteEra(const HttpResult &result, Time now);
+    /// Takes over a later era of the store.
+    /// @param source where it was read: "store" or "peer"
+    void beginEra(std::int64_t era, std::string_view source, Time now);
+    /// Logs that a configuration or a target's entry is older than the known one.
+    void logOlderCopy(std::string_view kind, const std::string &name, const StoreRevision &revision);
     void logFailure(const KindReader &reader, const HttpResult &result);
     void applyObject(KindReader &reader, const platform::StoreObject &object, Time now);
     /// Logs the problems that the previous configuration didn't have.
     void logConfigProblems(const std::vector<ConfigProblem> &problems);
     void applyTargetRecord(KindReader &reader, const TargetRecord &record, Time now);
     /// Removes a target that the store no longer holds in readable form.
-    void removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, std::int64_t revision, Time now);
+    void removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, const StoreRevision &revision, Time now);
     /// Removes the targets that a complete list doesn't contain.
     void finishList(KindReader &reader, Time now);
     /// Applies the evacuations of a response, or collects those of a list until its last page.
@@ -110,6 +124,10 @@
     platform::ConfigStream m_configStream; ///< of the list call for the configuration that is in flight
     std::set<ConfigProblem> m_configProblems; ///< of the configuration that was read last
     bool m_watching = false;
+    std::int64_t m_era = 0; ///< latest known era of the store; 0: it has named none
+    bool m_isEraMissing = false; ///< as last logged
+    std::int64_t m_droppedResponses = 0;
+    std::int64_t m_olderCopies = 0;
 };
 
 } // namespace pimentofold
--- a/src/platform/storecalls.cpp
+++ b/src/platform/storecalls.cpp
@@ -471,6 +471,21 @@
     }
 }
 
+std::optional<std::int64_t> decodeEra(std::string_view text)
+{
+    std::int64_t era = 0;
+    const auto [end, ec] = std::from_chars(text.begin(), text.end(), era);
+    return ec == std::errc() && end == text.end() && era >= 0 ? std::optional(era) : std::nullopt;
+}
+
+void setEra(StoreResponse &response, std::int64_t era)
+{
+    response.revision.era = era;
+    for (StoreObject &it : response.objects) {
+        std::visit([&](auto &object) { object.revision.era = era; }, it);
+    }
+}
+
 std::string rosterReadPath()
 {
     // A read that may return stale data costs a tenth of a normal read.
@@ -513,7 +528,7 @@
     if (roster.revision == 0) {
         return {"POST", rosterCollectionPath, object.dump()};
     }
-    object["meta"]["revision"] = roster.revision;
+    object["meta"]["revision"] = roster.revision.number;
     return {"PUT", std::string(rosterCollectionPath) + "/" + rosterName, object.dump()};
 }
 
--- a/src/platform/storecalls.h
+++ b/src/platform/storecalls.h
@@ -25,7 +25,7 @@
 std::string listPath(StoreKind kind, const std::string &after);
 
 /// Long-poll request for changes of a kind.
-/// @param revision store revision up to which all changes are known
+/// @param revision of the store up to which all changes are known
 /// @param wait maximum time until the store responds, also without changes
 /// @return path and query
 std::string watchPath(StoreKind kind, std::int64_t revision, Time wait);
@@ -34,7 +34,7 @@
 struct UnreadableObject {
     std::uint64_t id = 0; ///< target id in the object's name; 0 when the name has none
     std::string name; ///< empty when it can't be decoded
-    std::int64_t revision = 0; ///< 0 when it can't be decoded
+    StoreRevision revision; ///< 0 when it can't be decoded
     std::string problem; ///< description of the invalid field
 };
 
@@ -42,13 +42,13 @@
 struct DeletedObject {
     std::uint64_t id = 0; ///< target id; 0 for objects of other kinds
     std::string name;
-    std::int64_t revision = 0;
+    StoreRevision revision;
 };
 
 /// An evacuated data centre. The object's name is all that counts.
 struct EvacuationRecord {
     std::string dataCentre;
-    std::int64_t revision = 0;
+    StoreRevision revision;
 };
 
 using StoreObject = std::variant<EdgeConfig, TargetRecord, EvacuationRecord, DeletedObject, UnreadableObject>;
@@ -56,7 +56,7 @@
 /// A decoded response to a list or a watch request.
 struct StoreResponse {
     std::vector<StoreObject> objects; ///< one page of the list, or the changes that the watch returned
-    std::int64_t revision = 0; ///< store revision of the response
+    StoreRevision revision; ///< of the store at the response
     bool hasMore = false; ///< list: a further page follows
     std::string lastName; ///< list: name of the last object, which the request for the next page needs
 };
@@ -73,7 +73,7 @@
 /// Peer addresses of the edge nodes. They are stored in one object of a kind of their own.
 struct Roster {
     std::vector<Address> nodes;
-    std::int64_t revision = 0; ///< store revision of the object; 0 when it doesn't exist
+    StoreRevision revision; ///< of the store at the object's last change; 0 when it doesn't exist
 };
 
 /// Request for the roster. The response may be a few seconds old.
@@ -93,6 +93,17 @@
 /// @return the request that creates the roster, or replaces it if the object still has the revision of @p roster
 StoreWriteRequest rosterWriteRequest(const Roster &roster);
 
+/// Header, in lower case, of each of the store's responses. It holds the store's era, which rises when the store has come back from
+/// an older copy.
+constexpr const char *eraHeader = "store-era";
+
+/// @param text value of the header
+/// @return nothing when the text isn't a number
+std::optional<std::int64_t> decodeEra(std::string_view text);
+
+/// Sets the era of all revisions in a response, whose body holds them without it.
+void setEra(StoreResponse &response, std::int64_t era);
+
 /// Response status when the object doesn't exist.
 constexpr int statusNotFound = 404;
 /// Response status when the object's revision differs from the one in the write request; the body holds the object.
