Tell differences only from states since which all changes were seen

A dropped route stayed in use for over 7 s after the store had acknowledged the version without it, and would have stayed until the next version with that route. Two nodes of a zone froze one after the other during quick changes. The first one skipped the version that added the route and the one that dropped it, so it had no record of the removal. A third node, which knew the route, asked it for the changes since its own version and got a difference without the removal.

A node now keeps the revisions of the configurations that it has had in force, and makes a difference only from one of them; all others get the whole configuration. A difference is applied only to the version that it starts from, so that a new leader's broadcast doesn't skip what the leader never saw. The same holds for targets, whose positions aren't single versions: a node records the gap that it jumped with a list, a full state or a difference; a peer inside the gap gets the full state, and one before it a difference that is marked to hold for just that state. A removal of a target that was already removed here counts too, since a peer may know the entry in between. What is kept: 64 revisions and one pair a node, and removals of routes up to the oldest of these, which were kept for ever before.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -126,6 +126,7 @@
   17: optional i64 targetsBaseEra
   18: optional i64 targetsRevisionEra
   19: optional i64 configKnownEra
+  20: optional bool targetGap   // the sender may not have seen all changes of targets since targetsBase
 }
 
 struct EdgeFlowEnds {
--- a/src/include/pimentofold/replication/storereplication.h
+++ b/src/include/pimentofold/replication/storereplication.h
@@ -87,6 +87,8 @@
 struct StoreChanges {
     KnownRevisions base;
     KnownRevisions known;
+    /// The sender may not have seen all changes in between: a receiver whose targets aren't those of just base.targets needs others.
+    bool hasTargetGap = false;
     StoreRevision configBase = 0; ///< revision of the configuration to which the changed routes apply; 0: config is complete
     EdgeConfig config; ///< added and changed routes; revision 0: the sender knows no configuration
     std::vector<Address> removedRoutes;
@@ -163,7 +165,8 @@
 /// it that the store is being watched.
 bool isHeartbeatDue(const StoreReplication &replication, Time now);
 
-/// Collects the changes for a peer.
+/// Collects the changes for a peer. A difference is made only from a state since which this node has seen every version, or from
+/// just the state that the peer names.
 /// @param base revisions that the peer knows
 /// @param configBase revision of the peer's configuration
 /// @param known revisions up to which @p table holds the store's state
--- a/src/include/pimentofold/targettable.h
+++ b/src/include/pimentofold/targettable.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -71,16 +73,26 @@
     bool removed = false; ///< removed routes stay in the table so that the removal can be sent to peers
 };
 
+/// A jump from one state of the targets to a later one. Targets that were added and removed in between may never have been known
+/// here. A peer whose state lies in between needs the full state, and one with an earlier state a delta that starts just there.
+struct TargetGap {
+    StoreRevision from = 0; ///< revision of the state before the jump
+    StoreRevision to = 0; ///< revision of the state after it; 0: there was none
+};
+
 /// Routes and targets. Only the functions below change them.
 struct TargetTable {
     StoreRevision configRevision = 0; ///< of the store for the configuration in force; 0: none yet
     std::int64_t configVersion = 0; ///< version number that the operator assigned
     Time idleTimeout = 0; ///< of the configuration in force
     std::unordered_map<std::uint64_t, RouteEntry> routes; ///< by address: IP shifted left by 16 bits, then the port
-    /// Removals of targets and routes up to these revisions are no longer recorded, so a peer with an older state needs
-    /// the full state instead of a delta.
-    StoreRevision targetHistoryStart = 0; ///< 0: not all targets are known yet
-    StoreRevision configHistoryStart = 0;
+    /// Revisions of the last configurations that have been in force here, oldest first. Only a peer with one of them can be sent a
+    /// delta: between two of them there may be others whose routes this node has never known.
+    std::deque<StoreRevision> configHistory;
+    /// Removals of targets up to this revision are no longer recorded, so a peer with an older state needs the full state instead of
+    /// a delta. 0: not all targets are known yet.
+    StoreRevision targetHistoryStart = 0;
+    TargetGap targetGap;
     std::unordered_map<std::uint64_t, EdgeTarget> targets; ///< by target id
     std::unordered_multimap<FlowToken, std::uint64_t> tokens; ///< target ids by token
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> services; ///< target ids by service, in ascending order
@@ -113,11 +125,10 @@
 bool applyConfig(TargetTable &table, const EdgeConfig &config);
 
 /// Applies a delta between two versions of the configuration.
-/// @param base store revision of the version that the delta starts from
+/// @param base store revision of the version that the delta starts from, which has to be in force
 /// @param change routes that were added or changed, with revision, version and idle timeout of the newer version
 /// @param removed addresses of routes that were removed
-/// @return false when the newer version is already in force, or when the configuration in force is older than @p base;
-///         nothing changes then
+/// @return false when the newer version is already in force, or when another version than @p base is; nothing changes then
 bool applyConfigChange(TargetTable &table, const StoreRevision &base, const EdgeConfig &change, const std::vector<Address> &removed);
 
 /// A target keeps its service until it starts again, so an entry with another service and no later start was written by another
@@ -136,6 +147,12 @@
 ///         nothing changes then
 bool applyTarget(TargetTable &table, const TargetRecord &record, Time now);
 
+/// @return whether a delta from this version of the configuration can be made
+bool isInConfigHistory(const TargetTable &table, const StoreRevision &revision);
+
+/// Records a jump between two states of the targets. An earlier jump that ended before only raises targetHistoryStart.
+void recordTargetGap(TargetTable &table, const StoreRevision &from, const StoreRevision &to);
+
 /// Marks a target's entry as removed. The target stays in the table for its open flows until purgeRemovedTargets().
 /// @param revision store revision of the removal
 /// @return false when the target is unknown, has no entry, or has a newer entry
@@ -148,6 +165,15 @@
 /// Records that the table holds all targets up to a store revision. Only the first call has an effect.
 void setTargetHistoryStart(TargetTable &table, const StoreRevision &revision);
 
+/// Takes over the end of a list of all targets, whose entries have been applied: removes the targets that it doesn't contain, and
+/// records the jump, since targets may have been added and removed before the list.
+/// @param listed ids on the list
+/// @param known revision of the targets known before the list
+/// @param revision of the list
+/// @return the targets that were removed
+std::vector<std::uint64_t>
+finishTargetList(TargetTable &table, const std::set<std::uint64_t> &listed, const StoreRevision &known, const StoreRevision &revision, Time now);
+
 /// Deletes targets without open flows whose entries were removed at least removedTargetRetention ago.
 void purgeRemovedTargets(TargetTable &table, Time now);
 
--- a/src/libpimentofold/edgecodec.cpp
+++ b/src/libpimentofold/edgecodec.cpp
@@ -174,6 +174,9 @@
             part.targetsBase = changes.base.targets.number;
             part.targetsRevision = changes.known.targets.number;
             setEras(part, changes);
+            if (changes.hasTargetGap) {
+                part.__set_targetGap(true);
+            }
             part.part = static_cast<std::int32_t>(parts.size());
             parts.push_back(std::move(part));
             bytes = 0;
@@ -256,6 +259,7 @@
     StoreChanges &changes = partial.changes;
     changes.known = partial.known;
     changes.base = {configBaseOf(part), targetsBaseOf(part), {}};
+    changes.hasTargetGap = part.targetGap;
     changes.configBase = configBaseOf(part);
     changes.config.revision = configRevisionOf(part);
     changes.config.version = part.configVersion;
--- a/src/libpimentofold/replication/storereplication.cpp
+++ b/src/libpimentofold/replication/storereplication.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <unordered_set>
+#include <set>
 
 namespace pimentofold {
 
@@ -10,22 +10,13 @@
 
 constexpr std::array<std::string_view, 3> healthNames{"unknown", "answering", "failing"};
 
-/// Removes the targets that a complete list doesn't contain.
-void removeUnlisted(TargetTable &table, const StoreChanges &changes, Time now)
+std::set<std::uint64_t> idsOf(const std::vector<TargetRecord> &targets)
 {
-    std::unordered_set<std::uint64_t> present;
-    for (const TargetRecord &it : changes.targets) {
-        present.insert(it.id);
-    }
-    std::vector<std::uint64_t> missing;
-    for (const auto &[id, target] : table.targets) {
-        if (target.registered && !present.contains(id)) {
-            missing.push_back(id);
-        }
-    }
-    for (const std::uint64_t id : missing) {
-        removeTarget(table, id, changes.known.targets, now);
+    std::set<std::uint64_t> ids;
+    for (const TargetRecord &it : targets) {
+        ids.insert(it.id);
     }
+    return ids;
 }
 
 bool applyTargets(StoreReplication &replication, TargetTable &table, const StoreChanges &changes, Time now)
@@ -33,9 +24,15 @@
     if (changes.known.targets <= replication.known.targets) {
         return true;
     }
-    if (changes.base.targets > replication.known.targets) {
+    const bool complete = changes.base.targets == 0;
+    const StoreRevision before = replication.known.targets;
+    if (!complete && (changes.hasTargetGap ? changes.base.targets != before : changes.base.targets > before)) {
         return false;
     }
+    const bool removesUnknown = std::ranges::any_of(changes.removedTargets, [&](const TargetRemoval &it) { return findTarget(table, it.id) == nullptr; });
+    if (!complete && (changes.hasTargetGap || removesUnknown)) {
+        recordTargetGap(table, before, changes.known.targets);
+    }
     for (const TargetRecord &it : changes.targets) {
         if (!isOlderCopy(table, it)) {
             applyTarget(table, it, now);
@@ -44,9 +41,8 @@
     for (const TargetRemoval &it : changes.removedTargets) {
         removeTarget(table, it.id, it.revision, now);
     }
-    if (changes.base.targets == 0) {
-        removeUnlisted(table, changes, now);
-        setTargetHistoryStart(table, changes.known.targets);
+    if (complete) {
+        finishTargetList(table, idsOf(changes.targets), before, changes.known.targets, now);
     }
     replication.known.targets = changes.known.targets;
     return true;
@@ -195,10 +191,13 @@
     StoreChanges changes;
     changes.base = base;
     changes.known = known;
-    changes.configBase = configBase < table.configHistoryStart ? 0 : configBase;
-    if (base.targets < table.targetHistoryStart) {
+    changes.configBase = isInConfigHistory(table, configBase) ? configBase : StoreRevision();
+    const TargetGap &gap = table.targetGap;
+    const bool isInGap = base.targets > gap.from && base.targets < gap.to;
+    if (base.targets < table.targetHistoryStart || isInGap) {
         changes.base.targets = 0;
     }
+    changes.hasTargetGap = changes.base.targets > 0 && changes.base.targets < gap.to;
     changes.config.revision = table.configRevision;
     changes.config.version = table.configVersion;
     changes.config.idleTimeout = table.idleTimeout;
--- a/src/libpimentofold/targets/targettable.cpp
+++ b/src/libpimentofold/targets/targettable.cpp
@@ -119,8 +119,26 @@
     entry = {route, revision, false};
 }
 
+// A peer that is further behind gets the whole configuration.
+constexpr std::size_t maxConfigHistory = 64;
+
+/// Records the version in force. A version with unreadable routes is left out: which of them stay in force differs from node to node.
+void recordConfigHistory(TargetTable &table, const EdgeConfig &config)
+{
+    if (!config.unreadableRoutes.empty()) {
+        return;
+    }
+    table.configHistory.push_back(config.revision);
+    if (table.configHistory.size() <= maxConfigHistory) {
+        return;
+    }
+    table.configHistory.pop_front();
+    std::erase_if(table.routes, [&](const auto &it) { return it.second.removed && it.second.revision <= table.configHistory.front(); });
+}
+
 void updateConfigHeader(TargetTable &table, const EdgeConfig &config)
 {
+    recordConfigHistory(table, config);
     table.configRevision = config.revision;
     table.configVersion = config.version;
     table.idleTimeout = config.idleTimeout;
@@ -183,9 +201,6 @@
     if (!isNewerConfig(table, config.revision, config.version)) {
         return false;
     }
-    if (table.configRevision == 0) {
-        table.configHistoryStart = config.revision;
-    }
     std::unordered_set<std::uint64_t> present;
     for (const EdgeRoute &it : config.routes) {
         present.insert(routeKey(it.address));
@@ -203,7 +218,7 @@
 
 bool applyConfigChange(TargetTable &table, const StoreRevision &base, const EdgeConfig &change, const std::vector<Address> &removed)
 {
-    if (!isNewerConfig(table, change.revision, change.version) || base > table.configRevision) {
+    if (!isNewerConfig(table, change.revision, change.version) || base != table.configRevision) {
         return false;
     }
     for (const EdgeRoute &it : change.routes) {
@@ -220,6 +235,51 @@
     return true;
 }
 
+bool isInConfigHistory(const TargetTable &table, const StoreRevision &revision)
+{
+    return std::ranges::find(table.configHistory, revision) != table.configHistory.end();
+}
+
+void recordTargetGap(TargetTable &table, const StoreRevision &from, const StoreRevision &to)
+{
+    if (to <= from) {
+        return;
+    }
+    TargetGap &gap = table.targetGap;
+    if (from >= gap.to) {
+        table.targetHistoryStart = std::max(table.targetHistoryStart, gap.to);
+        gap = {from, to};
+    } else {
+        gap = {std::min(gap.from, from), std::max(gap.to, to)};
+    }
+}
+
+std::vector<std::uint64_t>
+finishTargetList(TargetTable &table, const std::set<std::uint64_t> &listed, const StoreRevision &known, const StoreRevision &revision, Time now)
+{
+    std::vector<std::uint64_t> missing;
+    for (const auto &[id, target] : table.targets) {
+        if (target.registered && !listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : missing) {
+        removeTarget(table, id, revision, now);
+    }
+    if (table.targetHistoryStart > 0) {
+        recordTargetGap(table, known, revision);
+    }
+    setTargetHistoryStart(table, revision);
+    return missing;
+}
+
+void setTargetHistoryStart(TargetTable &table, const StoreRevision &revision)
+{
+    if (table.targetHistoryStart == 0) {
+        table.targetHistoryStart = revision;
+    }
+}
+
 bool contradictsService(const TargetTable &table, const TargetRecord &record)
 {
     const EdgeTarget *target = findTarget(table, record.id);
@@ -285,7 +345,12 @@
 bool removeTarget(TargetTable &table, std::uint64_t id, const StoreRevision &revision, Time now)
 {
     EdgeTarget *target = findTarget(table, id);
-    if (target == nullptr || !target->registered || revision < target->record.revision) {
+    if (target == nullptr || revision < target->record.revision) {
+        return false;
+    }
+    if (!target->registered) {
+        // It was there again meanwhile, without this node's knowledge. A peer may know it still.
+        target->removedRevision = std::max(target->removedRevision, revision);
         return false;
     }
     table.changedTargets.insert(id);
@@ -308,13 +373,6 @@
     }
 }
 
-void setTargetHistoryStart(TargetTable &table, const StoreRevision &revision)
-{
-    if (table.targetHistoryStart == 0) {
-        table.targetHistoryStart = revision;
-    }
-}
-
 void purgeRemovedTargets(TargetTable &table, Time now)
 {
     std::erase_if(table.targets, [&](const auto &entry) {
--- a/src/pimentofold-edge/storeclient.cpp
+++ b/src/pimentofold-edge/storeclient.cpp
@@ -259,8 +259,9 @@
         }
         logFailure(reader, result);
     }
+    const StoreRevision known = reader.listWatch.revision;
     if (finishCall(reader.listWatch, call, now, m_random)) {
-        finishList(reader, now);
+        finishList(reader, known, now);
     }
     reader.singleRead = reader.singleRead && reader.listWatch.listing && call.outcome != StoreCallOutcome::Failed;
     m_onAnswered();
@@ -394,6 +395,10 @@
     // revision known before the call.
     const StoreRevision next{reader.listWatch.revision.era, reader.listWatch.revision.number + 1};
     const StoreRevision minRevision = reader.listCall ? revision : std::max(revision, next);
+    if (id != 0 && !reader.listCall && findTarget(m_table, id) == nullptr) {
+        // The store has left out the change that added it, or it was never readable. Other nodes may know it.
+        recordTargetGap(m_table, reader.listWatch.revision, minRevision);
+    }
     if (id != 0 && removeTarget(m_table, id, minRevision, now)) {
         logEvent(m_log, "target_removed", {{"target", name}, {"revision", minRevision.number}});
     }
@@ -423,7 +428,7 @@
     addListedEvacuations(m_listedEvacuations, changes, response.revision);
 }
 
-void StoreClient::finishList(KindReader &reader, Time now)
+void StoreClient::finishList(KindReader &reader, const StoreRevision &known, Time now)
 {
     if (reader.kind == platform::StoreKind::Evacuations) {
         replaceEvacuations(m_table.evacuations, std::move(m_listedEvacuations));
@@ -431,19 +436,13 @@
     if (reader.kind != platform::StoreKind::Targets) {
         return;
     }
-    setTargetHistoryStart(m_table, reader.listWatch.revision);
-    std::vector<std::uint64_t> missing;
-    for (const auto &[id, target] : m_table.targets) {
-        if (target.registered && !reader.listWatch.listedIds.contains(id)) {
-            missing.push_back(id);
-        }
-    }
+    const StoreRevision &revision = reader.listWatch.revision;
+    const std::vector<std::uint64_t> missing = finishTargetList(m_table, reader.listWatch.listedIds, known, revision, now);
     for (const std::uint64_t id : missing) {
-        removeEntry(reader, id, findTarget(m_table, id)->record.name, reader.listWatch.revision, now);
+        logEvent(m_log, "target_removed", {{"target", findTarget(m_table, id)->record.name}, {"revision", revision.number}});
     }
-    logEvent(m_log,
-             "targets_listed",
-             {{"targets", reader.listWatch.listedIds.size()}, {"missing", missing.size()}, {"era", m_era}, {"revision", reader.listWatch.revision.number}});
+    logEvent(
+        m_log, "targets_listed", {{"targets", reader.listWatch.listedIds.size()}, {"missing", missing.size()}, {"era", m_era}, {"revision", revision.number}});
     reader.listWatch.listedIds.clear();
 }
 
--- a/src/pimentofold-edge/storeclient.h
+++ b/src/pimentofold-edge/storeclient.h
@@ -103,7 +103,8 @@
     /// Removes a target that the store no longer holds in readable form.
     void removeEntry(KindReader &reader, std::uint64_t id, const std::string &name, const StoreRevision &revision, Time now);
     /// Removes the targets that a complete list doesn't contain.
-    void finishList(KindReader &reader, Time now);
+    /// @param known revision up to which this node knew the kind before the list
+    void finishList(KindReader &reader, const StoreRevision &known, Time now);
     /// Applies the evacuations of a response, or collects those of a list until its last page.
     void applyEvacuations(const platform::StoreResponse &response);
     /// Starts again with a list, and forgets the evacuations.
