Keep flows at the target at which they opened elsewhere

After all nodes had been killed and started again while the store was slow, dozens of callers lost a flow whose first request had been answered: all packets of the next one, 7.5 s later, went to another target. A node that can't place flows yet holds their opening packets for up to 1.2 s. Meanwhile the caller sends its opening packet again, through another node that can, and the flow opens there. The first node then places the packet all the same, offers the flow to up to four targets, and their answers give the caller another token. It took the caller's next request for the answer to its own offers and recorded the wrong target. Logs of one lost flow: held at 0 and 201 ms, opened elsewhere at 609 ms, offered here from 620 to 802 ms, taken as open here at 8,145 ms. The other explanation, that no node knew the flow as in FLOW_LOST, is excluded: the node where it opened had reported its location.

The age of a held opening packet now travels with it, to its dispatcher too, and each flow counts the copies of its opening packet that came through this node. Callers send them after 200 and 600 ms, so a flow of which a copy is missing here may open elsewhere. When it opens, its location is reported, as for a flow with several offers; and the first packet after the opening ones causes the question that one of an unknown flow causes, also when it comes later than any answer or isn't the first one of the flow. A location that is found, a report, or another node's question ends the offers here. A held packet whose caller has given up is dropped. A flow of which all copies came through one node, or that opens within 200 ms, costs no message, as before.

The new tests fail with the question and the withdrawal switched off: all five orders of events, for a caller that takes each token.

--- a/src/idl/edge.thrift
+++ b/src/idl/edge.thrift
@@ -143,7 +143,8 @@
   4: bool healthy = true          // Beat: the sender's calls to the store are answered
   5: i64 configKnown = 0          // revision of the store up to which the sender knows the configuration
   6: i64 targetsKnown = 0         // the same for targets
-  7: i64 age = 0                  // microseconds since the sender's knowledge was confirmed by the store; Located: since the flow opened
+  7: i64 age = 0                  // microseconds since the sender's knowledge was confirmed by the store; Located: since the flow opened;
+                                  // Place: since the caller sent the flow's first opening packet, as far as known
   12: i64 configRevision = 0      // Beat, Fetch: revision of the configuration that the sender has in force
   13: bool large = false          // Beat, Changes: so many changes that the receiver had better read the store itself;
                                   // Fetch: the sender can't reach the store, so it needs all changes from here
--- a/src/include/pimentofold/dispatch.h
+++ b/src/include/pimentofold/dispatch.h
@@ -126,6 +126,7 @@
     int attempt = 1; ///< see OpeningFlow
     std::string bytes; ///< the opening packet as received
     Id originNode = 0; ///< node that received the opening packet from the caller; 0: this node
+    Time openingAge = 0; ///< see OpeningFlow
 };
 
 /// Notifies the node that requested placement that the dispatcher holds the flow until a target has room.
--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -91,10 +91,14 @@
     std::string openingPacket; ///< bytes of the opening packet; empty once the flow is open
     bool refused = false; ///< refused because no target may get it, or none has room in time; a retransmission of the opening packet counts as a new flow
     FlowProgress progress; ///< only with TargetLossSettings::enabled
-    bool startedElsewhere = false; ///< the first opening packet went through another node, so there may be more offers than attempts here
+    Time startAge = 0; ///< time since the caller had sent the first opening packet, at startedAt
+    int openingCopies = 0; ///< opening packets that this node has received
     bool locationReported = false; ///< other nodes have a location of the flow, see flowlocation.h
 };
 
+/// @return whether the caller may have sent an opening packet of a flow that opens through another node, so that the flow may be open there
+bool mayOpenElsewhere(const EdgeFlow &flow, Time now);
+
 /// A packet that arrived before this node could place its flow, see canPlaceFlow().
 struct EarlyPacket {
     Address service; ///< address that the packet is for
--- a/src/include/pimentofold/flowpacket.h
+++ b/src/include/pimentofold/flowpacket.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <string_view>
 
@@ -10,6 +12,16 @@
 /// packets that callers send.
 namespace pimentofold {
 
+/// Callers send an opening packet again when no answer has arrived: ages of the flow at which its copies are sent.
+constexpr std::array<Time, 3> openingCopyAges{0, 200 * millisecond, 600 * millisecond};
+
+/// @param age time since the caller has sent the first opening packet of a flow
+/// @return number of opening packets that the caller has sent by then if none was answered
+constexpr int openingCopiesSent(Time age)
+{
+    return static_cast<int>(std::ranges::count_if(openingCopyAges, [&](Time it) { return it <= age; }));
+}
+
 /// Identifies a flow's target in each packet after the opening one, so that any node can forward the packet; see
 /// targettable.h for the mapping. 0 means no token.
 using FlowToken = std::uint32_t;
@@ -30,6 +42,7 @@
     bool resets = false; ///< RST: the caller has aborted the flow
     FlowToken token = 0; ///< the token that the caller received last on this flow
     Time openingAge = 0; ///< only for opening packets: time since the caller sent the first one of this flow
+    Time heldFor = 0; ///< time since the packet has arrived at this node
     std::uint32_t sequence = 0; ///< of the first byte of the payload
     std::uint32_t acknowledgement = 0; ///< only for packets after the opening one: the next byte that the caller expects from the target
     std::uint16_t payloadBytes = 0;
--- a/src/libpimentofold/flowlocation/locationreports.cpp
+++ b/src/libpimentofold/flowlocation/locationreports.cpp
@@ -1,5 +1,7 @@
 #include <libpimentofold/flowlocation/locationreports.h>
 
+#include <libpimentofold/forwarding/openingpackets.h>
+
 namespace pimentofold {
 
 std::vector<Id> otherHolders(const EdgeForwarder &forwarder, const FlowKey &key, std::size_t count)
@@ -51,6 +53,10 @@
     if (isOpen && mayBeSameFlow(known->second.sequence, named.sequence)) {
         location = {known->second.target, known->second.sequence};
     }
+    const bool opensHere = known != forwarder.flows.end() && known->second.stage == FlowStage::Opening;
+    if (opensHere && mayBeSameFlow(known->second.sequence, named.sequence)) {
+        withdrawOffers(forwarder, flow, now, out);
+    }
     if (location.target == 0) {
         recordNamedLocation(forwarder.locations, flow, named, now);
     }
--- a/src/libpimentofold/forwarding/edgeforward.cpp
+++ b/src/libpimentofold/forwarding/edgeforward.cpp
@@ -89,6 +89,11 @@
 
 } // namespace
 
+bool mayOpenElsewhere(const EdgeFlow &flow, Time now)
+{
+    return openingCopiesSent(now - flow.startedAt + flow.startAge) > flow.openingCopies;
+}
+
 bool knowsTargets(const EdgeForwarder &forwarder)
 {
     return forwarder.table.configRevision > 0 && hasTargets(forwarder.table);
--- a/src/libpimentofold/forwarding/laterpackets.cpp
+++ b/src/libpimentofold/forwarding/laterpackets.cpp
@@ -49,7 +49,7 @@
     flow.openingPacket.shrink_to_fit();
     recordAnswer(target, now);
     target.lastProgressAt = now;
-    if (flow.attempts > 1 || flow.leftDispatcher || flow.startedElsewhere) {
+    if (flow.attempts > 1 || flow.leftDispatcher || mayOpenElsewhere(flow, now)) {
         reportLocation(forwarder, key, flow, locationHolderCount, now, out);
     }
     recordHeard(forwarder.table.reachability, target.record.dataCentre, now);
@@ -118,10 +118,27 @@
     notifyDispatcher(forwarder, {kind, flow.dispatcher, key, flow.target}, now, out);
 }
 
+/// @return whether the first packet after the opening ones may belong to a flow that has opened through another node: this node offers
+///         the flow as well, and the token may be that of a target whose answer came after the flow had opened
+bool mayBeOpenElsewhere(const EdgeForwarder &forwarder, const FlowPacket &packet, Time now)
+{
+    const auto it = forwarder.flows.find(packet.flow);
+    if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
+        return false;
+    }
+    // A caller goes on as soon as a target has answered, from the byte after its opening packet.
+    const bool isLate = now - it->second.lastOfferAt > forwarder.settings.maxAnswerTimeout;
+    const bool hasProgressed = packet.sequence != it->second.sequence && packet.sequence != it->second.sequence + 1;
+    return isLate || hasProgressed || mayOpenElsewhere(it->second, now);
+}
+
 /// Forwards a packet after the opening one.
 /// @param located id of the target that other nodes have named; 0: the token decides if this node doesn't know the flow
 void forwardLaterPacket(EdgeForwarder &forwarder, const FlowPacket &packet, std::uint64_t located, Time now, ForwardOutput &out)
 {
+    if (located != 0) {
+        withdrawOffers(forwarder, packet.flow, now, out);
+    }
     EdgeFlow *flow = findFlow(forwarder, packet);
     EdgeTarget *target = flow == nullptr ? findTarget(forwarder.table, located) : nullptr;
     const bool isLocated = target != nullptr;
@@ -201,7 +218,8 @@
         return;
     }
     // Beyond the limit flows aren't stored, and each of their packets would cause a question.
-    const bool isUnknown = !forwarder.flows.contains(packet.flow) && forwarder.flows.size() < forwarder.settings.maxFlows;
+    const bool isNew = !forwarder.flows.contains(packet.flow) && forwarder.flows.size() < forwarder.settings.maxFlows;
+    const bool isUnknown = isNew || mayBeOpenElsewhere(forwarder, packet, now);
     const std::uint64_t located = isUnknown ? findLocation(forwarder.locations, packet.flow, packet.sequence, now).target : 0;
     if (isUnknown && located == 0 && mayHaveSeveralOffers(forwarder.table, packet.flow) && askForLocation(forwarder, packet, now, out)) {
         return;
@@ -232,6 +250,9 @@
         forgetLocation(forwarder.locations, report.flow, report.location.sequence);
         return;
     }
+    if (const auto it = forwarder.flows.find(report.flow); it != forwarder.flows.end() && mayBeSameFlow(it->second.sequence, report.location.sequence)) {
+        withdrawOffers(forwarder, report.flow, now, out);
+    }
     const LocationMembers members{forwarder.members, forwarder.self.instance, forwarder.leaving};
     storeLocation(forwarder.locations, report.flow, report.location, replicaHolders(members, report.flow), now - report.age);
     if (forwarder.leaving) {
--- a/src/libpimentofold/forwarding/openingpackets.cpp
+++ b/src/libpimentofold/forwarding/openingpackets.cpp
@@ -77,7 +77,7 @@
     if (flow.dispatcher != 0) {
         recordRelay(reachability, flow.dispatcher, now);
         flow.relayed = true;
-        out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket, 0});
+        out.relayedOpenings.push_back({flow.dispatcher, flow.attempts, flow.openingPacket, 0, flow.openingAge});
         appendEvent(out, ForwardEvent::Relayed, key, nullptr, flow.attempts, now - flow.startedAt);
         out.events.back().node = flow.dispatcher;
         return;
@@ -111,9 +111,10 @@
 void handleRetransmission(EdgeForwarder &forwarder, const FlowPacket &packet, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
     flow.lastPacketAt = now;
+    ++flow.openingCopies;
     if (flow.stage == FlowStage::Opening) {
         if (now - flow.lastOfferAt >= answerTimeout(forwarder)) {
-            flow.openingAge = packet.openingAge;
+            flow.openingAge = packet.openingAge + packet.heldFor;
             retryPlacement(forwarder, packet.flow, flow, now, out);
         }
         return;
@@ -172,7 +173,7 @@
     }
     ++forwarder.balancing.flowsLeft;
     forwarder.relayedElsewhere[flow.key] = {*to, now};
-    out.relayedOpenings.push_back({*to, flow.attempt, flow.openingPacket, flow.originNode});
+    out.relayedOpenings.push_back({*to, flow.attempt, flow.openingPacket, flow.originNode, flow.openingAge});
     appendEvent(out, ForwardEvent::Relayed, flow.key, nullptr, flow.attempt, 0);
     out.events.back().node = *to;
     return true;
@@ -197,6 +198,21 @@
     attemptPlacement(forwarder, key, flow, now, out);
 }
 
+void withdrawOffers(EdgeForwarder &forwarder, const FlowKey &key, Time now, ForwardOutput &out)
+{
+    const auto it = forwarder.flows.find(key);
+    if (it == forwarder.flows.end() || it->second.stage != FlowStage::Opening) {
+        return;
+    }
+    const EdgeFlow &flow = it->second;
+    appendEvent(out, ForwardEvent::Withdrawn, key, nullptr, flow.attempts, now - flow.startedAt + flow.startAge);
+    notifyDispatcher(forwarder, {FlowNoticeKind::Ended, flow.dispatcher, key, 0}, now, out);
+    if (flow.dispatcher != 0) {
+        notifyDispatcher(forwarder, {FlowNoticeKind::Ended, 0, key, 0}, now, out);
+    }
+    forwarder.flows.erase(it);
+}
+
 void endFlow(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out)
 {
     if (flow.stage == FlowStage::Ended) {
@@ -230,15 +246,21 @@
         endFlow(forwarder, packet.flow, existing->second, now, out);
         forwarder.flows.erase(existing);
     }
+    if (packet.openingAge + packet.heldFor >= openingTimeout) {
+        // The caller has given the flow up while this node held the packet.
+        appendEvent(out, ForwardEvent::Stale, packet.flow, nullptr, 0, packet.openingAge + packet.heldFor);
+        return;
+    }
     dropQuestion(forwarder.locations, packet.flow);
     forgetLocation(forwarder.locations, packet.flow, std::nullopt);
     recordRouteOpening(forwarder.table.reachability, packet.flow.service, now);
     EdgeFlow flow;
-    flow.startedElsewhere = packet.openingAge > 0;
+    flow.startAge = packet.openingAge + packet.heldFor;
+    flow.openingCopies = 1;
     flow.startedAt = now;
     flow.lastPacketAt = now;
     flow.sequence = packet.sequence;
-    flow.openingAge = packet.openingAge;
+    flow.openingAge = packet.openingAge + packet.heldFor;
     flow.openingPacket = packet.bytes;
     flow.dispatcher = dispatcherOf(forwarder, packet.flow);
     if (forwarder.flows.size() >= forwarder.settings.maxFlows) {
--- a/src/libpimentofold/forwarding/openingpackets.h
+++ b/src/libpimentofold/forwarding/openingpackets.h
@@ -22,6 +22,10 @@
 /// Offers a flow that got no answer in time again. After two attempts through its dispatcher this node places the flow itself.
 void retryPlacement(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out);
 
+/// Stops offering a flow that opens here, since it is open through another node, and forgets it. Its later packets are those of an
+/// unknown flow. Does nothing for other flows.
+void withdrawOffers(EdgeForwarder &forwarder, const FlowKey &key, Time now, ForwardOutput &out);
+
 /// Records that the caller has finished or reset a flow, and notifies the nodes that count it or keep its location.
 void endFlow(EdgeForwarder &forwarder, const FlowKey &key, EdgeFlow &flow, Time now, ForwardOutput &out);
 
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -212,17 +212,18 @@
     const Time now = monotonicNow();
     m_lastPacketAt = now;
     readMissedMessages(now);
-    handlePacketBytes(bytes, now);
+    handlePacketBytes(bytes, 0, now);
     scheduleForwardTick();
 }
 
-void Edge::handlePacketBytes(std::string_view bytes, Time now)
+void Edge::handlePacketBytes(std::string_view bytes, Time heldFor, Time now)
 {
-    const std::optional<FlowPacket> packet = platform::decodePacket(bytes);
+    std::optional<FlowPacket> packet = platform::decodePacket(bytes);
     if (!packet) {
         count(m_metrics, "packets_unreadable_total");
         return;
     }
+    packet->heldFor = heldFor;
     ForwardOutput out;
     handlePacket(m_forwarder, *packet, now, out);
     send(out, now);
@@ -243,6 +244,7 @@
         wire::EdgeMessage message = newMessage(wire::EdgeKind::Place);
         message.__set_packet(it.bytes);
         message.__set_attempt(it.attempt);
+        message.__set_age(it.openingAge);
         if (it.originNode != 0) {
             // The dispatcher that gets the packet answers to the node that received it.
             message.sender = it.originNode;
@@ -626,7 +628,7 @@
     flow.openingPacket = message.packet;
     flow.originNode = message.sender;
     flow.attempt = std::max(message.attempt, 1);
-    flow.openingAge = packet->openingAge;
+    flow.openingAge = std::max(packet->openingAge, message.age);
     ForwardOutput out;
     receiveRelayedOpening(m_forwarder, flow, now, out);
     send(out, now);
--- a/src/pimentofold-edge/edge.h
+++ b/src/pimentofold-edge/edge.h
@@ -49,7 +49,8 @@
     void applyBounds(const EdgeSettings &settings);
     void onPacket(std::string_view bytes);
     /// Decodes and forwards a caller's packet.
-    void handlePacketBytes(std::string_view bytes, Time now);
+    /// @param heldFor time since the packet has arrived
+    void handlePacketBytes(std::string_view bytes, Time heldFor, Time now);
     /// Sends the packets and notices that the forwarder returned, and logs its events.
     void send(const ForwardOutput &out, Time now);
     /// Logs when the process did not run for some time.
--- a/src/pimentofold-edge/edgereplication.cpp
+++ b/src/pimentofold-edge/edgereplication.cpp
@@ -386,7 +386,7 @@
 {
     const Time now = monotonicNow();
     for (const EarlyPacket &it : takeEarlyPackets(m_forwarder, now)) {
-        handlePacketBytes(it.bytes, now);
+        handlePacketBytes(it.bytes, now - it.receivedAt, now);
     }
     scheduleForwardTick();
 }
--- a/src/platform/packetcodec.cpp
+++ b/src/platform/packetcodec.cpp
@@ -18,9 +18,6 @@
 constexpr std::size_t sequenceOffset = 26;
 constexpr std::size_t acknowledgementOffset = 30;
 
-// Time since the first opening packet, by the number of its retransmission: callers retransmit after these times.
-constexpr std::array<Time, 3> openingAges{0, 200 * millisecond, 600 * millisecond};
-
 constexpr unsigned finFlag = 1;
 constexpr unsigned synFlag = 2;
 constexpr unsigned ackFlag = 8;
@@ -70,7 +67,7 @@
         packet.acknowledgement = readNumber(bytes, acknowledgementOffset, 4);
     } else {
         // The acknowledgement field of an opening packet holds the number of the retransmission, 0 for the first packet.
-        packet.openingAge = openingAges[std::min<std::size_t>(readNumber(bytes, acknowledgementOffset, 4), openingAges.size() - 1)];
+        packet.openingAge = openingCopyAges[std::min<std::size_t>(readNumber(bytes, acknowledgementOffset, 4), openingCopyAges.size() - 1)];
     }
     packet.payloadBytes = static_cast<std::uint16_t>(length);
     packet.bytes = bytes;
