--- a/scripts/lib/edgesoak.py
+++ b/scripts/lib/edgesoak.py
@@ -143,6 +143,7 @@
                 node.evacuate = ""
         self.flow_random = random.Random(f"flows {seed}")  # of what disturbs idle flows
         self.idle_timeout = self.flow_random.choice((4.0, 9.0, 15.0))
+        self.fleet_random = random.Random(f"fleet {seed}")  # of what concerns the whole fleet at once
         self.next_target = 1
         self.routes = {(number("198.18.0.1"), 443): "shop", (number("198.18.0.2"), 443): "list"}
         self.version = 1
@@ -257,6 +258,95 @@
             await asyncio.sleep(0.1)
         await asyncio.gather(*tasks)
 
+    async def store_drill(self):
+        """The store comes back from an older copy. The operator and the targets write again what it has lost, after a while."""
+        draw, store = self.fleet_random, self.world.store
+        age, away, rewrite = draw.choice((0.1, 1.0, 3.0, 20.0)), draw.uniform(0.1, 1.0), draw.uniform(0.0, 1.5)
+        self.note(f"store away for {away:.2f} s, back from a copy of {age} s, written again after {rewrite:.2f} s")
+        self.world.judge.disturb(away + rewrite)
+        store.mode = "reset"
+        for node in self.nodes:
+            node.proxy.reset_all()
+        await asyncio.sleep(away)
+        store.restore(age + away)
+        store.mode = "up"
+        await asyncio.sleep(rewrite)
+        for target in list(self.world.targets.values()):
+            if target.alive:
+                target.register()
+        if ("config", "main") not in store.objects or store.objects[("config", "main")]["spec"] != self.world.config_spec:
+            store.put("config", "main", self.world.config_spec)
+        for zone in ("a", "b", "c", "elsewhere"):
+            evacuated, stored = zone in self.world.judge.evacuated_at, ("evacuations", zone) in store.objects
+            if evacuated and not stored:
+                store.put("evacuations", zone, {})
+            elif stored and not evacuated:
+                store.delete("evacuations", zone)
+        await asyncio.sleep(2.0)
+        self.expire_entries()
+
+    def expire_entries(self):
+        """Removes the entries of targets that have ended, which the store's copy has brought back."""
+        for kind, name in list(self.world.store.objects):
+            target = self.world.targets.get(name)
+            if kind == "servers" and target and not target.alive:
+                self.world.store.delete("servers", name)
+
+    async def overlapping_freezes(self):
+        """Two nodes of a data centre freeze one after the other while routes come and go within two versions."""
+        draw = self.fleet_random
+        zone = draw.choice("abc")
+        first, second = draw.sample([node for node in self.nodes if node.zone == zone], 2)
+        self.note(f"{first.name} and {second.name} freeze one after the other during quick changes")
+        self.world.judge.disturb(8)
+        frozen = [asyncio.create_task(self.freeze_for(first, 0.0, 4.0)), asyncio.create_task(self.freeze_for(second, 3.3, 4.0))]
+        added = []
+        for n in range(12):
+            added.append((number("198.18.0.8"), draw.randint(1, 60_000)))
+            self.routes[added[-1]] = "shop"
+            if n >= 2:
+                del self.routes[added[n - 2]]
+            self.version += 1
+            self.write_config()
+            await asyncio.sleep(0.33)
+        for route in added[-2:]:
+            del self.routes[route]
+        self.version += 1
+        self.write_config()
+        await asyncio.gather(*frozen)
+        await asyncio.sleep(BOUNDS["touch_s"] + 0.5)
+        asked = [self.world.request(ip, 61_000 + i, route) for i, route in enumerate(added) for ip in self.ips[:6]]
+        await asyncio.gather(*asked)
+
+    async def freeze_for(self, node, after, seconds):
+        await asyncio.sleep(after)
+        async with node.lock:
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            node.signal(signal.SIGCONT)
+
+    async def herd_kill(self):
+        """All nodes are killed, and start again one after the other while the store is slow."""
+        draw, store = self.fleet_random, self.world.store
+        dark, gap, delay = draw.uniform(0.3, 2.0), draw.uniform(0.0, 0.15), draw.choice((0.1, 0.24, 0.4))
+        self.note(f"all nodes are killed, dark for {dark:.2f} s, start {gap:.2f} s apart, the store answers after {delay} s")
+        self.world.judge.disturb(dark + 4)
+        store.delay = delay
+        order = draw.sample(self.nodes, len(self.nodes))
+        await asyncio.gather(*(node.cycle(signal.SIGKILL, dark + i * gap) for i, node in enumerate(order)))
+        await asyncio.sleep(draw.uniform(1.0, 3.0))
+        store.delay = 0.004
+
+    async def fleet_schedule(self):
+        """What concerns the whole fleet at once. Short runs have no time for the longer ones."""
+        kinds = [self.store_drill]
+        if self.seconds >= 12:
+            kinds += [self.overlapping_freezes, self.herd_kill]
+        end = self.start_at + self.seconds
+        while self.fleet_random.random() < 0.7 and time.monotonic() < end - 3:
+            await asyncio.sleep(self.fleet_random.uniform(0.5, 4))
+            await self.fleet_random.choice(kinds)()
+
     async def reload(self):
         node = self.random.choice(self.nodes)
         self.note(f"reload {node.name}")
@@ -374,6 +464,8 @@
         tasks = [asyncio.create_task(self.evacuation_schedule())]
         if not self.calm:
             tasks.append(asyncio.create_task(self.flow_schedule()))
+        if not self.calm and not self.plant:
+            tasks.append(asyncio.create_task(self.fleet_schedule()))
         end = self.start_at + self.seconds
         while time.monotonic() < end:
             tasks.append(asyncio.create_task(self.random.choice(kinds)()))
