Tell a version that was lost with the store in full, bound the age of relayed openings

A node that has started from the store's older copy and hears of the lost version from others stamps its routes with revisions of the earlier era. A difference from the copy's version left them out, since they are lower. The record of versions starts anew there, so that peers get the whole configuration. The age in a relayed opening packet is limited to the time after which callers give up.

--- a/src/include/pimentofold/edgeforward.h
+++ b/src/include/pimentofold/edgeforward.h
@@ -96,8 +96,9 @@
     bool locationReported = false; ///< other nodes have a location of the flow, see flowlocation.h
 };
 
-/// @return whether the caller may have sent an opening packet of a flow that opens through another node, so that the flow may be open there
-bool mayOpenElsewhere(const EdgeFlow &flow, Time now);
+/// @return whether the caller has probably sent an opening packet of the flow that this node hasn't received, if none was answered so far.
+///         The flow may open through the node that has.
+bool missesOpeningCopy(const EdgeFlow &flow, Time now);
 
 /// A packet that arrived before this node could place its flow, see canPlaceFlow().
 struct EarlyPacket {
--- a/src/libpimentofold/flowlocation/lateoffers_test.cpp
+++ b/src/libpimentofold/flowlocation/lateoffers_test.cpp
@@ -154,7 +154,7 @@
         flow.startAge = row.copies.front().age + row.copies.front().heldFor;
         flow.startedAt = second;
         flow.openingCopies = static_cast<int>(row.copies.size());
-        CHECK(mayOpenElsewhere(flow, second + row.opensAt - flow.startAge) == row.reported);
+        CHECK(missesOpeningCopy(flow, second + row.opensAt - flow.startAge) == row.reported);
     }
     Fleet fleet;
     fleet.receive(opener, openingOf(8, {600 * millisecond, 800 * millisecond}), second); // its caller has given up
--- a/src/libpimentofold/forwarding/edgeforward.cpp
+++ b/src/libpimentofold/forwarding/edgeforward.cpp
@@ -89,7 +89,7 @@
 
 } // namespace
 
-bool mayOpenElsewhere(const EdgeFlow &flow, Time now)
+bool missesOpeningCopy(const EdgeFlow &flow, Time now)
 {
     return openingCopiesSent(now - flow.startedAt + flow.startAge) > flow.openingCopies;
 }
--- a/src/libpimentofold/forwarding/laterpackets.cpp
+++ b/src/libpimentofold/forwarding/laterpackets.cpp
@@ -49,7 +49,7 @@
     flow.openingPacket.shrink_to_fit();
     recordAnswer(target, now);
     target.lastProgressAt = now;
-    if (flow.attempts > 1 || flow.leftDispatcher || mayOpenElsewhere(flow, now)) {
+    if (flow.attempts > 1 || flow.leftDispatcher || missesOpeningCopy(flow, now)) {
         reportLocation(forwarder, key, flow, locationHolderCount, now, out);
     }
     recordHeard(forwarder.table.reachability, target.record.dataCentre, now);
@@ -129,7 +129,7 @@
     // A caller goes on as soon as a target has answered, from the byte after its opening packet.
     const bool isLate = now - it->second.lastOfferAt > forwarder.settings.maxAnswerTimeout;
     const bool hasProgressed = packet.sequence != it->second.sequence && packet.sequence != it->second.sequence + 1;
-    return isLate || hasProgressed || mayOpenElsewhere(it->second, now);
+    return isLate || hasProgressed || missesOpeningCopy(it->second, now);
 }
 
 /// Forwards a packet after the opening one.
--- a/src/libpimentofold/replication/storeera_test.cpp
+++ b/src/libpimentofold/replication/storeera_test.cpp
@@ -129,6 +129,24 @@
     }
 }
 
+// Guards against a difference that lacks routes: their revisions are of the earlier era, below that of the version from which it starts.
+TEST_CASE("a node that goes from the copy's version to the lost one tells it in full")
+{
+    const std::vector<EdgeRoute> copyRoutes{makeRoute(shopAddress, "shop")};
+    Node node;
+    Node peer;
+    for (Node *it : {&node, &peer}) {
+        applyConfig(it->table, configAt(after(20), 7, copyRoutes));
+        it->replication.known = {after(21), after(21), {}};
+    }
+    applyConfig(node.table, configAt(before(880), 8, {makeRoute(otherAddress, "other")}));
+    node.replication.known.config = after(22);
+    CHECK(syncFrom(peer, node, second));
+    CHECK(peer.table.configVersion == 8);
+    CHECK(findRoute(peer.table, shopAddress) == nullptr);
+    CHECK(findRoute(peer.table, otherAddress) != nullptr);
+}
+
 // Guards against a target that drains, or that has started again, and is used as the store's copy holds it.
 TEST_CASE("an entry from before the known one is an older copy, also when another node sends it")
 {
--- a/src/libpimentofold/targets/targettable.cpp
+++ b/src/libpimentofold/targets/targettable.cpp
@@ -125,6 +125,11 @@
 /// Records the version in force. A version with unreadable routes is left out: which of them stay in force differs from node to node.
 void recordConfigHistory(TargetTable &table, const EdgeConfig &config)
 {
+    if (!table.configHistory.empty() && config.revision < table.configHistory.back()) {
+        // A node that has started from the store's older copy hears of the lost version. Its routes have revisions of the earlier era,
+        // below that of the copy.
+        table.configHistory.clear();
+    }
     if (!config.unreadableRoutes.empty()) {
         return;
     }
--- a/src/pimentofold-edge/edge.cpp
+++ b/src/pimentofold-edge/edge.cpp
@@ -628,7 +628,7 @@
     flow.openingPacket = message.packet;
     flow.originNode = message.sender;
     flow.attempt = std::max(message.attempt, 1);
-    flow.openingAge = std::max(packet->openingAge, message.age);
+    flow.openingAge = std::clamp<Time>(message.age, packet->openingAge, std::max(openingTimeout, packet->openingAge));
     ForwardOutput out;
     receiveRelayedOpening(m_forwarder, flow, now, out);
     send(out, now);
