--- a/src/libpimentofold/replication/missedchanges_test.cpp
+++ b/src/libpimentofold/replication/missedchanges_test.cpp
@@ -186,14 +186,14 @@
     store.toggleRoute(443);
     store.toggleTarget(1);
     Node first;
-    Node second;
+    Node other;
     readStore(first, store, true);
-    fetch(second, first);
-    const KnownRevisions base = second.replication.known;
+    fetch(other, first);
+    const KnownRevisions base = other.replication.known;
     store.toggleRoute(1000);
     store.toggleTarget(2);
     readStore(first, store, false); // the first leader, which is lost after it has told the second node
-    fetch(second, first);
+    fetch(other, first);
     store.toggleRoute(1000);
     store.toggleTarget(2);
     Node next; // the next leader lists the store, since the store has no history any more
@@ -205,10 +205,10 @@
     readStore(next, store, true);
     const StoreChanges broadcast = changesSince(next.table, base, configBase, next.replication.known, 0);
     CHECK(broadcast.hasTargetGap);
-    deliver(second, broadcast);
-    CHECK(isAheadOf(next.replication, second.replication.known));
-    fetch(second, next);
-    CHECK(stateOf(second) == stateOf(store));
+    deliver(other, broadcast);
+    CHECK(isAheadOf(next.replication, other.replication.known));
+    fetch(other, next);
+    CHECK(stateOf(other) == stateOf(store));
 }
 
 // Guards against states that differ after any order of lists, watches, broadcasts and requests, of which many are lost.
--- a/src/libpimentofold/replication/storeera_test.cpp
+++ b/src/libpimentofold/replication/storeera_test.cpp
@@ -216,14 +216,14 @@
     for (std::uint16_t port = 1; port <= 40; ++port) {
         changes.config.routes.push_back(makeRoute({0xc6120003, port}, "idle"));
     }
-    const std::vector<wire::EdgeChanges> first = toWire(changes);
-    REQUIRE(first.size() == 2);
+    const std::vector<wire::EdgeChanges> parts = toWire(changes);
+    REQUIRE(parts.size() == 2);
     changes.config.revision = after(20);
-    const std::vector<wire::EdgeChanges> second = toWire(changes);
+    const std::vector<wire::EdgeChanges> laterParts = toWire(changes);
     ChangesAssembler assembler;
-    CHECK_FALSE(addPart(assembler, testSender, first[0]));
-    CHECK_FALSE(addPart(assembler, testSender, second[1]));
-    const std::optional<StoreChanges> whole = addPart(assembler, testSender, first[1]);
+    CHECK_FALSE(addPart(assembler, testSender, parts[0]));
+    CHECK_FALSE(addPart(assembler, testSender, laterParts[1]));
+    const std::optional<StoreChanges> whole = addPart(assembler, testSender, parts[1]);
     REQUIRE(whole);
     CHECK(whole->config.revision == before(20));
     CHECK(whole->known == KnownRevisions{before(20), before(20), {}});
